--- /dev/null
+++ b/cli/src/main/java/org/hallwall/cli/ApiClient.java
@@ -0,0 +1,129 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.cli;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpMethod;
+import org.hallwall.core.settings.Json;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.program.ExitCode;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Calls the resource API: one voter after the other until one gives a final answer. */
+final class ApiClient {
+
+    private static final int CONNECT_MILLIS = 1_000;
+    private static final Duration TIMEOUT = Duration.ofSeconds(6);
+    private static final Duration PAUSE = Duration.ofMillis(300);
+    private static final int ROUNDS = 6;
+
+    private final List<NetAddress> servers;
+    private final HttpClient http;
+
+    ApiClient(List<NetAddress> servers, String key) {
+        this.servers = servers;
+        this.http = HttpClient.create()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .headers(h -> {
+                    h.set("Content-Type", "application/json");
+                    if (key != null) {
+                        h.set("Authorization", "Bearer " + key);
+                    }
+                });
+    }
+
+    ApiReply get(String path) throws CliException {
+        return settle(HttpMethod.GET, path, null, null);
+    }
+
+    /** Sends a change; a resend after a lost answer carries the same change id, so the change is made once. */
+    ApiReply change(HttpMethod method, String path, String body, String changeId) throws CliException {
+        return settle(method, path, body, changeId);
+    }
+
+    Flux<String> lines(String path) throws CliException {
+        requireServers();
+        return http.get().uri(uri(servers.get(0), path)).responseContent().asString();
+    }
+
+    private ApiReply settle(HttpMethod method, String path, String body, String changeId) throws CliException {
+        requireServers();
+        ApiReply last = null;
+        String fault = "";
+        for (int i = 0; i < ROUNDS * servers.size(); i++) {
+            NetAddress server = servers.get(i % servers.size());
+            try {
+                last = once(server, method, path, body, changeId).block(TIMEOUT);
+                if (last != null && !last.isUnsettled()) {
+                    return last;
+                }
+            } catch (RuntimeException e) {
+                fault = server + ": " + e.getMessage();
+            }
+            Mono.delay(PAUSE).block();
+        }
+        if (last != null) {
+            return last;
+        }
+        throw new CliException(ExitCode.FAILURE, "no voter can be reached, last " + fault);
+    }
+
+    private Mono<ApiReply> once(NetAddress server, HttpMethod method, String path, String body, String changeId) {
+        byte[] bytes = body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8);
+        return http.headers(h -> {
+                    if (changeId != null) {
+                        h.set("Hallwall-Change-Id", changeId);
+                    }
+                })
+                .request(method)
+                .uri(uri(server, path))
+                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes)))
+                .responseSingle((res, content) -> content.asString()
+                        .defaultIfEmpty("")
+                        .map(text -> new ApiReply(res.status().code(), parse(text))));
+    }
+
+    private static JsonNode parse(String text) {
+        try {
+            JsonNode node = Json.MAPPER.readTree(text);
+            return node == null ? Json.MAPPER.createObjectNode() : node;
+        } catch (JsonProcessingException e) {
+            return Json.MAPPER.createObjectNode().put("detail", text);
+        }
+    }
+
+    private void requireServers() throws CliException {
+        if (servers.isEmpty()) {
+            throw new CliException(ExitCode.WRONG_USE, "--servers or HALLWALL_SERVERS must name the voters");
+        }
+    }
+
+    private static String uri(NetAddress server, String path) {
+        return "http://" + server + path;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/hallwall/cli/KindNames.java
@@ -0,0 +1,41 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.cli;
+
+import java.util.Locale;
+
+import org.hallwall.program.ExitCode;
+import org.hallwall.resource.ResourceKind;
+
+/** Reads the names of kinds as people write them. */
+final class KindNames {
+
+    private KindNames() {}
+
+    static ResourceKind parse(String text) throws CliException {
+        String lower = text.toLowerCase(Locale.ROOT);
+        for (ResourceKind k : ResourceKind.values()) {
+            boolean singular = k.label().toLowerCase(Locale.ROOT).equals(lower);
+            if (singular || k.plural().equals(lower)) {
+                return k;
+            }
+        }
+        throw new CliException(ExitCode.WRONG_USE, "there is no kind " + text);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/hallwall/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' client {@code hallwall}. */
+package org.hallwall.cli;
--- /dev/null
+++ b/control/src/main/java/org/hallwall/control/ChangeFeed.java
@@ -0,0 +1,87 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.control;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.hallwall.resource.ResourceMessage.Changes;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Schedulers;
+
+/** Lets watchers wait for changes of the declarations. */
+public final class ChangeFeed {
+
+    private static final Duration BOOKMARK_EVERY = Duration.ofSeconds(1);
+
+    private final DeclarationMachine machine;
+    private final Sinks.Many<Long> signal = Sinks.many().multicast().directBestEffort();
+
+    /**
+     * Creates the feed.
+     *
+     * @param machine the declarations
+     */
+    public ChangeFeed(DeclarationMachine machine) {
+        this.machine = machine;
+        machine.onChange(() -> signal.tryEmitNext(0L));
+    }
+
+    /**
+     * Waits for changes after a version.
+     *
+     * @param after the version
+     * @param wait how long to wait
+     * @return the changes; empty ones if there are none in that time
+     */
+    public Mono<Changes> next(long after, Duration wait) {
+        return wakeUps(wait)
+                .<Changes>handle((x, sink) -> {
+                    Changes c = machine.changesAfter(after);
+                    if (c != null) {
+                        sink.next(c);
+                    }
+                })
+                .next()
+                .timeout(wait, Mono.fromSupplier(this::nothing));
+    }
+
+    /**
+     * Follows the changes after a version without end, with a bookmark each second.
+     *
+     * @param after the version
+     * @return the changes; those without events are bookmarks
+     */
+    public Flux<Changes> follow(long after) {
+        long[] last = {after};
+        return Flux.defer(() -> next(last[0], BOOKMARK_EVERY))
+                .doOnNext(c -> last[0] = Math.max(last[0], c.version()))
+                .repeat();
+    }
+
+    private Flux<Long> wakeUps(Duration wait) {
+        return Flux.merge(signal.asFlux().onBackpressureLatest().publishOn(Schedulers.parallel(), 1), Flux.just(0L));
+    }
+
+    private Changes nothing() {
+        return new Changes(machine.applied(), false, List.of());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hallwall/control/ControlDaemon.java
@@ -0,0 +1,261 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.control;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.hallwall.core.duty.DutyState;
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.log.LogMessage;
+import org.hallwall.log.LogSeat;
+import org.hallwall.log.LogState;
+import org.hallwall.log.LogStore;
+import org.hallwall.log.LogStoreException;
+import org.hallwall.log.LogTiming;
+import org.hallwall.log.LogVoter;
+import org.hallwall.program.AdminServer;
+import org.hallwall.program.Daemon;
+import org.hallwall.program.ExitCode;
+import org.hallwall.program.HttpPorts;
+import org.hallwall.program.ProgramException;
+import org.hallwall.resource.ResourceMessage;
+import org.hallwall.resource.ResourceMessage.Command;
+import org.hallwall.resource.ResourceMessage.DomainReport;
+import org.hallwall.resource.ResourceMessage.EntryReport;
+import org.hallwall.resource.ResourceMessage.ReadIndex;
+import org.hallwall.resource.ResourceMessage.Watch;
+import org.hallwall.wire.PeerCodec;
+import org.hallwall.wire.PeerKinds;
+import org.hallwall.wire.PeerLink;
+import org.hallwall.wire.PeerMessage;
+import org.hallwall.wire.PeerServer;
+import org.hallwall.wire.PeerTraffic;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/** A running voter. */
+final class ControlDaemon implements Daemon {
+
+    private static final Logger LOG = Logger.getLogger(ControlDaemon.class);
+    private static final long MOST_WAIT_MILLIS = 5_000;
+
+    private final ControlSettings settings;
+    private final Map<InstanceId, PeerLink> links = new LinkedHashMap<>();
+    private final DeclarationMachine machine = new DeclarationMachine();
+    private final StatusBoard board = new StatusBoard(Ticker.SYSTEM);
+    private final LogStore store;
+    private final LogVoter voter;
+    private final CommandRouter router;
+    private final ChangeFeed feed;
+    private final ShareDuty shares;
+    private final PeerServer peers;
+    private DisposableServer api;
+    private AdminServer admin;
+
+    private ControlDaemon(ControlSettings settings, LogStore store) {
+        this.settings = settings;
+        this.store = store;
+        PeerCodec codec = new PeerCodec(kinds());
+        for (ControlSettings.Voter v : settings.voters()) {
+            if (!v.instance().equals(settings.instance())) {
+                links.put(v.instance(), new PeerLink(v.peer(), settings.fleet(), settings.instance(), codec));
+            }
+        }
+        voter = new LogVoter(
+                new LogSeat(settings.instance(), settings.voterNames(), LogTiming.DEFAULT),
+                store,
+                machine,
+                (to, message) -> links.get(to).send(message),
+                Ticker.SYSTEM,
+                new SecureRandom(),
+                () -> Runtime.getRuntime().halt(ExitCode.FAILURE.code()));
+        router = new CommandRouter(settings.instance(), voter, machine, links);
+        feed = new ChangeFeed(machine);
+        shares = new ShareDuty(voter, machine, board, router, settings.darkAfterMillis());
+        peers = new PeerServer(settings.fleet(), codec, this::handle);
+    }
+
+    static ControlDaemon start(ControlSettings settings) throws ProgramException {
+        if (settings.listenAddress() == null) {
+            throw new ProgramException(ExitCode.FAILURE, settings.instance() + " is not among the voters");
+        }
+        requireKeys(settings);
+        try {
+            ControlDaemon daemon = new ControlDaemon(settings, LogStore.open(settings.dataFolder()));
+            daemon.open();
+            return daemon;
+        } catch (IOException e) {
+            throw new ProgramException(ExitCode.FAILURE, e.getMessage(), e);
+        }
+    }
+
+    private void open() throws ProgramException, IOException {
+        peers.open(settings.listenAddress());
+        voter.start();
+        shares.start();
+        ControlApi routes = new ControlApi(
+                machine, router, feed, board, new OperatorKeys(settings.operatorKeySha256()), this::status);
+        HttpServer http = HttpServer.create()
+                .host(settings.api().host())
+                .port(settings.api().port())
+                .route(routes::addRoutes);
+        api = HttpPorts.bind(http, settings.api());
+        admin = AdminServer.open(settings.admin(), metrics(), this::isReady, this::dump);
+        LOG.infof("control: %s serves the resource API on port %d", settings.instance(), api.port());
+    }
+
+    @Override
+    public void close() {
+        LOG.infof("control: %s stops", settings.instance());
+        api.disposeNow();
+        shares.close();
+        voter.close();
+        peers.close();
+        links.values().forEach(PeerLink::close);
+        admin.close();
+        try {
+            store.close();
+        } catch (LogStoreException e) {
+            LOG.warnf("control: the store was not closed, %s", e.getMessage());
+        }
+    }
+
+    private static void requireKeys(ControlSettings settings) throws ProgramException {
+        try {
+            boolean loopback = InetAddress.getByName(settings.api().host()).isLoopbackAddress();
+            if (settings.operatorKeySha256().isEmpty() && !loopback) {
+                throw new ProgramException(
+                        ExitCode.FAILURE, "operatorKeySha256 may be empty only if the API is on loopback");
+            }
+        } catch (UnknownHostException e) {
+            throw new ProgramException(ExitCode.FAILURE, "api is not an IP number", e);
+        }
+    }
+
+    private static PeerKinds kinds() {
+        PeerKinds kinds = new PeerKinds();
+        LogMessage.register(kinds);
+        ResourceMessage.register(kinds);
+        return kinds;
+    }
+
+    private Mono<? extends PeerMessage> handle(InstanceId from, PeerMessage message) {
+        if (message instanceof LogMessage m) {
+            if (m.from().equals(from)) {
+                voter.receive(m);
+            }
+            return Mono.empty();
+        }
+        if (message instanceof Watch m) {
+            return feed.next(m.after(), Duration.ofMillis(Math.min(m.waitMillis(), MOST_WAIT_MILLIS)));
+        }
+        if (message instanceof Command m) {
+            return links.containsKey(from) ? router.handle(m) : Mono.empty();
+        }
+        if (message instanceof ReadIndex) {
+            return router.handleReadIndex();
+        }
+        if (message instanceof EntryReport m) {
+            board.take(m);
+        } else if (message instanceof DomainReport m) {
+            board.take(m);
+        }
+        return Mono.empty();
+    }
+
+    private boolean isReady() {
+        return voter.state().leader() != null;
+    }
+
+    private PrometheusRegistry metrics() {
+        PrometheusRegistry registry = new PrometheusRegistry();
+        gauge(
+                registry,
+                "hallwall_log_term",
+                "Term of the replicated log",
+                () -> voter.state().term());
+        gauge(
+                registry,
+                "hallwall_log_commit_index",
+                "Last committed index",
+                () -> voter.state().commit());
+        gauge(registry, "hallwall_log_leader", "One if this voter leads", () -> voter.holdsLease() ? 1 : 0);
+        gauge(registry, "hallwall_log_syncs", "Disk syncs since the start", store::syncs);
+        gauge(
+                registry,
+                "hallwall_peer_messages",
+                "Peer messages received",
+                () -> peers.traffic().messages());
+        gauge(
+                registry,
+                "hallwall_peer_bytes",
+                "Peer bytes received",
+                () -> peers.traffic().bytes());
+        return registry;
+    }
+
+    private static void gauge(PrometheusRegistry registry, String name, String help, LongSupplier v) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(c -> c.call(v.getAsLong()))
+                .register(registry);
+    }
+
+    private Object status() {
+        return new Status(settings.instance(), voter.state(), machine.applied(), board.entries(), board.domains());
+    }
+
+    private Object dump() {
+        Map<String, PeerTraffic> sent = new LinkedHashMap<>();
+        links.forEach((k, v) -> sent.put(k.value(), v.traffic()));
+        long bytes = -1;
+        try {
+            bytes = store.entriesBytes();
+        } catch (LogStoreException e) {
+            LOG.warnf("control: the size of the log is unknown, %s", e.getMessage());
+        }
+        return new Dump(status(), voter.dutyState(), peers.traffic(), sent, bytes, store.syncs(), machine.list(null));
+    }
+
+    /** What {@code hallwall status} shows. */
+    record Status(InstanceId voter, LogState log, long applied, Object entries, Object domains) {}
+
+    /** The dump of a voter. */
+    record Dump(
+            Object status,
+            DutyState logRing,
+            PeerTraffic received,
+            Map<String, PeerTraffic> sent,
+            long logBytes,
+            long syncs,
+            Object resources) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hallwall/core/id/FencingNumber.java
@@ -0,0 +1,95 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Orders the orders of successive controllers: a lease term in the high bits, a counter in the low bits.
+ *
+ * @param value the number; zero means that none is held
+ */
+public record FencingNumber(@JsonValue long value) implements Comparable<FencingNumber> {
+
+    /** The number of a target that has taken no order yet. */
+    public static final FencingNumber NONE = new FencingNumber(0);
+
+    private static final int COUNTER_BITS = 24;
+
+    /**
+     * Checks the number.
+     *
+     * @throws IllegalArgumentException if the number is negative
+     */
+    @JsonCreator
+    public FencingNumber {
+        if (value < 0) {
+            throw new IllegalArgumentException("fencing number must not be negative");
+        }
+    }
+
+    /**
+     * Gives the lowest number of a lease term.
+     *
+     * @param term the lease term
+     * @return the lowest number of the term
+     */
+    public static FencingNumber firstOf(long term) {
+        return new FencingNumber(term << COUNTER_BITS);
+    }
+
+    /**
+     * Gives the lease term held in the high bits.
+     *
+     * @return the term
+     */
+    public long term() {
+        return value >>> COUNTER_BITS;
+    }
+
+    /**
+     * Gives the next number.
+     *
+     * @return the number one higher
+     */
+    public FencingNumber next() {
+        return new FencingNumber(value + 1);
+    }
+
+    /**
+     * Gives the higher of two numbers.
+     *
+     * @param other the other number
+     * @return the higher one
+     */
+    public FencingNumber max(FencingNumber other) {
+        return value >= other.value ? this : other;
+    }
+
+    @Override
+    public int compareTo(FencingNumber other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hallwall/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.hallwall.core.id;
--- /dev/null
+++ b/core/src/main/java/org/hallwall/core/settings/SettingsReader.java
@@ -0,0 +1,68 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.core.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Reads settings files: JSON with comments, checked whole before use. */
+public final class SettingsReader {
+
+    private SettingsReader() {}
+
+    /**
+     * Reads and checks a settings file.
+     *
+     * @param file the file
+     * @param schema the schema that it must meet
+     * @param type the type to read
+     * @param <T> the type to read
+     * @return the settings
+     * @throws SettingsException if the file cannot be read or has any fault; nothing may start
+     */
+    public static <T> T read(Path file, SettingsSchema schema, Class<T> type) throws SettingsException {
+        String name = file.getFileName().toString();
+        JsonNode document = parse(file, name);
+        List<SettingsFault> faults = schema.check(document);
+        if (!faults.isEmpty()) {
+            throw new SettingsException(name, faults);
+        }
+        try {
+            return Json.MAPPER.treeToValue(document, type);
+        } catch (JsonProcessingException e) {
+            throw new SettingsException(name, List.of(new SettingsFault("/", "a bad value", e.getOriginalMessage())));
+        }
+    }
+
+    private static JsonNode parse(Path file, String name) throws SettingsException {
+        try {
+            return Json.COMMENTED.readTree(Files.readString(file));
+        } catch (JsonProcessingException e) {
+            String at = "line " + e.getLocation().getLineNr();
+            throw new SettingsException(name, List.of(new SettingsFault(at, "bad JSON", e.getOriginalMessage())));
+        } catch (IOException e) {
+            throw new SettingsException(name, List.of(new SettingsFault("/", "no readable file", e.toString())));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hallwall/core/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings files: JSON with comments, checked against a schema. */
+package org.hallwall.core.settings;
--- /dev/null
+++ b/core/src/main/java/org/hallwall/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks that tests can replace. */
+package org.hallwall.core.time;
--- /dev/null
+++ b/domain/src/main/java/org/hallwall/domain/TargetDirectory.java
@@ -0,0 +1,111 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.domain;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.engine.Announcement;
+
+/** The targets of the failure domain, as they announce themselves. Safe for use by several threads. */
+public final class TargetDirectory {
+
+    private static final long FORGET_MILLIS = 60_000;
+
+    private final Ticker ticker;
+    private final Map<InstanceId, KnownTarget> targets = new ConcurrentHashMap<>();
+    private final AtomicLong taken = new AtomicLong();
+    private final AtomicLong stale = new AtomicLong();
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param ticker the clock
+     */
+    public TargetDirectory(Ticker ticker) {
+        this.ticker = ticker;
+    }
+
+    /**
+     * Takes an announcement.
+     *
+     * @param a the announcement
+     * @param ageMillis how long ago it was made
+     * @return false if a later one is known already
+     */
+    public boolean take(Announcement a, long ageMillis) {
+        KnownTarget fresh = new KnownTarget(a, ticker.millis() - ageMillis);
+        KnownTarget kept = targets.merge(a.instance(), fresh, TargetDirectory::later);
+        boolean isNew = kept == fresh;
+        (isNew ? taken : stale).incrementAndGet();
+        return isNew;
+    }
+
+    /**
+     * Lists the targets heard in the last minute.
+     *
+     * @return the targets
+     */
+    public List<KnownTarget> list() {
+        long now = ticker.millis();
+        targets.values().removeIf(t -> now - t.heardAt() > FORGET_MILLIS);
+        return new ArrayList<>(targets.values());
+    }
+
+    /**
+     * Finds a target.
+     *
+     * @param instance its name
+     * @return the target; null if it is not known
+     */
+    public KnownTarget get(InstanceId instance) {
+        return targets.get(instance);
+    }
+
+    /**
+     * Counts the announcements taken since the start.
+     *
+     * @return how many
+     */
+    public long taken() {
+        return taken.get();
+    }
+
+    /**
+     * Counts the announcements dropped because a later one was known.
+     *
+     * @return how many
+     */
+    public long stale() {
+        return stale.get();
+    }
+
+    private static KnownTarget later(KnownTarget old, KnownTarget fresh) {
+        boolean sameBoot = old.announcement().boot().equals(fresh.announcement().boot());
+        if (sameBoot) {
+            return fresh.announcement().sequence() > old.announcement().sequence() ? fresh : old;
+        }
+        return fresh.heardAt() >= old.heardAt() ? fresh : old;
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/hallwall/engine/EngineClient.java
@@ -0,0 +1,187 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.engine;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import org.hallwall.core.id.AttemptId;
+import org.hallwall.core.settings.Json;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.core.verdict.Verdict;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Calls engines over HTTP; the one place that knows how. */
+public final class EngineClient {
+
+    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
+    private static final int CONNECT_MILLIS = 500;
+    private static final int MAX_CONNECTIONS = 4_096;
+    private static final Duration IDLE = Duration.ofSeconds(20);
+
+    private final HttpClient http;
+
+    /** Creates a client with its own connections. */
+    public EngineClient() {
+        ConnectionProvider provider = ConnectionProvider.builder("engines")
+                .maxConnections(MAX_CONNECTIONS)
+                .pendingAcquireMaxCount(MAX_CONNECTIONS)
+                .maxIdleTime(IDLE)
+                .build();
+        this.http = HttpClient.create(provider)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .disableRetry(true);
+    }
+
+    /**
+     * Sends an order.
+     *
+     * @param address the target
+     * @param order the order
+     * @return the end of the call, or an {@link EngineException}
+     */
+    public Mono<Void> order(NetAddress address, EngineOrder order) {
+        return http.post()
+                .uri(uri(address, EnginePaths.ORDERS))
+                .send(body(order))
+                .responseSingle((res, bytes) -> bytes.asString()
+                        .defaultIfEmpty("")
+                        .flatMap(text -> isOk(res) ? Mono.<Void>empty() : Mono.error(refused(res, text))))
+                .timeout(ORDER_TIMEOUT)
+                .onErrorMap(EngineClient::failure);
+    }
+
+    /**
+     * Starts a run.
+     *
+     * @param address the first member of the group
+     * @param run the run
+     * @return the frames as they come, in small batches, or an {@link EngineException}
+     */
+    public Flux<List<RunFrame>> run(NetAddress address, EngineRun run) {
+        return http.headers(h -> h.set("Content-Type", "application/json"))
+                .post()
+                .uri(uri(address, EnginePaths.RUNS))
+                .send(body(run))
+                .response(EngineClient::frames)
+                .onErrorMap(EngineClient::failure);
+    }
+
+    /**
+     * Goes on with a run whose connection broke.
+     *
+     * @param address the first member of the group
+     * @param attempt the attempt
+     * @param from the number of the first frame wanted
+     * @return the frames as they come, or an {@link EngineException}
+     */
+    public Flux<List<RunFrame>> resume(NetAddress address, AttemptId attempt, int from) {
+        return http.get()
+                .uri(uri(address, EnginePaths.RUNS + "/" + attempt + "?from=" + from))
+                .response(EngineClient::frames)
+                .onErrorMap(EngineClient::failure);
+    }
+
+    /**
+     * Cancels a run, or makes sure that it never starts.
+     *
+     * @param address the first member of the group
+     * @param attempt the attempt
+     * @return whether the engine had started the run, or an {@link EngineException}
+     */
+    public Mono<RunCancelled> cancel(NetAddress address, AttemptId attempt) {
+        return http.delete()
+                .uri(uri(address, EnginePaths.RUNS + "/" + attempt))
+                .responseSingle((res, bytes) -> bytes.asString().flatMap(EngineClient::cancelled))
+                .timeout(CANCEL_TIMEOUT)
+                .onErrorMap(EngineClient::failure);
+    }
+
+    private static Mono<RunCancelled> cancelled(String text) {
+        try {
+            return Mono.just(Json.MAPPER.readValue(text, RunCancelled.class));
+        } catch (JsonProcessingException e) {
+            return Mono.error(new EngineException(Verdict.MAY_HAVE_RUN, "the answer to a cancel is malformed"));
+        }
+    }
+
+    private static Flux<List<RunFrame>> frames(HttpClientResponse res, ByteBufFlux bytes) {
+        if (!isOk(res)) {
+            return bytes.aggregate().asString().defaultIfEmpty("").flux().flatMap(t -> Flux.error(refused(res, t)));
+        }
+        RunFrameDecoder decoder = new RunFrameDecoder();
+        return bytes.handle((b, sink) -> {
+            try {
+                List<RunFrame> batch = decoder.take(b);
+                if (!batch.isEmpty()) {
+                    sink.next(batch);
+                }
+            } catch (IOException e) {
+                sink.error(new EngineException(Verdict.MAY_HAVE_RUN, "the engine sent a malformed frame"));
+            }
+        });
+    }
+
+    private static boolean isOk(HttpClientResponse res) {
+        return res.status().codeClass() == HttpStatusClass.SUCCESS;
+    }
+
+    /** By the engine interface, an engine that answers with an error status has not started the run. */
+    private static EngineException refused(HttpClientResponse res, String text) {
+        HttpResponseStatus status = res.status();
+        boolean unknownRun = status.code() == HttpResponseStatus.NOT_FOUND.code();
+        Verdict verdict = unknownRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+        return new EngineException(verdict, "the engine answered " + status.code() + " " + text.strip());
+    }
+
+    private static Throwable failure(Throwable e) {
+        if (e instanceof EngineException) {
+            return e;
+        }
+        if (e instanceof ConnectException || e instanceof ConnectTimeoutException) {
+            return new EngineException(Verdict.NOT_RUN, "the engine cannot be reached");
+        }
+        return new EngineException(Verdict.MAY_HAVE_RUN, "the connection to the engine broke: " + e.getMessage());
+    }
+
+    private static Mono<ByteBuf> body(Object value) {
+        return Mono.fromCallable(() ->
+                Unpooled.wrappedBuffer(Json.MAPPER.writeValueAsString(value).getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static String uri(NetAddress address, String path) {
+        return "http://" + address + path;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/exchange/ChatRequest.java
@@ -0,0 +1,113 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.exchange;
+
+import java.io.IOException;
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonAlias;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.hallwall.core.settings.Json;
+import org.hallwall.core.verdict.ProblemType;
+import org.hallwall.core.verdict.RefusalException;
+
+/**
+ * The body of a chat completion request; members that hallwall does not know are ignored.
+ *
+ * @param model the model as the workspace names it
+ * @param messages the conversation
+ * @param maxTokens the most tokens to generate
+ * @param stream whether the answer is streamed
+ */
+public record ChatRequest(
+        String model,
+        List<ChatMessage> messages,
+
+        @JsonProperty("max_tokens") @JsonAlias("max_completion_tokens")
+        Integer maxTokens,
+
+        boolean stream) {
+
+    private static final int USUAL_TOKENS = 256;
+    private static final int MOST_TOKENS = 131_072;
+
+    /**
+     * Reads a body.
+     *
+     * @param body the body
+     * @return the request
+     * @throws RefusalException if the body is malformed
+     */
+    public static ChatRequest read(byte[] body) throws RefusalException {
+        ChatRequest r;
+        try {
+            r = Json.MAPPER.readValue(body, ChatRequest.class);
+        } catch (JsonProcessingException e) {
+            throw bad("the body is not a chat completion request in JSON");
+        } catch (IOException e) {
+            throw bad("the body cannot be read");
+        }
+        check(r);
+        return r;
+    }
+
+    private static void check(ChatRequest r) throws RefusalException {
+        if (r == null || r.model() == null || r.model().isBlank()) {
+            throw bad("model is missing");
+        }
+        if (r.messages() == null || r.messages().isEmpty()) {
+            throw bad("messages are missing");
+        }
+        for (ChatMessage m : r.messages()) {
+            if (m == null || m.role() == null || m.content() == null) {
+                throw bad("each message needs a role and a content of text");
+            }
+        }
+        if (r.maxTokens() != null && (r.maxTokens() < 1 || r.maxTokens() > MOST_TOKENS)) {
+            throw bad("max_tokens must be from 1 to " + MOST_TOKENS);
+        }
+    }
+
+    /**
+     * Gives the most tokens to generate.
+     *
+     * @return the number asked for, or the usual one
+     */
+    public int tokenLimit() {
+        return maxTokens == null ? USUAL_TOKENS : maxTokens;
+    }
+
+    /**
+     * Joins the conversation to one prompt.
+     *
+     * @return the prompt
+     */
+    public String prompt() {
+        StringBuilder out = new StringBuilder();
+        for (ChatMessage m : messages) {
+            out.append(m.role()).append(": ").append(m.content()).append('\n');
+        }
+        return out.toString();
+    }
+
+    private static RefusalException bad(String detail) {
+        return new RefusalException(ProblemType.BAD_REQUEST, detail);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on workspaces and on retries. */
+package org.hallwall.entry.limit;
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/peer/EntryPeers.java
@@ -0,0 +1,144 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.peer;
+
+import java.io.Closeable;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.domain.DomainPeers;
+import org.hallwall.entry.EntrySettings;
+import org.hallwall.wire.PeerCodec;
+import org.hallwall.wire.PeerLink;
+import org.hallwall.wire.PeerMessage;
+import org.hallwall.wire.PeerTraffic;
+
+/** The links of an entry to the voters and to the other entries of its failure domain. */
+public final class EntryPeers implements DomainPeers, Closeable {
+
+    private final InstanceId self;
+    private final Map<InstanceId, PeerLink> entries = new LinkedHashMap<>();
+    private final Map<InstanceId, PeerLink> voters = new LinkedHashMap<>();
+    private final Consumer<PeerMessage> toSelf;
+
+    /**
+     * Creates the links; they start to connect at once.
+     *
+     * @param settings the settings
+     * @param codec the codec
+     * @param toSelf takes the messages that this process sends to itself
+     */
+    public EntryPeers(EntrySettings settings, PeerCodec codec, Consumer<PeerMessage> toSelf) {
+        this.self = settings.instance();
+        this.toSelf = toSelf;
+        for (EntrySettings.Peer p : settings.domainEntries()) {
+            if (!p.instance().equals(self)) {
+                entries.put(p.instance(), new PeerLink(p.peer(), settings.fleet(), self, codec));
+            }
+        }
+        for (EntrySettings.Peer p : settings.voters()) {
+            voters.put(p.instance(), new PeerLink(p.peer(), settings.fleet(), self, codec));
+        }
+    }
+
+    @Override
+    public Set<InstanceId> others() {
+        return entries.keySet();
+    }
+
+    @Override
+    public void send(InstanceId to, PeerMessage message) {
+        if (to.equals(self)) {
+            toSelf.accept(message);
+            return;
+        }
+        PeerLink link = entries.get(to);
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
+    @Override
+    public void sendToVoters(PeerMessage message) {
+        voters.values().forEach(l -> l.send(message));
+    }
+
+    /**
+     * Gives the link to an entry.
+     *
+     * @param entry the entry
+     * @return the link; null if the entry is not known
+     */
+    public PeerLink entry(InstanceId entry) {
+        return entries.get(entry);
+    }
+
+    /**
+     * Gives the links to the other entries.
+     *
+     * @return the links
+     */
+    public List<PeerLink> entryLinks() {
+        return List.copyOf(entries.values());
+    }
+
+    /**
+     * Gives the links to the voters.
+     *
+     * @return the links
+     */
+    public List<PeerLink> voterLinks() {
+        return List.copyOf(voters.values());
+    }
+
+    /**
+     * Counts the entries of the failure domain that can be reached, this one included.
+     *
+     * @return how many
+     */
+    public int liveEntries() {
+        int n = 1;
+        for (PeerLink l : entries.values()) {
+            n += l.isUp() ? 1 : 0;
+        }
+        return n;
+    }
+
+    /**
+     * Describes the traffic for a dump.
+     *
+     * @return the traffic sent on each link
+     */
+    public Map<String, PeerTraffic> traffic() {
+        Map<String, PeerTraffic> out = new LinkedHashMap<>();
+        entries.forEach((k, v) -> out.put(k.value(), v.traffic()));
+        voters.forEach((k, v) -> out.put(k.value(), v.traffic()));
+        return out;
+    }
+
+    @Override
+    public void close() {
+        entries.values().forEach(PeerLink::close);
+        voters.values().forEach(PeerLink::close);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/request/IdentifyFilter.java
@@ -0,0 +1,60 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.request;
+
+import java.util.function.Supplier;
+
+import org.hallwall.core.id.WorkspaceId;
+import org.hallwall.core.settings.KeyHash;
+import org.hallwall.core.verdict.ProblemType;
+import org.hallwall.core.verdict.RefusalException;
+import org.hallwall.entry.exchange.Exchange;
+import org.hallwall.entry.exchange.RequestFilter;
+import org.hallwall.resource.Declarations;
+
+/** Finds the workspace that a key belongs to. */
+public final class IdentifyFilter implements RequestFilter {
+
+    private static final String BEARER = "Bearer ";
+
+    private final Supplier<Declarations> declarations;
+
+    /**
+     * Creates the filter.
+     *
+     * @param declarations the declarations in force
+     */
+    public IdentifyFilter(Supplier<Declarations> declarations) {
+        this.declarations = declarations;
+    }
+
+    @Override
+    public void apply(Exchange x) throws RefusalException {
+        String value = x.headers().authorization();
+        if (value == null || !value.startsWith(BEARER)) {
+            throw new RefusalException(ProblemType.UNAUTHORIZED, "Authorization: Bearer KEY is missing");
+        }
+        Declarations declared = declarations.get();
+        WorkspaceId id = declared.workspaceOf(KeyHash.of(value.substring(BEARER.length())));
+        if (id == null) {
+            throw new RefusalException(ProblemType.UNAUTHORIZED, "no workspace has this key");
+        }
+        x.belongsTo(id, declared.workspaces().get(id));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/routing/RoutingPolicy.java
@@ -0,0 +1,85 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.routing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** How one of several usable groups is chosen. */
+public enum RoutingPolicy {
+    /** Any group, all equally likely. */
+    RANDOM {
+        @Override
+        GroupSlot choose(List<GroupSlot> groups, String prompt, RandomGenerator random) {
+            return groups.get(random.nextInt(groups.size()));
+        }
+    },
+    /** The less loaded of two taken at random. */
+    LEAST_OUTSTANDING {
+        @Override
+        GroupSlot choose(List<GroupSlot> groups, String prompt, RandomGenerator random) {
+            return lesserOfTwo(groups, random);
+        }
+    },
+    /** The group that prompts with the same beginning go to, unless it is loaded well above the average. */
+    PREFIX_AFFINITY {
+        @Override
+        GroupSlot choose(List<GroupSlot> groups, String prompt, RandomGenerator random) {
+            double bound = averageLoad(groups) * LOAD_FACTOR + 1;
+            String prefix = prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARS));
+            List<GroupSlot> ranked = groups.stream()
+                    .sorted(Comparator.comparingLong((GroupSlot g) -> rank(prefix, g)))
+                    .toList();
+            for (GroupSlot g : ranked) {
+                if (g.estimatedLoad() < bound) {
+                    return g;
+                }
+            }
+            return lesserOfTwo(groups, random);
+        }
+    };
+
+    private static final double LOAD_FACTOR = 1.25;
+    private static final int PREFIX_CHARS = 512;
+
+    abstract GroupSlot choose(List<GroupSlot> groups, String prompt, RandomGenerator random);
+
+    private static GroupSlot lesserOfTwo(List<GroupSlot> groups, RandomGenerator random) {
+        GroupSlot a = groups.get(random.nextInt(groups.size()));
+        GroupSlot b = groups.get(random.nextInt(groups.size()));
+        return a.estimatedLoad() <= b.estimatedLoad() ? a : b;
+    }
+
+    private static double averageLoad(List<GroupSlot> groups) {
+        double sum = 0;
+        for (GroupSlot g : groups) {
+            sum += g.estimatedLoad();
+        }
+        return sum / groups.size();
+    }
+
+    private static long rank(String prefix, GroupSlot g) {
+        byte[] bytes = (prefix + '\n' + g.group()).getBytes(StandardCharsets.UTF_8);
+        return MurmurHash3.hash128x64(bytes)[0];
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Queueing requests and choosing the group that runs each. */
+package org.hallwall.entry.routing;
--- /dev/null
+++ b/fakes/src/main/java/org/hallwall/fakes/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for model engines and plain services, for tests, first steps and measurement. */
+package org.hallwall.fakes;
--- /dev/null
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -0,0 +1,563 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.log;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.log.LogMessage.AppendReply;
+import org.hallwall.log.LogMessage.AppendRequest;
+import org.hallwall.log.LogMessage.SnapshotRequest;
+import org.hallwall.log.LogMessage.VoteReply;
+import org.hallwall.log.LogMessage.VoteRequest;
+
+/**
+ * Decides for one voter: terms, votes, replication, commit, admission of data folders.
+ *
+ * <p>It does no I/O and reads no clock. Each call returns the actions to carry out in order. It is not safe for use by
+ * several threads.
+ */
+public final class LogReplica {
+
+    private static final int MOST_ENTRIES = 64;
+
+    private final InstanceId self;
+    private final List<InstanceId> others;
+    private final int quorum;
+    private final LogTiming timing;
+    private final LogFolder folder;
+    private final RandomGenerator random;
+    private final LogIndex log;
+    private final Map<String, String> admitted = new HashMap<>();
+    private final Map<InstanceId, LogFollower> followers = new HashMap<>();
+    private final Set<InstanceId> votes = new HashSet<>();
+    private List<LogAction> actions = new ArrayList<>();
+
+    private LogRole role;
+    private long term;
+    private InstanceId votedFor;
+    private InstanceId leader;
+    private long commit;
+    private long electionAt;
+    private long heartbeatAt;
+    private long leaderHeardAt;
+
+    /**
+     * Restores a replica from what it has stored.
+     *
+     * @param seat the place of this voter among the voters
+     * @param stored what the voter has stored
+     * @param random the source of election timeouts
+     * @param now the clock in milliseconds; no vote is given for one election timeout from now
+     */
+    public LogReplica(LogSeat seat, LogStored stored, RandomGenerator random, long now) {
+        this.self = seat.self();
+        this.others = seat.voters().stream().filter(v -> !v.equals(self)).toList();
+        this.quorum = seat.voters().size() / 2 + 1;
+        this.timing = seat.timing();
+        this.folder = stored.folder();
+        this.random = random;
+        this.term = stored.vote().term();
+        this.votedFor = stored.vote().votedFor();
+        LogSnapshot snapshot = stored.snapshot();
+        this.log = new LogIndex(snapshot.index(), snapshot.term(), stored.entries());
+        this.commit = snapshot.index();
+        this.admitted.putAll(snapshot.admitted());
+        this.leaderHeardAt = now;
+        this.role = restingRole();
+        resetElection(now);
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param now the clock in milliseconds
+     * @return the actions to carry out
+     */
+    public List<LogAction> tick(long now) {
+        if (role == LogRole.LEADER) {
+            if (now >= heartbeatAt) {
+                sendToAll(now);
+            }
+            if (!others.isEmpty() && !hasLease(now, 2 * timing.electionMillis())) {
+                becomeFollower(now);
+            }
+        } else if (now >= electionAt) {
+            startElection(now, true);
+        }
+        return taken();
+    }
+
+    /**
+     * Takes a message.
+     *
+     * @param now the clock in milliseconds
+     * @param message the message
+     * @return the actions to carry out
+     */
+    public List<LogAction> receive(long now, LogMessage message) {
+        if (others.contains(message.from())) {
+            dispatch(now, message);
+        }
+        return taken();
+    }
+
+    /**
+     * Proposes a command; only a leader takes it.
+     *
+     * @param now the clock in milliseconds
+     * @param command the command
+     * @return the index it will have if it is committed in this term; empty if this voter does not lead
+     */
+    public OptionalLong propose(long now, byte[] command) {
+        if (role != LogRole.LEADER) {
+            return OptionalLong.empty();
+        }
+        long index = appendOwn(LogEntryKind.COMMAND, command);
+        sendToAll(now);
+        return OptionalLong.of(index);
+    }
+
+    /**
+     * Takes the actions that a proposal has caused.
+     *
+     * @return the actions to carry out
+     */
+    public List<LogAction> taken() {
+        List<LogAction> out = actions;
+        actions = new ArrayList<>();
+        return out;
+    }
+
+    /**
+     * Makes a snapshot's metadata and drops the entries it covers.
+     *
+     * @param state the state machine's snapshot, taken when all entries up to the commit index were applied
+     * @return the snapshot, to be stored before anything else is done
+     */
+    public LogSnapshot compact(byte[] state) {
+        LogSnapshot snapshot = new LogSnapshot(commit, log.termAt(commit), Map.copyOf(admitted), state);
+        log.dropUpTo(commit);
+        return snapshot;
+    }
+
+    /**
+     * Counts the committed entries that the snapshot does not cover.
+     *
+     * @return how many
+     */
+    public long committedSinceSnapshot() {
+        return commit - log.baseIndex();
+    }
+
+    /**
+     * Gives the entries after the snapshot.
+     *
+     * @return the entries in order
+     */
+    public List<LogEntry> entriesAfterSnapshot() {
+        return log.after(log.baseIndex(), log.size());
+    }
+
+    /**
+     * Says whether this voter leads and no other can have been elected.
+     *
+     * @param now the clock in milliseconds
+     * @return true if a read of the applied state is up to date
+     */
+    public boolean holdsLease(long now) {
+        return role == LogRole.LEADER
+                && log.termAt(commit) == term
+                && (others.isEmpty() || hasLease(now, timing.leaseMillis()));
+    }
+
+    /**
+     * Describes the replica.
+     *
+     * @return its state
+     */
+    public LogState state() {
+        return new LogState(role, term, leader, commit, log.lastIndex(), log.baseIndex(), Map.copyOf(admitted));
+    }
+
+    private void dispatch(long now, LogMessage message) {
+        if (message instanceof VoteRequest m) {
+            onVoteRequest(now, m);
+        } else if (message instanceof VoteReply m) {
+            onVoteReply(now, m);
+        } else if (message instanceof AppendRequest m) {
+            onAppend(now, m);
+        } else if (message instanceof AppendReply m) {
+            onAppendReply(now, m);
+        } else if (message instanceof SnapshotRequest m) {
+            onSnapshot(now, m);
+        }
+    }
+
+    // --- elections
+
+    private void startElection(long now, boolean preVote) {
+        resetElection(now);
+        if (!mayVote()) {
+            return;
+        }
+        leader = null;
+        votes.clear();
+        votes.add(self);
+        if (preVote) {
+            role = LogRole.PRE_CANDIDATE;
+        } else {
+            role = LogRole.CANDIDATE;
+            saveVote(term + 1, self);
+        }
+        long wanted = preVote ? term + 1 : term;
+        for (InstanceId v : others) {
+            send(v, new VoteRequest(wanted, self, log.lastIndex(), log.lastTerm(), preVote));
+        }
+        countVotes(now);
+    }
+
+    private void onVoteRequest(long now, VoteRequest m) {
+        boolean leaderIsFresh = role == LogRole.LEADER || now - leaderHeardAt < timing.electionMillis();
+        if (!m.preVote() && m.term() > term && !leaderIsFresh) {
+            adoptTerm(now, m.term());
+        }
+        boolean granted = !leaderIsFresh && mayVote() && upToDate(m) && mayGrant(m);
+        if (granted && !m.preVote()) {
+            saveVote(term, m.from());
+            resetElection(now);
+        }
+        long answered = granted && m.preVote() ? m.term() : term;
+        send(m.from(), new VoteReply(answered, self, folder, granted, m.preVote()));
+    }
+
+    private boolean mayGrant(VoteRequest m) {
+        if (m.preVote()) {
+            return m.term() > term;
+        }
+        return m.term() == term && (votedFor == null || votedFor.equals(m.from()));
+    }
+
+    private boolean upToDate(VoteRequest m) {
+        if (m.lastTerm() != log.lastTerm()) {
+            return m.lastTerm() > log.lastTerm();
+        }
+        return m.lastIndex() >= log.lastIndex();
+    }
+
+    private void onVoteReply(long now, VoteReply m) {
+        if (!m.granted()) {
+            if (m.term() > term) {
+                adoptTerm(now, m.term());
+            }
+            return;
+        }
+        boolean probing = role == LogRole.PRE_CANDIDATE && m.preVote() && m.term() == term + 1;
+        boolean standing = role == LogRole.CANDIDATE && !m.preVote() && m.term() == term;
+        if ((probing || standing) && counts(m.from(), m.folder())) {
+            votes.add(m.from());
+            countVotes(now);
+        }
+    }
+
+    private void countVotes(long now) {
+        if (votes.size() < quorum) {
+            return;
+        }
+        if (role == LogRole.PRE_CANDIDATE) {
+            startElection(now, false);
+        } else if (role == LogRole.CANDIDATE) {
+            becomeLeader(now);
+        }
+    }
+
+    private void becomeLeader(long now) {
+        role = LogRole.LEADER;
+        leader = self;
+        followers.clear();
+        for (InstanceId v : others) {
+            followers.put(v, new LogFollower(log.lastIndex() + 1));
+        }
+        appendOwn(LogEntryKind.START, new byte[0]);
+        if (!folder.id().equals(admitted.get(self.value()))) {
+            appendOwn(LogEntryKind.ADMIT, admission(self, folder));
+        }
+        for (LogFollower f : followers.values()) {
+            f.heard(new LogFolder("", false), now);
+        }
+        sendToAll(now);
+    }
+
+    private void becomeFollower(long now) {
+        role = restingRole();
+        leader = null;
+        votes.clear();
+        resetElection(now);
+    }
+
+    private void adoptTerm(long now, long newTerm) {
+        saveVote(newTerm, null);
+        becomeFollower(now);
+    }
+
+    // --- replication, as a follower
+
+    private void onAppend(long now, AppendRequest m) {
+        if (!follow(now, m)) {
+            send(m.from(), new AppendReply(term, self, folder, false, log.lastIndex(), m.sentAt()));
+            return;
+        }
+        long prev = m.prevIndex();
+        if (prev < log.baseIndex()) {
+            // The snapshot covers the previous index, and what it covers is committed.
+            reply(m.from(), true, log.baseIndex(), m.sentAt());
+        } else if (prev > log.lastIndex()) {
+            reply(m.from(), false, log.lastIndex(), m.sentAt());
+        } else if (log.termAt(prev) != m.prevTerm()) {
+            reply(m.from(), false, Math.max(log.baseIndex(), prev - 1), m.sentAt());
+        } else {
+            takeEntries(m.entries());
+            long matched = prev + m.entries().size();
+            advanceCommit(Math.min(m.commit(), matched));
+            reply(m.from(), true, matched, m.sentAt());
+        }
+    }
+
+    private boolean follow(long now, LogMessage m) {
+        if (m.term() < term) {
+            return false;
+        }
+        if (m.term() > term || votedFor == null) {
+            // Voting for the leader of the term is harmless and keeps an admitted folder from voting twice.
+            saveVote(m.term(), m.from());
+        }
+        role = restingRole();
+        leader = m.from();
+        leaderHeardAt = now;
+        votes.clear();
+        resetElection(now);
+        return true;
+    }
+
+    private void takeEntries(List<LogEntry> entries) {
+        List<LogEntry> fresh = new ArrayList<>();
+        for (LogEntry e : entries) {
+            if (fresh.isEmpty() && log.holds(e.index()) && log.termAt(e.index()) == e.term()) {
+                continue;
+            }
+            if (fresh.isEmpty() && e.index() <= log.lastIndex()) {
+                cutFrom(e.index());
+            }
+            log.append(e);
+            fresh.add(e);
+        }
+        if (!fresh.isEmpty()) {
+            actions.add(new LogAction.SaveEntries(fresh));
+        }
+    }
+
+    private void cutFrom(long index) {
+        if (index <= commit) {
+            throw new IllegalStateException("a committed entry would be cut at " + index);
+        }
+        log.cutFrom(index);
+    }
+
+    private void onSnapshot(long now, SnapshotRequest m) {
+        if (!follow(now, m)) {
+            send(m.from(), new AppendReply(term, self, folder, false, log.lastIndex(), m.sentAt()));
+            return;
+        }
+        LogSnapshot s = m.snapshot();
+        if (s.index() > commit) {
+            restore(s);
+        }
+        reply(m.from(), true, Math.max(s.index(), log.baseIndex()), m.sentAt());
+    }
+
+    private void restore(LogSnapshot s) {
+        List<LogEntry> kept = List.of();
+        if (log.holds(s.index()) && log.termAt(s.index()) == s.term()) {
+            kept = log.after(s.index(), log.size());
+        }
+        log.reset(s.index(), s.term(), kept);
+        commit = s.index();
+        admitted.clear();
+        admitted.putAll(s.admitted());
+        actions.add(new LogAction.Restore(s, kept));
+        role = restingRole();
+    }
+
+    private void reply(InstanceId to, boolean accepted, long index, long sentAt) {
+        send(to, new AppendReply(term, self, folder, accepted, index, sentAt));
+    }
+
+    // --- replication, as a leader
+
+    private void onAppendReply(long now, AppendReply m) {
+        if (m.term() > term) {
+            adoptTerm(now, m.term());
+            return;
+        }
+        if (role != LogRole.LEADER || m.term() < term) {
+            return;
+        }
+        LogFollower f = followers.get(m.from());
+        f.heard(m.folder(), m.sentAt());
+        if (m.accepted()) {
+            f.accepted(m.index());
+            admitIfReady(m.from(), f);
+            commitByQuorum(now);
+            if (f.next() <= log.lastIndex()) {
+                sendTo(now, m.from(), f);
+            }
+        } else {
+            f.rejected(m.index());
+            sendTo(now, m.from(), f);
+        }
+    }
+
+    private void admitIfReady(InstanceId voter, LogFollower f) {
+        boolean known = f.folder().id().equals(admitted.get(voter.value()));
+        if (!known && !f.admissionPending() && f.match() >= commit) {
+            f.admissionAt(appendOwn(LogEntryKind.ADMIT, admission(voter, f.folder())));
+        }
+    }
+
+    private void commitByQuorum(long now) {
+        long[] matches = new long[others.size() + 1];
+        matches[0] = log.lastIndex();
+        int i = 1;
+        for (Map.Entry<InstanceId, LogFollower> e : followers.entrySet()) {
+            LogFollower f = e.getValue();
+            matches[i++] = counts(e.getKey(), f.folder()) ? f.match() : 0;
+        }
+        Arrays.sort(matches);
+        long agreed = matches[matches.length - quorum];
+        if (agreed > commit && log.termAt(agreed) == term) {
+            advanceCommit(agreed);
+            sendToAll(now);
+        }
+    }
+
+    private long appendOwn(LogEntryKind kind, byte[] payload) {
+        LogEntry entry = new LogEntry(log.lastIndex() + 1, term, kind, payload);
+        log.append(entry);
+        actions.add(new LogAction.SaveEntries(List.of(entry)));
+        if (others.isEmpty()) {
+            advanceCommit(entry.index());
+        }
+        return entry.index();
+    }
+
+    private void sendToAll(long now) {
+        heartbeatAt = now + timing.heartbeatMillis();
+        for (InstanceId v : others) {
+            sendTo(now, v, followers.get(v));
+        }
+    }
+
+    private void sendTo(long now, InstanceId to, LogFollower f) {
+        long prev = f.next() - 1;
+        if (prev < log.baseIndex()) {
+            if (f.maySendSnapshot(now, timing.electionMillis())) {
+                actions.add(new LogAction.SendSnapshot(to, term, now));
+            }
+            return;
+        }
+        prev = Math.min(prev, log.lastIndex());
+        List<LogEntry> entries = log.after(prev, MOST_ENTRIES);
+        send(to, new AppendRequest(term, self, prev, log.termAt(prev), entries, commit, now));
+        f.sentUpTo(prev + entries.size());
+    }
+
+    // --- shared
+
+    private void advanceCommit(long to) {
+        while (commit < to) {
+            commit++;
+            LogEntry entry = log.get(commit);
+            if (entry.kind() == LogEntryKind.ADMIT) {
+                takeAdmission(entry);
+            }
+            actions.add(new LogAction.Apply(entry));
+        }
+    }
+
+    private void takeAdmission(LogEntry entry) {
+        String[] parts = new String(entry.payload(), StandardCharsets.UTF_8).split("\n");
+        admitted.put(parts[0], parts[1]);
+        if (role == LogRole.FOLLOWER || role == LogRole.RECOVERING) {
+            role = restingRole();
+        }
+    }
+
+    private static byte[] admission(InstanceId voter, LogFolder folder) {
+        return (voter.value() + "\n" + folder.id()).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private boolean hasLease(long now, long within) {
+        long[] heard = new long[others.size()];
+        int i = 0;
+        for (Map.Entry<InstanceId, LogFollower> e : followers.entrySet()) {
+            heard[i++] = e.getValue().heardSentAt();
+        }
+        Arrays.sort(heard);
+        return now - heard[heard.length - (quorum - 1)] < within;
+    }
+
+    private boolean counts(InstanceId voter, LogFolder speaking) {
+        if (speaking == null) {
+            return false;
+        }
+        String known = admitted.get(voter.value());
+        return known == null ? speaking.founding() : known.equals(speaking.id());
+    }
+
+    private boolean mayVote() {
+        return counts(self, folder);
+    }
+
+    private LogRole restingRole() {
+        return mayVote() ? LogRole.FOLLOWER : LogRole.RECOVERING;
+    }
+
+    private void saveVote(long newTerm, InstanceId candidate) {
+        term = newTerm;
+        votedFor = candidate;
+        actions.add(new LogAction.SaveVote(new LogVote(newTerm, candidate)));
+    }
+
+    private void send(InstanceId to, LogMessage message) {
+        actions.add(new LogAction.Send(to, message));
+    }
+
+    private void resetElection(long now) {
+        electionAt = now + timing.electionMillis() + random.nextLong(timing.electionMillis());
+    }
+}
--- /dev/null
+++ b/log/src/main/java/org/hallwall/log/LogRole.java
@@ -0,0 +1,33 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.log;
+
+/** The role of a voter. */
+public enum LogRole {
+    /** Its data folder is not admitted: it follows, but neither votes nor counts. */
+    RECOVERING,
+    /** It follows a leader or waits for one. */
+    FOLLOWER,
+    /** It asks whether an election could be won. */
+    PRE_CANDIDATE,
+    /** It stands for election. */
+    CANDIDATE,
+    /** It leads. */
+    LEADER
+}
--- /dev/null
+++ b/program/src/main/java/org/hallwall/program/AdminServer.java
@@ -0,0 +1,99 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.program;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.hallwall.core.settings.NetAddress;
+import org.reactivestreams.Publisher;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** The admin port: health, readiness, metrics and the dump of the process's state. */
+public final class AdminServer implements AutoCloseable {
+
+    private static final String PLAIN = "text/plain; charset=utf-8";
+
+    private final DisposableServer server;
+
+    private AdminServer(DisposableServer server) {
+        this.server = server;
+    }
+
+    /**
+     * Opens the admin port.
+     *
+     * @param address where to listen
+     * @param registry the metrics of the process
+     * @param ready whether the process takes work
+     * @param dump the state of the process
+     * @return the open port
+     * @throws ProgramException if the port cannot be opened
+     */
+    public static AdminServer open(
+            NetAddress address, PrometheusRegistry registry, BooleanSupplier ready, Supplier<Object> dump)
+            throws ProgramException {
+        HttpServer http = HttpServer.create()
+                .host(address.host())
+                .port(address.port())
+                .route(routes -> routes.get("/healthz", (req, res) -> HttpReplies.text(res, 200, PLAIN, "ok\n"))
+                        .get("/readyz", (req, res) -> readiness(res, ready))
+                        .get("/metrics", (req, res) -> metrics(res, registry))
+                        .get("/debug/dump", (req, res) -> HttpReplies.pretty(res, dump.get())));
+        return new AdminServer(HttpPorts.bind(http, address));
+    }
+
+    /**
+     * Gives the port that is open.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    @Override
+    public void close() {
+        server.disposeNow();
+    }
+
+    private static Publisher<Void> readiness(HttpServerResponse res, BooleanSupplier ready) {
+        boolean yes = ready.getAsBoolean();
+        return HttpReplies.text(res, yes ? 200 : 503, PLAIN, yes ? "ready\n" : "not ready\n");
+    }
+
+    private static Publisher<Void> metrics(HttpServerResponse res, PrometheusRegistry registry) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+        try {
+            writer.write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return HttpReplies.text(res, 200, writer.getContentType(), out.toString(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/program/src/main/java/org/hallwall/program/ProgramLogs.java
@@ -0,0 +1,52 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.program;
+
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+
+import org.jboss.logmanager.handlers.ConsoleHandler;
+
+/** Sets up the log of a program: one handler, to standard error. */
+public final class ProgramLogs {
+
+    private static final String OWN = "org.hallwall";
+
+    private ProgramLogs() {}
+
+    /**
+     * Replaces the handlers of the root logger by one.
+     *
+     * @param format the form of the lines
+     * @param level the least level that the project's own code logs
+     */
+    public static void configure(LogFormat format, String level) {
+        Logger root = LogManager.getLogManager().getLogger("");
+        for (Handler h : root.getHandlers()) {
+            root.removeHandler(h);
+        }
+        ConsoleHandler handler = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, format.formatter());
+        handler.setLevel(Level.ALL);
+        root.addHandler(handler);
+        root.setLevel(Level.WARNING);
+        Logger.getLogger(OWN).setLevel(Level.parse(level));
+    }
+}
--- /dev/null
+++ b/program/src/main/java/org/hallwall/program/package-info.java
@@ -0,0 +1,2 @@
+/** What all programs share: command line, logs, metrics, the admin port. */
+package org.hallwall.program;
--- /dev/null
+++ b/wire/src/main/java/org/hallwall/wire/PeerCodec.java
@@ -0,0 +1,91 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.wire;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import reactor.netty.Connection;
+
+/** Turns messages into frames and back. */
+public final class PeerCodec {
+
+    /** The largest frame that is accepted, in bytes. */
+    public static final int MAX_FRAME = 16 * 1024 * 1024;
+
+    private static final int LENGTH_BYTES = 4;
+
+    private final PeerKinds kinds;
+    private final ObjectMapper mapper;
+
+    /**
+     * Creates the codec.
+     *
+     * @param kinds the kinds of message that are understood
+     */
+    public PeerCodec(PeerKinds kinds) {
+        this.kinds = kinds;
+        this.mapper = new ObjectMapper(new MessagePackFactory());
+        this.mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    }
+
+    ByteBuf encode(PeerFrame frame) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(kinds.number(frame.message()));
+            packer.packLong(frame.correlation());
+            packer.packBoolean(frame.reply());
+            packer.writePayload(mapper.writeValueAsBytes(frame.message()));
+            return Unpooled.wrappedBuffer(packer.toByteArray());
+        } catch (IOException e) {
+            throw new IllegalStateException("message cannot be encoded", e);
+        }
+    }
+
+    PeerFrame decode(ByteBuf bytes) throws IOException {
+        byte[] raw = ByteBufUtil.getBytes(bytes);
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(raw)) {
+            int number = unpacker.unpackInt();
+            long correlation = unpacker.unpackLong();
+            boolean reply = unpacker.unpackBoolean();
+            Class<? extends PeerMessage> type = kinds.type(number);
+            if (type == null) {
+                throw new IOException("unknown kind " + number);
+            }
+            int at = (int) unpacker.getTotalReadBytes();
+            return new PeerFrame(correlation, reply, mapper.readValue(raw, at, raw.length - at, type));
+        } catch (RuntimeException e) {
+            throw new IOException("malformed frame: " + e, e);
+        }
+    }
+
+    static void addFraming(Connection connection) {
+        connection.addHandlerLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        connection.addHandlerLast(new LengthFieldPrepender(LENGTH_BYTES));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hallwall/wire/PeerException.java
@@ -0,0 +1,49 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.wire;
+
+import org.hallwall.core.verdict.Verdict;
+
+/** A call to a peer has no reply; the verdict says whether the peer may have acted on it. */
+public class PeerException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final Verdict verdict;
+
+    /**
+     * Creates the exception.
+     *
+     * @param verdict whether the peer may have acted on the call
+     * @param message one sentence
+     */
+    public PeerException(Verdict verdict, String message) {
+        super(message);
+        this.verdict = verdict;
+    }
+
+    /**
+     * Says whether the peer may have acted on the call.
+     *
+     * @return the verdict
+     */
+    public Verdict verdict() {
+        return verdict;
+    }
+}
