Log and lease: seeded schedules of failures, and three faults they found

Cause: the agreement code had no proof. Property tests now drive the pure decision code through lost, late, doubled and reordered messages, crashes between any two actions, lost disks, cuts and freezes. Found and mended, each kept as a test by its seed: - log: a voter whose new data folder was admitted forgot that on a restart and could never vote again; it keeps the fact on disk, and others count it when the log names the folder and the voter says that it learnt of the commit. - lease: a holder kept to its term while a candidate that could not win raised the others' terms, and lost the lease; a renewal takes the highest term. - lease: a late release or reply of a process's earlier life spoke for its new one, and two processes held the lease; a candidate is now an instance and a boot number, and a release names the round up to which it counts.

--- a/domain/src/main/java/org/hallwall/domain/DomainController.java
+++ b/domain/src/main/java/org/hallwall/domain/DomainController.java
@@ -172,7 +172,7 @@
     private void onLease(LeaseMessage message) {
         long now = ticker.millis();
         if (message instanceof LeaseMessage.Request m) {
-            peers.send(m.candidate(), elector.answer(now, m));
+            peers.send(m.candidate().instance(), elector.answer(now, m));
         } else if (message instanceof LeaseMessage.Reply m) {
             elector.receive(now, m);
         } else if (message instanceof LeaseMessage.Release m) {
--- a/domain/src/main/java/org/hallwall/domain/LeaseElector.java
+++ b/domain/src/main/java/org/hallwall/domain/LeaseElector.java
@@ -23,6 +23,7 @@
 import java.util.random.RandomGenerator;
 
 import org.hallwall.core.id.InstanceId;
+import org.hallwall.domain.LeaseMessage.Candidate;
 
 /**
  * Decides about the controller's lease, as one of the processes that grant it.
@@ -35,14 +36,15 @@
 
     private static final int RENEWALS_A_LEASE = 4;
 
-    private final InstanceId self;
+    private final Candidate self;
     private final int quorum;
     private final DomainTiming timing;
     private final RandomGenerator random;
     private final long startedAt;
     private final Set<InstanceId> grants = new HashSet<>();
 
-    private InstanceId grantedTo;
+    private Candidate grantedTo;
+    private long grantedRound;
     private long grantedUntil;
     private long highestTerm;
 
@@ -62,7 +64,7 @@
      * @param now the clock
      */
     public LeaseElector(InstanceId self, int members, DomainTiming timing, RandomGenerator random, long now) {
-        this.self = self;
+        this.self = new Candidate(self, random.nextLong());
         this.quorum = members / 2 + 1;
         this.timing = timing;
         this.random = random;
@@ -81,7 +83,8 @@
             return null;
         }
         if (holds(now)) {
-            return ask(now, term);
+            // A candidate that cannot win may have raised the term; a holder that kept to its own would lose the lease.
+            return ask(now, Math.max(term, highestTerm));
         }
         if (isGranted(now) && !grantedTo.equals(self)) {
             nextRoundAt = grantedUntil + jitter();
@@ -106,11 +109,12 @@
     }
 
     private LeaseMessage giveUp(long now) {
+        long askedRound = round;
         round++;
         grants.clear();
         grantedUntil = Long.MIN_VALUE;
         nextRoundAt = now + jitter();
-        return new LeaseMessage.Release(self, term);
+        return new LeaseMessage.Release(self, askedRound);
     }
 
     /**
@@ -126,10 +130,11 @@
         boolean granted = !justStarted && !heldByOther && request.term() >= highestTerm;
         if (granted) {
             grantedTo = request.candidate();
+            grantedRound = request.round();
             grantedUntil = now + timing.controllerLease();
             highestTerm = request.term();
         }
-        return new LeaseMessage.Reply(self, granted, highestTerm, request.round());
+        return new LeaseMessage.Reply(self.instance(), request.candidate(), granted, highestTerm, request.round());
     }
 
     /**
@@ -140,7 +145,7 @@
      */
     public void receive(long now, LeaseMessage.Reply reply) {
         highestTerm = Math.max(highestTerm, reply.term());
-        if (reply.round() != round || !reply.granted()) {
+        if (!self.equals(reply.candidate()) || reply.round() != round || !reply.granted()) {
             return;
         }
         grants.add(reply.from());
@@ -155,7 +160,7 @@
      * @param release the release
      */
     public void receive(LeaseMessage.Release release) {
-        if (release.holder().equals(grantedTo) && release.term() == highestTerm) {
+        if (release.holder().equals(grantedTo) && release.round() >= grantedRound) {
             grantedUntil = Long.MIN_VALUE;
         }
     }
@@ -170,10 +175,13 @@
         if (!holds(now)) {
             return null;
         }
+        long askedRound = round;
+        round++;
+        grants.clear();
         heldUntil = Long.MIN_VALUE;
         grantedUntil = Long.MIN_VALUE;
         nextRoundAt = now + timing.controllerLease();
-        return new LeaseMessage.Release(self, term);
+        return new LeaseMessage.Release(self, askedRound);
     }
 
     /**
@@ -202,7 +210,7 @@
      * @return the process; null if no grant is in force
      */
     public InstanceId holder(long now) {
-        return isGranted(now) ? grantedTo : null;
+        return isGranted(now) ? grantedTo.instance() : null;
     }
 
     private boolean isGranted(long now) {
--- a/domain/src/main/java/org/hallwall/domain/LeaseMessage.java
+++ b/domain/src/main/java/org/hallwall/domain/LeaseMessage.java
@@ -24,6 +24,15 @@
 /** A message about the controller's lease. */
 public sealed interface LeaseMessage extends PeerMessage {
 
+    /**
+     * A process that asks for the lease. After a restart it is another candidate, so that late messages of its earlier
+     * life cannot speak for it.
+     *
+     * @param instance the process
+     * @param boot a random number made when the process started
+     */
+    record Candidate(InstanceId instance, long boot) {}
+
     /**
      * Asks for the lease, or to renew it.
      *
@@ -31,23 +40,25 @@
      * @param term the term; a new holder takes a higher one than any it knows
      * @param round numbers the rounds of the candidate
      */
-    record Request(InstanceId candidate, long term, long round) implements LeaseMessage {}
+    record Request(Candidate candidate, long term, long round) implements LeaseMessage {}
 
     /**
      * Answers a request.
      *
      * @param from who answers
+     * @param candidate who asked
      * @param granted whether the lease is granted
      * @param term the highest term that the answerer knows
      * @param round the round asked in
      */
-    record Reply(InstanceId from, boolean granted, long term, long round) implements LeaseMessage {}
+    record Reply(InstanceId from, Candidate candidate, boolean granted, long term, long round)
+            implements LeaseMessage {}
 
     /**
-     * Gives the lease back.
+     * Gives the lease back, or gives up the wish for it.
      *
      * @param holder who gives it back
-     * @param term the term of the lease
+     * @param round the last round that it asked in; a grant for a later round stays
      */
-    record Release(InstanceId holder, long term) implements LeaseMessage {}
+    record Release(Candidate holder, long round) implements LeaseMessage {}
 }
--- a/log/src/main/java/org/hallwall/log/LogAction.java
+++ b/log/src/main/java/org/hallwall/log/LogAction.java
@@ -32,6 +32,13 @@
      */
     record SaveVote(LogVote vote) implements LogAction {}
 
+    /**
+     * Makes it last that the data folder is admitted.
+     *
+     * @param folder the folder
+     */
+    record SaveFolder(LogFolder folder) implements LogAction {}
+
     /**
      * Cuts the stored log from the first entry's index on and makes the entries last.
      *
--- a/log/src/main/java/org/hallwall/log/LogFolder.java
+++ b/log/src/main/java/org/hallwall/log/LogFolder.java
@@ -22,6 +22,7 @@
  * The identity of a data folder.
  *
  * @param id a random text, made with the folder
- * @param founding whether the operator formed the fleet with this folder; any other folder must be admitted first
+ * @param admitted whether the folder may vote: the operator formed the fleet with it, or its voter has learnt that a
+ *     quorum admitted it
  */
-public record LogFolder(String id, boolean founding) {}
+public record LogFolder(String id, boolean admitted) {}
--- a/log/src/main/java/org/hallwall/log/LogIndex.java
+++ b/log/src/main/java/org/hallwall/log/LogIndex.java
@@ -21,6 +21,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.hallwall.core.id.InstanceId;
+
 /** The entries that a replica holds in memory, after its snapshot. */
 final class LogIndex {
 
@@ -64,6 +66,20 @@
         return entries.get((int) (index - baseIndex - 1));
     }
 
+    /** Finds the last entry that admits a data folder of a voter, committed or not; null if there is none. */
+    String lastAdmission(InstanceId voter) {
+        for (int i = entries.size() - 1; i >= 0; i--) {
+            LogEntry e = entries.get(i);
+            if (e.kind() == LogEntryKind.ADMIT) {
+                LogAdmission a = LogAdmission.of(e);
+                if (a.voter().equals(voter)) {
+                    return a.folder();
+                }
+            }
+        }
+        return null;
+    }
+
     void append(LogEntry entry) {
         entries.add(entry);
     }
--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -18,7 +18,6 @@
  */
 package org.hallwall.log;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -50,7 +49,7 @@
     private final List<InstanceId> others;
     private final int quorum;
     private final LogTiming timing;
-    private final LogFolder folder;
+    private LogFolder folder;
     private final RandomGenerator random;
     private final LogIndex log;
     private final Map<String, String> admitted = new HashMap<>();
@@ -305,7 +304,7 @@
         }
         appendOwn(LogEntryKind.START, new byte[0]);
         if (!folder.id().equals(admitted.get(self.value()))) {
-            appendOwn(LogEntryKind.ADMIT, admission(self, folder));
+            appendOwn(LogEntryKind.ADMIT, new LogAdmission(self, folder.id()).payload());
         }
         for (LogFollower f : followers.values()) {
             f.heard(new LogFolder("", false), now);
@@ -410,7 +409,7 @@
         admitted.clear();
         admitted.putAll(s.admitted());
         actions.add(new LogAction.Restore(s, kept));
-        role = restingRole();
+        noteOwnAdmission();
     }
 
     private void reply(InstanceId to, boolean accepted, long index, long sentAt) {
@@ -445,7 +444,8 @@
     private void admitIfReady(InstanceId voter, LogFollower f) {
         boolean known = f.folder().id().equals(admitted.get(voter.value()));
         if (!known && !f.admissionPending() && f.match() >= commit) {
-            f.admissionAt(appendOwn(LogEntryKind.ADMIT, admission(voter, f.folder())));
+            LogAdmission admission = new LogAdmission(voter, f.folder().id());
+            f.admissionAt(appendOwn(LogEntryKind.ADMIT, admission.payload()));
         }
     }
 
@@ -510,17 +510,22 @@
     }
 
     private void takeAdmission(LogEntry entry) {
-        String[] parts = new String(entry.payload(), StandardCharsets.UTF_8).split("\n");
-        admitted.put(parts[0], parts[1]);
+        LogAdmission a = LogAdmission.of(entry);
+        admitted.put(a.voter().value(), a.folder());
+        noteOwnAdmission();
+    }
+
+    /** A voter keeps on its disk that it was admitted: after a restart it no longer knows what was committed. */
+    private void noteOwnAdmission() {
+        if (folder.id().equals(admitted.get(self.value())) && !folder.admitted()) {
+            folder = new LogFolder(folder.id(), true);
+            actions.add(new LogAction.SaveFolder(folder));
+        }
         if (role == LogRole.FOLLOWER || role == LogRole.RECOVERING) {
             role = restingRole();
         }
     }
 
-    private static byte[] admission(InstanceId voter, LogFolder folder) {
-        return (voter.value() + "\n" + folder.id()).getBytes(StandardCharsets.UTF_8);
-    }
-
     private boolean hasLease(long now, long within) {
         long[] heard = new long[others.size()];
         int i = 0;
@@ -531,12 +536,19 @@
         return now - heard[heard.length - (quorum - 1)] < within;
     }
 
+    /**
+     * An admission that is in the log, but not known to be committed, counts if the voter itself says that it was: it
+     * says so only when it has learnt of the commit.
+     */
     private boolean counts(InstanceId voter, LogFolder speaking) {
         if (speaking == null) {
             return false;
         }
-        String known = admitted.get(voter.value());
-        return known == null ? speaking.founding() : known.equals(speaking.id());
+        String latest = log.lastAdmission(voter);
+        String known = latest == null ? admitted.get(voter.value()) : latest;
+        boolean named = known == null || known.equals(speaking.id());
+        boolean committed = speaking.id().equals(admitted.get(voter.value()));
+        return named && (committed || speaking.admitted());
     }
 
     private boolean mayVote() {
--- a/log/src/main/java/org/hallwall/log/LogStore.java
+++ b/log/src/main/java/org/hallwall/log/LogStore.java
@@ -138,6 +138,17 @@
         syncs++;
     }
 
+    /**
+     * Stores that the folder is admitted.
+     *
+     * @param folder the folder's identity
+     * @throws LogStoreException if the disk failed
+     */
+    public void saveFolder(LogFolder folder) throws LogStoreException {
+        replace(directory, FOLDER, folder);
+        syncs++;
+    }
+
     /**
      * Stores a batch of entries, replacing all stored entries from the first one's index on.
      *
--- a/log/src/main/java/org/hallwall/log/LogVoter.java
+++ b/log/src/main/java/org/hallwall/log/LogVoter.java
@@ -217,6 +217,8 @@
     private void performOne(LogAction action) throws LogStoreException {
         if (action instanceof LogAction.SaveVote a) {
             store.saveVote(a.vote());
+        } else if (action instanceof LogAction.SaveFolder a) {
+            store.saveFolder(a.folder());
         } else if (action instanceof LogAction.SaveEntries a) {
             store.saveEntries(a.entries());
         } else if (action instanceof LogAction.Restore a) {
--- /dev/null
+++ b/log/src/test/java/org/hallwall/log/SimulatedVoter.java
@@ -0,0 +1,145 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.log;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.hallwall.core.id.InstanceId;
+
+/** A voter of the simulation: a replica, a disk that can lose what was not synced, and a list as state machine. */
+final class SimulatedVoter {
+
+    private static final int COMPACT_AFTER = 25;
+
+    private final InstanceId id;
+    private final List<InstanceId> voters;
+    private final LogSimulation simulation;
+    private final Random random;
+    private LogFolder folder;
+    private LogVote vote = new LogVote(0, null);
+    private LogSnapshot snapshot = LogSnapshot.EMPTY;
+    private List<LogEntry> entries = new ArrayList<>();
+    private LogReplica replica;
+    private long applied;
+    private int folders;
+
+    SimulatedVoter(InstanceId id, List<InstanceId> voters, LogSimulation simulation, Random random) {
+        this.id = id;
+        this.voters = voters;
+        this.simulation = simulation;
+        this.random = random;
+        this.folder = new LogFolder(id + "-0", true);
+    }
+
+    InstanceId id() {
+        return id;
+    }
+
+    boolean isUp() {
+        return replica != null;
+    }
+
+    LogReplica replica() {
+        return replica;
+    }
+
+    long applied() {
+        return applied;
+    }
+
+    LogFolder folder() {
+        return folder;
+    }
+
+    void start(long now) {
+        LogStored stored = new LogStored(folder, vote, snapshot, List.copyOf(entries));
+        replica = new LogReplica(new LogSeat(id, voters, LogSimulation.TIMING), stored, random, now);
+        applied = snapshot.index();
+    }
+
+    void crash() {
+        replica = null;
+    }
+
+    void loseDisk() {
+        folders++;
+        folder = new LogFolder(id + "-" + folders, false);
+        vote = new LogVote(0, null);
+        snapshot = LogSnapshot.EMPTY;
+        entries = new ArrayList<>();
+    }
+
+    void receive(long now, LogMessage message) {
+        perform(now, replica.receive(now, message));
+    }
+
+    void tick(long now) {
+        perform(now, replica.tick(now));
+    }
+
+    boolean propose(long now, byte[] command) {
+        boolean taken = replica.propose(now, command).isPresent();
+        perform(now, replica.taken());
+        return taken;
+    }
+
+    /** A crash may come before any action; an action that was not done leaves no trace on the disk. */
+    private void perform(long now, List<LogAction> actions) {
+        for (LogAction a : actions) {
+            if (random.nextInt(LogSimulation.CRASH_ONE_IN) == 0 && simulation.mayCrash()) {
+                crash();
+                return;
+            }
+            performOne(now, a);
+        }
+        if (replica.committedSinceSnapshot() > COMPACT_AFTER) {
+            snapshot = replica.compact(new byte[0]);
+            entries = new ArrayList<>(replica.entriesAfterSnapshot());
+        }
+    }
+
+    private void performOne(long now, LogAction action) {
+        if (action instanceof LogAction.SaveVote a) {
+            vote = a.vote();
+        } else if (action instanceof LogAction.SaveFolder a) {
+            folder = a.folder();
+        } else if (action instanceof LogAction.SaveEntries a) {
+            save(a.entries());
+        } else if (action instanceof LogAction.Restore a) {
+            snapshot = a.snapshot();
+            entries = new ArrayList<>(a.kept());
+            applied = a.snapshot().index();
+        } else if (action instanceof LogAction.Apply a) {
+            simulation.applied(this, a.entry(), applied);
+            applied = a.entry().index();
+        } else if (action instanceof LogAction.Send a) {
+            simulation.send(now, id, a.to(), a.message());
+        } else if (action instanceof LogAction.SendSnapshot a) {
+            simulation.send(now, id, a.to(), new LogMessage.SnapshotRequest(a.term(), id, snapshot, a.sentAt()));
+        }
+    }
+
+    private void save(List<LogEntry> batch) {
+        int keep = (int) (batch.get(0).index() - snapshot.index() - 1);
+        entries.subList(keep, entries.size()).clear();
+        entries.addAll(batch);
+    }
+}
