Requests: claims, forwarding and failure tests with real processes

Cause: a request with an idempotency key could run twice, a domain without a complete group refused, and no promise to callers was proved. Change: a key is claimed at three configured entries and two of them must grant it; runs go on without their caller and later arrivals attach; answers are kept; a request that no local group serves runs in another failure domain; a fault proxy and a fleet of real processes for tests; hallwall-load. Weighed: claim holder and runner-up by live membership (the design's line) needs an agreed membership and a lease, and refuses keys while the controller changes; two grants of three fixed keepers need neither. Found by the tests and mended: (1) entries waited for each other to be sure of their claims for ever when one asked after another was sure already; (2) an arrival that waited for a decision on its key found the same decision again and looped; (3) a run was not cancelled at its deadline, because a deadline that fails does not cancel its source in the library, only one that completes does.

--- a/control/src/main/java/org/hallwall/control/ControlDaemon.java
+++ b/control/src/main/java/org/hallwall/control/ControlDaemon.java
@@ -24,6 +24,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 
@@ -48,6 +49,8 @@
 import org.hallwall.resource.ResourceMessage.Command;
 import org.hallwall.resource.ResourceMessage.DomainReport;
 import org.hallwall.resource.ResourceMessage.EntryReport;
+import org.hallwall.resource.ResourceMessage.FormDomain;
+import org.hallwall.resource.ResourceMessage.FormedDomain;
 import org.hallwall.resource.ResourceMessage.ReadIndex;
 import org.hallwall.resource.ResourceMessage.Watch;
 import org.hallwall.wire.PeerCodec;
@@ -180,6 +183,9 @@
         if (message instanceof Command m) {
             return links.containsKey(from) ? router.handle(m) : Mono.empty();
         }
+        if (message instanceof FormDomain m) {
+            return formDomain(m);
+        }
         if (message instanceof ReadIndex) {
             return router.handleReadIndex();
         }
@@ -191,6 +197,21 @@
         return Mono.empty();
     }
 
+    private Mono<FormedDomain> formDomain(FormDomain m) {
+        DeclarationCommand command = new DeclarationCommand(
+                DeclarationCommand.Type.FORM_DOMAIN,
+                null,
+                m.domain().value(),
+                String.join(",", m.boots()),
+                0,
+                null,
+                null);
+        return router.submit(command)
+                .map(o -> new FormedDomain(
+                        o.formed() == null ? List.of() : List.of(o.formed().split(","))))
+                .onErrorResume(e -> Mono.just(new FormedDomain(List.of())));
+    }
+
     private boolean isReady() {
         return voter.state().leader() != null;
     }
--- a/control/src/main/java/org/hallwall/control/DeclarationCommand.java
+++ b/control/src/main/java/org/hallwall/control/DeclarationCommand.java
@@ -27,8 +27,8 @@
  *
  * @param type what to do
  * @param kind the kind of the resource
- * @param name the name of the resource
- * @param spec the spec as JSON text; for a put
+ * @param name the name of the resource, or of the failure domain
+ * @param spec the spec as JSON text; for a put; the boots of a failure domain, by commas
  * @param expectedVersion the version that the resource must have; zero if it must not exist
  * @param changeId the sender's id of the change; null for the system's own changes
  * @param shares the replicas of each failure domain; for a change of shares
@@ -49,6 +49,8 @@
         /** Deletes a resource. */
         DELETE,
         /** Sets the shares of a model group. */
-        SHARE
+        SHARE,
+        /** Notes the boots with which a failure domain was first formed; a later one changes nothing. */
+        FORM_DOMAIN
     }
 }
--- a/control/src/main/java/org/hallwall/control/DeclarationMachine.java
+++ b/control/src/main/java/org/hallwall/control/DeclarationMachine.java
@@ -48,6 +48,7 @@
 
     private final Map<String, Resource> resources = new TreeMap<>();
     private final Map<String, Remembered> changes = new LinkedHashMap<>();
+    private final Map<String, String> formedDomains = new TreeMap<>();
     private final Deque<ResourceEvent> history = new ArrayDeque<>();
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
     private long applied;
@@ -77,8 +78,8 @@
 
     @Override
     public synchronized byte[] snapshot() {
-        return DeclarationCodec.write(
-                new Saved(applied, List.copyOf(resources.values()), new LinkedHashMap<>(changes)));
+        return DeclarationCodec.write(new Saved(
+                applied, List.copyOf(resources.values()), new LinkedHashMap<>(changes), new TreeMap<>(formedDomains)));
     }
 
     @Override
@@ -175,6 +176,12 @@
 
     private synchronized DeclarationOutcome applyLocked(long index, DeclarationCommand c) {
         applied = index;
+        if (c.type() == DeclarationCommand.Type.FORM_DOMAIN) {
+            if (!c.spec().isEmpty()) {
+                formedDomains.putIfAbsent(c.name(), c.spec());
+            }
+            return new DeclarationOutcome(Result.APPLIED, null, formedDomains.get(c.name()), 0);
+        }
         Remembered earlier = c.changeId() == null ? null : changes.get(c.changeId());
         if (earlier != null) {
             return earlier.matches(c) ? earlier.outcome() : new DeclarationOutcome(Result.CHANGE_ID_REUSED, null, 0);
@@ -220,6 +227,7 @@
                 new Resource(
                         c.kind(), c.name(), before.generation(), before.resourceVersion(), before.spec(), c.shares());
             case DELETE -> before;
+            default -> throw new IllegalStateException("no resource changes by " + c.type());
         };
     }
 
@@ -240,6 +248,7 @@
     private synchronized void restoreLocked(long index, byte[] state) {
         resources.clear();
         changes.clear();
+        formedDomains.clear();
         history.clear();
         applied = index;
         historyFloor = index;
@@ -251,6 +260,7 @@
             resources.put(key(r.kind(), r.name()), r);
         }
         changes.putAll(saved.changes());
+        formedDomains.putAll(saved.formedDomains());
     }
 
     private static String key(ResourceKind kind, String name) {
@@ -267,5 +277,9 @@
     }
 
     /** The content of a snapshot. */
-    record Saved(long applied, List<Resource> resources, Map<String, Remembered> changes) {}
+    record Saved(
+            long applied,
+            List<Resource> resources,
+            Map<String, Remembered> changes,
+            Map<String, String> formedDomains) {}
 }
--- a/control/src/main/java/org/hallwall/control/DeclarationOutcome.java
+++ b/control/src/main/java/org/hallwall/control/DeclarationOutcome.java
@@ -25,9 +25,14 @@
  *
  * @param result what became of it
  * @param resource the resource after the command; null if there is none
+ * @param formed the boots with which a failure domain was first formed; null for other commands
  * @param currentVersion the version of the resource when the command was applied; zero if there was none
  */
-public record DeclarationOutcome(Result result, Resource resource, long currentVersion) {
+public record DeclarationOutcome(Result result, Resource resource, String formed, long currentVersion) {
+
+    DeclarationOutcome(Result result, Resource resource, long currentVersion) {
+        this(result, resource, null, currentVersion);
+    }
 
     /** What became of a command. */
     public enum Result {
--- a/core/src/main/java/org/hallwall/core/verdict/ProblemType.java
+++ b/core/src/main/java/org/hallwall/core/verdict/ProblemType.java
@@ -53,6 +53,22 @@
         this.title = title;
     }
 
+    /**
+     * Finds a type by its stable name.
+     *
+     * @param slug the name
+     * @return the type
+     * @throws IllegalArgumentException if there is none of that name
+     */
+    public static ProblemType bySlug(String slug) {
+        for (ProblemType t : values()) {
+            if (t.slug.equals(slug)) {
+                return t;
+            }
+        }
+        throw new IllegalArgumentException("no problem type " + slug);
+    }
+
     /**
      * Gives the stable name used in the {@code type} member of a problem reply.
      *
--- a/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
@@ -41,6 +41,14 @@
 import org.hallwall.domain.TargetDirectory;
 import org.hallwall.engine.EngineClient;
 import org.hallwall.engine.GroupMembership;
+import org.hallwall.entry.claim.ClaimCoordinator;
+import org.hallwall.entry.claim.ClaimMessage;
+import org.hallwall.entry.claim.ClaimStore;
+import org.hallwall.entry.claim.ClaimSync;
+import org.hallwall.entry.claim.KeyedRuns;
+import org.hallwall.entry.forward.CallerForwarder;
+import org.hallwall.entry.forward.RemoteRunServer;
+import org.hallwall.entry.forward.RemoteRuns;
 import org.hallwall.entry.limit.RetryBudget;
 import org.hallwall.entry.limit.WorkspaceLimits;
 import org.hallwall.entry.peer.AnnouncementRelay;
@@ -49,14 +57,19 @@
 import org.hallwall.entry.peer.EntryPeers;
 import org.hallwall.entry.relay.RelayCounters;
 import org.hallwall.entry.relay.RequestRunner;
+import org.hallwall.entry.relay.RunElsewhere;
 import org.hallwall.entry.relay.ServiceRunner;
 import org.hallwall.entry.request.BodyReader;
 import org.hallwall.entry.request.CallerServer;
+import org.hallwall.entry.request.ChatAnswerForm;
 import org.hallwall.entry.request.ChatHandler;
 import org.hallwall.entry.request.IdentifyFilter;
 import org.hallwall.entry.request.InFlight;
+import org.hallwall.entry.request.KeyedHandler;
+import org.hallwall.entry.request.KeysHandler;
 import org.hallwall.entry.request.ModelsHandler;
 import org.hallwall.entry.request.RouteFilter;
+import org.hallwall.entry.request.ServiceAnswerForm;
 import org.hallwall.entry.request.ServiceHandler;
 import org.hallwall.entry.routing.Dispatcher;
 import org.hallwall.entry.routing.GroupSlot;
@@ -98,6 +111,9 @@
     private final GroupTable table = new GroupTable(directory, timing);
     private final InFlight inFlight = new InFlight();
     private final RetryBudget budget = new RetryBudget();
+    private final ClaimStore claims = new ClaimStore(ticker, System.currentTimeMillis());
+    private final BodyReader bodies;
+    private final ClaimSync claimSync;
     private final EntryPeers peers;
     private final PeerServer peerServer;
     private final DeclarationFollower follower;
@@ -114,6 +130,7 @@
 
     private EntryDaemon(EntrySettings settings) {
         this.settings = settings;
+        bodies = new BodyReader(settings.maxBodyBytes());
         PeerCodec codec = new PeerCodec(kinds());
         peers = new EntryPeers(settings, codec, m -> receive(settings.instance(), m));
         peerServer = new PeerServer(settings.fleet(), codec, this::handle);
@@ -121,7 +138,6 @@
                 Math.floorMod(settings.instance().hashCode(), settings.voters().size());
         follower = new DeclarationFollower(declarations, peers.voterLinks(), peers.entryLinks(), first, ticker);
         relay = new AnnouncementRelay(directory, peers, ticker);
-        announcements = new AnnouncementServer(settings.failureDomain(), relay);
         EngineClient engines = new EngineClient();
         controller = new DomainController(
                 new DomainSeat(settings.instance(), settings.failureDomain(), timing, settings.maxLoads()),
@@ -133,6 +149,10 @@
                 new SecureRandom());
         dispatcher =
                 new Dispatcher(table, timing, settings.routingPolicy(), new Random(), ticker, settings.maxQueued());
+        claimSync = new ClaimSync(claims, peers, boots -> peers.formDomain(settings.failureDomain(), boots), ticker);
+        RequestRunner local = new RequestRunner(dispatcher, engines, budget, counters, RunElsewhere.NOWHERE);
+        announcements = new AnnouncementServer(
+                settings.failureDomain(), relay, new RemoteRunServer(bodies, declarations::current, local));
         callers = callerServer(engines);
         housekeeping = new DutyThread("housekeeping", RING, HOUSEKEEPING_MILLIS, this::housekeep);
     }
@@ -141,18 +161,32 @@
         Supplier<Declarations> current = declarations::current;
         WorkspaceLimits limits = new WorkspaceLimits(ticker, peers::liveEntries);
         IdentifyFilter identify = new IdentifyFilter(current);
-        BodyReader bodies = new BodyReader(settings.maxBodyBytes());
+        ClaimCoordinator coordinator = new ClaimCoordinator(settings.instance(), claims, peers, ticker);
+        CallerForwarder forwarder = new CallerForwarder();
+        RemoteRuns elsewhere = new RemoteRuns(settings.otherDomains());
         ChatHandler chat = new ChatHandler(
                 bodies,
                 List.of(identify, new RouteFilter(current), limits),
-                new RequestRunner(dispatcher, engines, budget, counters),
+                new RequestRunner(dispatcher, engines, budget, counters, elsewhere),
+                new KeyedHandler<>(
+                        settings, new KeyedRuns<>(settings.instance(), coordinator, new ChatAnswerForm()), forwarder),
                 limits,
                 counters);
-        ServiceRunner services = new ServiceRunner(directory, timing, budget, counters, ticker);
+        ServiceHandler services = new ServiceHandler(
+                bodies,
+                identify,
+                current,
+                new ServiceRunner(directory, timing, budget, counters, ticker),
+                new KeyedHandler<>(
+                        settings,
+                        new KeyedRuns<>(settings.instance(), coordinator, new ServiceAnswerForm()),
+                        forwarder),
+                counters);
         return new CallerServer(
                 chat,
                 new ModelsHandler(identify, counters),
-                new ServiceHandler(bodies, identify, current, services, counters),
+                services,
+                new KeysHandler(settings.failureDomain()),
                 inFlight,
                 counters);
     }
@@ -174,6 +208,7 @@
         dispatcher.start();
         controller.start();
         follower.start();
+        claimSync.start();
         housekeeping.start();
         callers.open(settings.callers());
         addGauges();
@@ -200,6 +235,7 @@
         controller.close();
         dispatcher.close();
         relay.close();
+        claimSync.close();
         peers.close();
         peerServer.close();
         admin.close();
@@ -209,6 +245,7 @@
         PeerKinds kinds = new PeerKinds();
         ResourceMessage.register(kinds);
         DomainMessage.register(kinds);
+        ClaimMessage.register(kinds);
         return kinds;
     }
 
@@ -216,10 +253,26 @@
         if (message instanceof Watch m) {
             return Mono.just(declarations.changesAfter(m.after()));
         }
+        if (message instanceof ClaimMessage m) {
+            return answer(m);
+        }
         receive(from, message);
         return Mono.empty();
     }
 
+    private Mono<? extends PeerMessage> answer(ClaimMessage message) {
+        if (message instanceof ClaimMessage.Ask m) {
+            return Mono.just(claims.ask(m));
+        }
+        if (message instanceof ClaimMessage.Settle m) {
+            return Mono.just(new ClaimMessage.Done(claims.settle(m)));
+        }
+        if (message instanceof ClaimMessage.Sync m) {
+            return Mono.just(claims.page(m.afterKey(), claimSync.boot()));
+        }
+        return Mono.empty();
+    }
+
     private void receive(InstanceId from, PeerMessage message) {
         if (message instanceof LeaseMessage m) {
             controller.receive(m);
@@ -304,6 +357,8 @@
                 budget.refused(),
                 directory.taken(),
                 directory.stale(),
+                claims.size(),
+                claims.isSure(),
                 controller.state(),
                 List.of(dispatcher.dutyState(), relay.dutyState(), housekeeping.state()),
                 groups(now),
--- a/entry/src/main/java/org/hallwall/entry/EntryDump.java
+++ b/entry/src/main/java/org/hallwall/entry/EntryDump.java
@@ -43,6 +43,8 @@
  * @param retriesRefused the retries that the budget refused
  * @param announcementsTaken the announcements taken
  * @param announcementsStale the announcements dropped because a later one was known
+ * @param claims the claimed keys kept here
+ * @param claimsSure whether no claim that matters has been forgotten
  * @param controller the state of the domain controller here
  * @param rings the rings between the threads
  * @param groups the groups that this entry knows
@@ -63,6 +65,8 @@
         long retriesRefused,
         long announcementsTaken,
         long announcementsStale,
+        int claims,
+        boolean claimsSure,
         ControllerState controller,
         List<DutyState> rings,
         List<Group> groups,
--- a/entry/src/main/java/org/hallwall/entry/EntrySettings.java
+++ b/entry/src/main/java/org/hallwall/entry/EntrySettings.java
@@ -89,14 +89,23 @@
      *
      * @param instance its name
      * @param peer its peer address
+     * @param callers where it takes callers; null for a voter
      */
-    public record Peer(InstanceId instance, NetAddress peer) {}
+    public record Peer(InstanceId instance, NetAddress peer, NetAddress callers) {}
 
     /**
      * Another failure domain.
      *
      * @param failureDomain its name
-     * @param entries where its entries take callers
+     * @param entries its entries
      */
-    public record OtherDomain(FailureDomainId failureDomain, List<NetAddress> entries) {}
+    public record OtherDomain(FailureDomainId failureDomain, List<OtherEntry> entries) {}
+
+    /**
+     * An entry of another failure domain.
+     *
+     * @param callers where it takes callers
+     * @param targets where it takes announcements, and runs of other entries
+     */
+    public record OtherEntry(NetAddress callers, NetAddress targets) {}
 }
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/forward/RemoteRuns.java
@@ -0,0 +1,152 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.forward;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import org.hallwall.core.settings.Json;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.core.verdict.Problem;
+import org.hallwall.core.verdict.ProblemType;
+import org.hallwall.core.verdict.RefusalException;
+import org.hallwall.core.verdict.Verdict;
+import org.hallwall.engine.RunFrame;
+import org.hallwall.engine.RunFrameDecoder;
+import org.hallwall.entry.EntrySettings;
+import org.hallwall.entry.exchange.Exchange;
+import org.hallwall.entry.relay.RunElsewhere;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** Runs requests in other failure domains: one domain after the other until one has a complete group. */
+public final class RemoteRuns implements RunElsewhere {
+
+    private static final int CONNECT_MILLIS = 300;
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+
+    private final List<EntrySettings.OtherDomain> domains;
+    private final HttpClient http;
+
+    /**
+     * Creates the client.
+     *
+     * @param domains the other failure domains
+     */
+    public RemoteRuns(List<EntrySettings.OtherDomain> domains) {
+        this.domains = domains;
+        this.http = HttpClient.create()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .disableRetry(true);
+    }
+
+    @Override
+    public Flux<List<RunFrame>> run(Exchange x, RefusalException here) {
+        if (x.headers().hops() > 0 || domains.isEmpty()) {
+            return Flux.error(here);
+        }
+        List<NetAddress> addresses = new ArrayList<>();
+        for (EntrySettings.OtherDomain d : domains) {
+            List<EntrySettings.OtherEntry> entries = new ArrayList<>(d.entries());
+            Collections.shuffle(entries);
+            entries.forEach(e -> addresses.add(e.targets()));
+        }
+        return tryFrom(x, addresses, 0, here);
+    }
+
+    /** Goes on to the next address only after a refusal that says that the request did not run. */
+    private Flux<List<RunFrame>> tryFrom(Exchange x, List<NetAddress> addresses, int i, RefusalException last) {
+        if (i == addresses.size()) {
+            return Flux.error(last);
+        }
+        return runAt(x, addresses.get(i)).onErrorResume(RefusalException.class, e -> {
+            boolean next = e.verdict() == Verdict.NOT_RUN
+                    && (e.type() == ProblemType.NO_COMPLETE_GROUP || e.type() == ProblemType.TARGET_UNREACHABLE);
+            return next ? tryFrom(x, addresses, i + 1, last) : Flux.error(e);
+        });
+    }
+
+    private Flux<List<RunFrame>> runAt(Exchange x, NetAddress address) {
+        RemoteRun run = new RemoteRun(
+                x.workspace(),
+                x.modelGroup(),
+                x.adapter(),
+                x.chat(),
+                x.headers().priority(),
+                x.isRepeatable(),
+                Math.max(1, x.deadlineAt() - Ticker.SYSTEM.millis()));
+        x.markDispatched();
+        return http.headers(h -> h.set("Content-Type", "application/json"))
+                .post()
+                .uri("http://" + address + RemoteRun.PATH)
+                .send(Mono.fromCallable(() -> Unpooled.wrappedBuffer(Json.MAPPER.writeValueAsBytes(run))))
+                .response(RemoteRuns::frames)
+                .onErrorMap(e -> !(e instanceof RefusalException), RemoteRuns::broken);
+    }
+
+    private static Flux<List<RunFrame>> frames(HttpClientResponse res, ByteBufFlux bytes) {
+        if (res.status().code() != 200) {
+            return bytes.aggregate().asByteArray().flux().flatMap(b -> Flux.error(refusal(b)));
+        }
+        RunFrameDecoder decoder = new RunFrameDecoder();
+        boolean[] ended = {false};
+        return bytes.<List<RunFrame>>handle((b, sink) -> {
+                    try {
+                        List<RunFrame> batch = decoder.take(b);
+                        if (!batch.isEmpty()) {
+                            ended[0] = batch.get(batch.size() - 1).end() != null;
+                            sink.next(batch);
+                        }
+                    } catch (IOException e) {
+                        sink.error(e);
+                    }
+                })
+                .concatWith(Flux.defer(() -> ended[0] ? Flux.empty() : Flux.error(new IOException("no end"))));
+    }
+
+    private static RefusalException refusal(byte[] body) {
+        try {
+            Problem p = Json.MAPPER.readValue(body, Problem.class);
+            return new RefusalException(ProblemType.bySlug(p.type()), p.verdict(), p.detail(), COME_BACK);
+        } catch (IOException | IllegalArgumentException e) {
+            return new RefusalException(
+                    ProblemType.TARGET_FAILED, Verdict.MAY_HAVE_RUN, "another failure domain failed", COME_BACK);
+        }
+    }
+
+    private static RefusalException broken(Throwable e) {
+        boolean notConnected = e instanceof ConnectException || e instanceof ConnectTimeoutException;
+        return new RefusalException(
+                notConnected ? ProblemType.TARGET_UNREACHABLE : ProblemType.TARGET_FAILED,
+                notConnected ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
+                "the link to another failure domain broke",
+                COME_BACK);
+    }
+}
--- a/entry/src/main/java/org/hallwall/entry/peer/AnnouncementServer.java
+++ b/entry/src/main/java/org/hallwall/entry/peer/AnnouncementServer.java
@@ -28,6 +28,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.engine.Announcement;
 import org.hallwall.engine.EnginePaths;
+import org.hallwall.entry.forward.RemoteRunServer;
 import org.hallwall.program.HttpPorts;
 import org.hallwall.program.HttpReplies;
 import org.hallwall.program.ProgramException;
@@ -46,6 +47,7 @@
 
     private final FailureDomainId domain;
     private final AnnouncementRelay relay;
+    private final RemoteRunServer remoteRuns;
     private DisposableServer server;
 
     /**
@@ -53,10 +55,12 @@
      *
      * @param domain the failure domain of this entry
      * @param relay takes the announcements
+     * @param remoteRuns takes runs of other failure domains on the same port
      */
-    public AnnouncementServer(FailureDomainId domain, AnnouncementRelay relay) {
+    public AnnouncementServer(FailureDomainId domain, AnnouncementRelay relay, RemoteRunServer remoteRuns) {
         this.domain = domain;
         this.relay = relay;
+        this.remoteRuns = remoteRuns;
     }
 
     /**
@@ -70,7 +74,10 @@
                 .host(address.host())
                 .port(address.port())
                 .httpRequestDecoder(d -> d.maxHeaderSize(MAX_BYTES))
-                .route(routes -> routes.post(EnginePaths.ANNOUNCEMENTS, this::take));
+                .route(routes -> {
+                    routes.post(EnginePaths.ANNOUNCEMENTS, this::take);
+                    remoteRuns.addRoutes(routes);
+                });
         server = HttpPorts.bind(http, address);
     }
 
--- a/entry/src/main/java/org/hallwall/entry/peer/EntryPeers.java
+++ b/entry/src/main/java/org/hallwall/entry/peer/EntryPeers.java
@@ -19,22 +19,31 @@
 package org.hallwall.entry.peer;
 
 import java.io.Closeable;
+import java.io.IOException;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.hallwall.core.id.FailureDomainId;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.domain.DomainPeers;
 import org.hallwall.entry.EntrySettings;
+import org.hallwall.entry.claim.ClaimPeers;
+import org.hallwall.resource.ResourceMessage.FormDomain;
+import org.hallwall.resource.ResourceMessage.FormedDomain;
 import org.hallwall.wire.PeerCodec;
 import org.hallwall.wire.PeerLink;
 import org.hallwall.wire.PeerMessage;
 import org.hallwall.wire.PeerTraffic;
+import reactor.core.publisher.Mono;
 
 /** The links of an entry to the voters and to the other entries of its failure domain. */
-public final class EntryPeers implements DomainPeers, Closeable {
+public final class EntryPeers implements DomainPeers, ClaimPeers, Closeable {
+
+    private static final Duration FORM_TIMEOUT = Duration.ofSeconds(5);
 
     private final InstanceId self;
     private final Map<InstanceId, PeerLink> entries = new LinkedHashMap<>();
@@ -83,14 +92,28 @@
         voters.values().forEach(l -> l.send(message));
     }
 
+    @Override
+    public Mono<PeerMessage> call(InstanceId to, PeerMessage message, Duration timeout) {
+        return entries.get(to).call(message, timeout);
+    }
+
     /**
-     * Gives the link to an entry.
+     * Asks the voters with which boots the failure domain was first formed.
      *
-     * @param entry the entry
-     * @return the link; null if the entry is not known
+     * @param domain the failure domain
+     * @param boots the boots of its entries now
+     * @return the boots of the first time, or an error if no voter answers
      */
-    public PeerLink entry(InstanceId entry) {
-        return entries.get(entry);
+    public Mono<List<String>> formDomain(FailureDomainId domain, List<String> boots) {
+        Mono<List<String>> asked = Mono.error(new IOException("no voter answers"));
+        for (PeerLink voter : voters.values()) {
+            asked = asked.onErrorResume(e -> voter.call(new FormDomain(domain, boots), FORM_TIMEOUT)
+                    .cast(FormedDomain.class)
+                    .map(FormedDomain::boots)
+                    .filter(b -> !b.isEmpty())
+                    .switchIfEmpty(Mono.error(e)));
+        }
+        return asked;
     }
 
     /**
--- a/entry/src/main/java/org/hallwall/entry/relay/RequestRunner.java
+++ b/entry/src/main/java/org/hallwall/entry/relay/RequestRunner.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.ProblemType;
@@ -49,6 +50,7 @@
     private final EngineClient engines;
     private final RetryBudget budget;
     private final RelayCounters counters;
+    private final RunElsewhere elsewhere;
 
     /**
      * Creates the runner.
@@ -57,12 +59,19 @@
      * @param engines calls engines
      * @param budget bounds retries
      * @param counters the counters
+     * @param elsewhere runs requests that no group of this failure domain serves
      */
-    public RequestRunner(Dispatcher dispatcher, EngineClient engines, RetryBudget budget, RelayCounters counters) {
+    public RequestRunner(
+            Dispatcher dispatcher,
+            EngineClient engines,
+            RetryBudget budget,
+            RelayCounters counters,
+            RunElsewhere elsewhere) {
         this.dispatcher = dispatcher;
         this.engines = engines;
         this.budget = budget;
         this.counters = counters;
+        this.elsewhere = elsewhere;
     }
 
     /**
@@ -73,22 +82,38 @@
      */
     public Flux<List<RunFrame>> run(Exchange x) {
         long left = x.deadlineAt() - Ticker.SYSTEM.millis();
-        Mono<Long> deadline =
-                Mono.delay(Duration.ofMillis(Math.max(1, left))).flatMap(t -> Mono.error(deadlinePassed(x)));
-        return tryOnce(x).takeUntilOther(deadline).doOnComplete(budget::succeeded);
+        AtomicBoolean done = new AtomicBoolean();
+        // The deadline must complete and not fail: only its completion cancels the run.
+        return tryOnce(x)
+                .doOnComplete(() -> done.set(true))
+                .takeUntilOther(Mono.delay(Duration.ofMillis(Math.max(1, left))))
+                .concatWith(Flux.defer(() -> done.get() ? Flux.empty() : Flux.error(deadlinePassed(x))))
+                .doOnComplete(budget::succeeded);
     }
 
     private Flux<List<RunFrame>> tryOnce(Exchange x) {
         return dispatcher
                 .submit(x)
-                .onErrorMap(RefusalException.class, e -> e.after(x.verdict()))
                 .flatMapMany(a -> attempt(x, a))
+                .onErrorResume(RefusalException.class, e -> refusedHere(x, e))
                 .onErrorResume(AttemptException.class, e -> afterFailure(x, e));
     }
 
+    private Flux<List<RunFrame>> refusedHere(Exchange x, RefusalException e) {
+        RefusalException whole = e.after(x.verdict());
+        boolean noGroup = e.type() == ProblemType.NO_COMPLETE_GROUP;
+        if (!noGroup || !whole.verdict().allowsRetry(x.isRepeatable())) {
+            return Flux.error(whole);
+        }
+        return wholeIfNeeded(x, elsewhere.run(x, whole));
+    }
+
     private Flux<List<RunFrame>> attempt(Exchange x, Assignment a) {
         x.markDispatched();
-        Flux<List<RunFrame>> frames = new RunAttempt(x, a, engines, counters).frames();
+        return wholeIfNeeded(x, new RunAttempt(x, a, engines, counters).frames());
+    }
+
+    private static Flux<List<RunFrame>> wholeIfNeeded(Exchange x, Flux<List<RunFrame>> frames) {
         if (x.chat().stream()) {
             return frames;
         }
--- a/entry/src/main/java/org/hallwall/entry/request/CallerServer.java
+++ b/entry/src/main/java/org/hallwall/entry/request/CallerServer.java
@@ -50,6 +50,7 @@
     private final ChatHandler chat;
     private final ModelsHandler models;
     private final ServiceHandler services;
+    private final KeysHandler keys;
     private final InFlight inFlight;
     private final Refusals refusals;
     private DisposableServer server;
@@ -60,6 +61,7 @@
      * @param chat handles chat completions
      * @param models lists models
      * @param services handles calls of plain services
+     * @param keys makes idempotency keys
      * @param inFlight counts the requests in progress
      * @param counters the counters
      */
@@ -67,11 +69,13 @@
             ChatHandler chat,
             ModelsHandler models,
             ServiceHandler services,
+            KeysHandler keys,
             InFlight inFlight,
             RelayCounters counters) {
         this.chat = chat;
         this.models = models;
         this.services = services;
+        this.keys = keys;
         this.inFlight = inFlight;
         this.refusals = new Refusals(counters);
     }
@@ -92,6 +96,7 @@
                 .idleTimeout(IDLE_TIMEOUT)
                 .route(routes -> routes.post("/v1/chat/completions", counted(chat::handle))
                         .get("/v1/models", counted(models::handle))
+                        .post("/v1/idempotency-keys", counted(keys::handle))
                         .route(r -> r.uri().startsWith(ServiceHandler.ROOT), counted(services::handle))
                         .route(r -> true, this::unknown));
         server = HttpPorts.bind(http, address);
--- a/entry/src/main/java/org/hallwall/entry/request/ChatHandler.java
+++ b/entry/src/main/java/org/hallwall/entry/request/ChatHandler.java
@@ -19,6 +19,8 @@
 package org.hallwall.entry.request;
 
 import java.util.List;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
 import org.hallwall.core.time.Ticker;
@@ -46,6 +48,7 @@
     private final BodyReader bodies;
     private final List<RequestFilter> filters;
     private final RequestRunner runner;
+    private final KeyedHandler<List<RunFrame>> keyed;
     private final WorkspaceLimits limits;
     private final RelayCounters counters;
     private final Refusals refusals;
@@ -56,6 +59,7 @@
      * @param bodies reads bodies
      * @param filters the steps before the request is queued, in order
      * @param runner runs requests
+     * @param keyed handles requests with an idempotency key
      * @param limits counts the tokens used
      * @param counters the counters
      */
@@ -63,11 +67,13 @@
             BodyReader bodies,
             List<RequestFilter> filters,
             RequestRunner runner,
+            KeyedHandler<List<RunFrame>> keyed,
             WorkspaceLimits limits,
             RelayCounters counters) {
         this.bodies = bodies;
         this.filters = List.copyOf(filters);
         this.runner = runner;
+        this.keyed = keyed;
         this.limits = limits;
         this.counters = counters;
         this.refusals = new Refusals(counters);
@@ -83,8 +89,8 @@
     public Publisher<Void> handle(HttpServerRequest req, HttpServerResponse res) {
         long now = Ticker.SYSTEM.millis();
         return bodies.read(req)
-                .flatMap(body -> begin(req, body, now))
-                .flatMap(x -> answer(x, res))
+                .flatMap(body ->
+                        begin(req, body, now).flatMap(x -> answer(x, new KeyedHandler.RawCall(req, res, body))))
                 .onErrorResume(e -> refusals.answer(res, e, null));
     }
 
@@ -104,12 +110,16 @@
         }
     }
 
-    private Mono<Void> answer(Exchange x, HttpServerResponse res) {
+    private Mono<Void> answer(Exchange x, KeyedHandler.RawCall call) {
+        HttpServerResponse res = call.res();
         String id = x.requestId().value();
         res.header(RequestHeaders.REQUEST_ID, id);
-        Flux<List<RunFrame>> frames = runner.run(x).doOnNext(f -> settle(x, f));
-        Mono<Void> reply = x.chat().stream() ? stream(x, res, frames) : whole(x, res, frames);
-        return reply.onErrorResume(e -> refusals.answer(res, e, id));
+        Supplier<Flux<List<RunFrame>>> run = () -> runner.run(x).doOnNext(f -> settle(x, f));
+        Function<Flux<List<RunFrame>>, Mono<Void>> reply =
+                frames -> x.chat().stream() ? stream(x, res, frames) : whole(x, res, frames);
+        boolean hasKey = x.headers().idempotencyKey() != null;
+        Mono<Void> done = hasKey ? keyed.handle(x, call, run, reply) : reply.apply(run.get());
+        return done.onErrorResume(e -> refusals.answer(res, e, id));
     }
 
     private Mono<Void> whole(Exchange x, HttpServerResponse res, Flux<List<RunFrame>> frames) {
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/request/KeysHandler.java
@@ -0,0 +1,54 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.request;
+
+import java.util.Map;
+
+import org.hallwall.core.id.FailureDomainId;
+import org.hallwall.entry.claim.ClaimKey;
+import org.hallwall.program.HttpReplies;
+import org.reactivestreams.Publisher;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Makes idempotency keys whose home is this failure domain and whose age is known. */
+public final class KeysHandler {
+
+    private final FailureDomainId domain;
+
+    /**
+     * Creates the handler.
+     *
+     * @param domain the failure domain
+     */
+    public KeysHandler(FailureDomainId domain) {
+        this.domain = domain;
+    }
+
+    /**
+     * Handles a request for a key.
+     *
+     * @param req the request
+     * @param res the reply
+     * @return the end of the reply
+     */
+    public Publisher<Void> handle(HttpServerRequest req, HttpServerResponse res) {
+        return HttpReplies.json(res, 200, Map.of("key", ClaimKey.mint(domain, System.currentTimeMillis())));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hallwall/entry/request/ServiceAnswerForm.java
@@ -0,0 +1,46 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.request;
+
+import java.util.List;
+
+import org.hallwall.entry.claim.AnswerForm;
+import org.hallwall.entry.claim.StoredAnswer;
+import org.hallwall.entry.relay.ServiceReply;
+import reactor.core.publisher.Flux;
+
+/** Keeps the replies of plain services as they are. */
+public final class ServiceAnswerForm implements AnswerForm<ServiceReply> {
+
+    @Override
+    public boolean isLast(ServiceReply part) {
+        return true;
+    }
+
+    @Override
+    public StoredAnswer store(List<ServiceReply> parts) {
+        ServiceReply r = parts.get(0);
+        return new StoredAnswer(r.status(), r.contentType(), r.body(), null, null);
+    }
+
+    @Override
+    public Flux<ServiceReply> restore(StoredAnswer answer) {
+        return Flux.just(new ServiceReply(answer.status(), answer.contentType(), answer.body()));
+    }
+}
--- a/entry/src/main/java/org/hallwall/entry/request/ServiceHandler.java
+++ b/entry/src/main/java/org/hallwall/entry/request/ServiceHandler.java
@@ -48,6 +48,7 @@
     private final IdentifyFilter identify;
     private final Supplier<Declarations> declarations;
     private final ServiceRunner runner;
+    private final KeyedHandler<ServiceReply> keyed;
     private final RelayCounters counters;
     private final Refusals refusals;
 
@@ -58,6 +59,7 @@
      * @param identify finds the workspace
      * @param declarations the declarations in force
      * @param runner runs calls
+     * @param keyed handles calls with an idempotency key
      * @param counters the counters
      */
     public ServiceHandler(
@@ -65,11 +67,13 @@
             IdentifyFilter identify,
             Supplier<Declarations> declarations,
             ServiceRunner runner,
+            KeyedHandler<ServiceReply> keyed,
             RelayCounters counters) {
         this.bodies = bodies;
         this.identify = identify;
         this.declarations = declarations;
         this.runner = runner;
+        this.keyed = keyed;
         this.counters = counters;
         this.refusals = new Refusals(counters);
     }
@@ -84,12 +88,13 @@
     public Publisher<Void> handle(HttpServerRequest req, HttpServerResponse res) {
         long now = Ticker.SYSTEM.millis();
         return bodies.read(req)
-                .flatMap(body -> begin(req, res, body, now))
-                .flatMap(reply -> write(res, reply))
+                .flatMap(body -> begin(new KeyedHandler.RawCall(req, res, body), now))
                 .onErrorResume(e -> refusals.answer(res, e, null));
     }
 
-    private Mono<ServiceReply> begin(HttpServerRequest req, HttpServerResponse res, byte[] body, long now) {
+    private Mono<Void> begin(KeyedHandler.RawCall call, long now) {
+        HttpServerRequest req = call.req();
+        HttpServerResponse res = call.res();
         try {
             RequestHeaders headers = RequestHeaders.read(req.requestHeaders());
             String rest = req.uri().substring(ROOT.length());
@@ -103,7 +108,15 @@
             res.header(RequestHeaders.REQUEST_ID, x.requestId().value());
             HttpMethod method = req.method();
             String type = req.requestHeaders().get("Content-Type");
-            return runner.run(x, new ServiceCall(service, method.name(), path, type, body));
+            ServiceCall serviceCall = new ServiceCall(service, method.name(), path, type, call.body());
+            if (headers.idempotencyKey() == null) {
+                return runner.run(x, serviceCall).flatMap(r -> write(res, r));
+            }
+            return keyed.handle(
+                    x,
+                    call,
+                    () -> runner.run(x, serviceCall).flux(),
+                    parts -> parts.next().flatMap(r -> write(res, r)));
         } catch (RefusalException e) {
             return Mono.error(e);
         }
--- a/fakes/src/main/java/org/hallwall/fakes/FakeTargetServer.java
+++ b/fakes/src/main/java/org/hallwall/fakes/FakeTargetServer.java
@@ -26,6 +26,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.hallwall.core.id.AttemptId;
+import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.Json;
 import org.hallwall.core.verdict.RefusalException;
 import org.hallwall.engine.EngineOrder;
@@ -91,7 +92,10 @@
     }
 
     private Publisher<Void> membership(HttpServerRequest req, HttpServerResponse res) {
-        return HttpReplies.json(res, 200, new Member(target.membership().current()));
+        return HttpReplies.json(
+                res,
+                200,
+                new Member(target.settings().instance(), target.membership().current()));
     }
 
     private Publisher<Void> order(HttpServerRequest req, HttpServerResponse res) {
@@ -193,5 +197,5 @@
     }
 
     /** The answer to another member. */
-    record Member(GroupMembership membership) {}
+    record Member(InstanceId instance, GroupMembership membership) {}
 }
--- /dev/null
+++ b/integration/src/test/java/org/hallwall/integration/FleetTarget.java
@@ -0,0 +1,48 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.integration;
+
+import java.io.IOException;
+import java.util.Map;
+
+import org.hallwall.core.settings.Json;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.fakes.FakeAccount;
+
+/** A stand-in target as a test sees it: its own account and its fault switches. */
+final class FleetTarget {
+
+    private final NetAddress address;
+
+    FleetTarget(NetAddress address) {
+        this.address = address;
+    }
+
+    FakeAccount.Copy account() throws IOException {
+        String text = Http.send("GET", address, "/fake/account", null, Map.of()).text();
+        return Json.MAPPER.readValue(text, FakeAccount.Copy.class);
+    }
+
+    void faults(String json) throws IOException {
+        Http.Reply r = Http.send("POST", address, "/fake/faults", json, Map.of());
+        if (r.status() != 200) {
+            throw new IOException("fault not switched: " + r.text());
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/hallwall/load/package-info.java
@@ -0,0 +1,2 @@
+/** The load and experiment tool {@code hallwall-load}. */
+package org.hallwall.load;
--- a/program/src/main/java/org/hallwall/program/AdminServer.java
+++ b/program/src/main/java/org/hallwall/program/AdminServer.java
@@ -31,6 +31,7 @@
 import org.reactivestreams.Publisher;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
 /** The admin port: health, readiness, metrics and the dump of the process's state. */
@@ -63,7 +64,8 @@
                 .route(routes -> routes.get("/healthz", (req, res) -> HttpReplies.text(res, 200, PLAIN, "ok\n"))
                         .get("/readyz", (req, res) -> readiness(res, ready))
                         .get("/metrics", (req, res) -> metrics(res, registry))
-                        .get("/debug/dump", (req, res) -> HttpReplies.pretty(res, dump.get())));
+                        .get("/debug/dump", (req, res) -> HttpReplies.pretty(res, dump.get()))
+                        .get("/debug/usage", (req, res) -> HttpReplies.pretty(res, usage(req))));
         return new AdminServer(HttpPorts.bind(http, address));
     }
 
@@ -81,6 +83,10 @@
         server.disposeNow();
     }
 
+    private static ProcessUsage usage(HttpServerRequest req) {
+        return ProcessUsage.measure(req.uri().contains("collect=true"));
+    }
+
     private static Publisher<Void> readiness(HttpServerResponse res, BooleanSupplier ready) {
         boolean yes = ready.getAsBoolean();
         return HttpReplies.text(res, yes ? 200 : 503, PLAIN, yes ? "ready\n" : "not ready\n");
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -142,7 +142,7 @@
 both_complete() {
   [ "$("$home/bin/hallwall" get modelgroup menu-planner | grep -c '"completeReplicas" : 2')" = 1 ]
 }
-wait_for "the completion of both groups" 60 both_complete
+wait_for "the completion of both groups" 20 both_complete
 wait_for "the readiness of the entry" 30 curl -sf "http://127.0.0.1:${e_admin[1]}/readyz"
 
 echo "A streamed answer through entry-1:"
--- a/resource/src/main/java/org/hallwall/resource/ResourceMessage.java
+++ b/resource/src/main/java/org/hallwall/resource/ResourceMessage.java
@@ -43,7 +43,9 @@
                 .add(24, Command.class)
                 .add(25, CommandReply.class)
                 .add(26, ReadIndex.class)
-                .add(27, ReadIndexReply.class);
+                .add(27, ReadIndexReply.class)
+                .add(28, FormDomain.class)
+                .add(29, FormedDomain.class);
     }
 
     /**
@@ -124,6 +126,21 @@
      */
     record CommandReply(byte[] outcome, Verdict verdict, String detail) implements ResourceMessage {}
 
+    /**
+     * Tells the voters that the entries of a failure domain have started and remember nothing.
+     *
+     * @param domain the failure domain
+     * @param boots the boots of all its entries; empty to ask only
+     */
+    record FormDomain(FailureDomainId domain, List<String> boots) implements ResourceMessage {}
+
+    /**
+     * Says with which boots the failure domain was first formed.
+     *
+     * @param boots the boots; empty if no quorum of voters answered
+     */
+    record FormedDomain(List<String> boots) implements ResourceMessage {}
+
     /**
      * Asks the leader for the index that a read must wait for.
      *
