Failures of control: voters, controllers and claims under kills, freezes and lost disks

Found and mended: (1) a new controller took more than 5 s: lease 1.5 s and 2 s of listening in place of 2 s and 2.5 s; (2) an entry that was frozen took announcements that had waited in its buffers for fresh and showed one target in two groups; it now notices its own pause, drops what it knows and listens anew, and a controller does not act before it has; (3) a broken group now takes the survivors of another broken one beside it.

--- a/domain/src/main/java/org/hallwall/domain/DomainController.java
+++ b/domain/src/main/java/org/hallwall/domain/DomainController.java
@@ -208,7 +208,9 @@
     }
 
     private boolean isActive(long now) {
-        return held && now - heldSince >= timing.listenFirst();
+        // A member that was not heard since a pause of this process must not be taken for lost.
+        long listening = now - Math.max(heldSince, directory.listeningSince());
+        return held && listening >= timing.listenFirst();
     }
 
     private void act(long now) {
--- a/domain/src/main/java/org/hallwall/domain/DomainTiming.java
+++ b/domain/src/main/java/org/hallwall/domain/DomainTiming.java
@@ -31,11 +31,14 @@
         long announceLease, long deadAfter, long controllerLease, long orderExpiry, long drainSettle) {
 
     /** The usual limits. */
-    public static final DomainTiming DEFAULT = new DomainTiming(1_500, 5_000, 2_000, 1_000, 1_500);
+    public static final DomainTiming DEFAULT = new DomainTiming(1_500, 5_000, 1_500, 1_000, 1_500);
 
     private static final int DRIFT_PERCENT = 5;
     private static final int PERCENT = 100;
 
+    /** Targets announce themselves about twice a second. */
+    private static final long ANNOUNCE_ROUND_MILLIS = 1_000;
+
     /**
      * Gives how long a holder may trust its lease.
      *
@@ -51,6 +54,6 @@
      * @return the longest order in flight and one round of announcements
      */
     public long listenFirst() {
-        return orderExpiry + announceLease;
+        return orderExpiry + ANNOUNCE_ROUND_MILLIS;
     }
 }
--- a/domain/src/main/java/org/hallwall/domain/GroupPlanner.java
+++ b/domain/src/main/java/org/hallwall/domain/GroupPlanner.java
@@ -219,7 +219,7 @@
                 standing += isUsable(g) ? 1 : 0;
             }
             for (GroupView g : of(w)) {
-                if (taken.contains(g.group()) || isUsable(g) || isBusy(g)) {
+                if (taken.contains(g.group()) || isUsable(g) || isBusy(g) || isRobbed(g)) {
                     continue;
                 }
                 if (g.leaving() && isStanding(g) && !in.drained().contains(g.group())) {
@@ -234,6 +234,16 @@
             }
         }
 
+        /** A survivor of the group was given to another one in this round. */
+        private boolean isRobbed(GroupView g) {
+            for (GroupStep s : steps) {
+                if (s instanceof GroupStep.Form f && f.members().stream().anyMatch(g::hasPresent)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** Members that were ordered elsewhere must first announce where they are. */
         private boolean isBusy(GroupView g) {
             for (KnownTarget t : g.present()) {
@@ -249,7 +259,7 @@
             List<KnownTarget> members = survivors(g);
             int missing = w.spec().targetsPerReplica() - members.size();
             if (w.spec().repairPolicy().replacesMembers() && missing >= 0 && !members.isEmpty()) {
-                List<KnownTarget> spares = idle.fromFabric(g.fabricDomain(), missing, w.spec());
+                List<KnownTarget> spares = sparesFor(w, g, missing);
                 if (spares != null && mayLoad(members, spares, w)) {
                     idle.remove(spares);
                     members.addAll(spares);
@@ -265,6 +275,22 @@
             return false;
         }
 
+        /** Idle targets first; if they are too few, the survivors of another broken group that cannot be repaired. */
+        private List<KnownTarget> sparesFor(WantedGroup w, GroupView g, int missing) {
+            List<KnownTarget> spares = idle.fromFabric(g.fabricDomain(), missing, w.spec());
+            if (spares != null) {
+                return spares;
+            }
+            List<KnownTarget> found = idle.allOf(g.fabricDomain());
+            for (GroupView other : of(w)) {
+                boolean broken = !taken.contains(other.group()) && !isUsable(other) && !isBusy(other);
+                if (broken && !isStanding(other) && other.fabricDomain().equals(g.fabricDomain())) {
+                    found.addAll(survivors(other));
+                }
+            }
+            return found.size() < missing ? null : new ArrayList<>(found.subList(0, missing));
+        }
+
         private List<KnownTarget> survivors(GroupView g) {
             List<KnownTarget> out = new ArrayList<>();
             for (KnownTarget t : g.present()) {
--- a/domain/src/main/java/org/hallwall/domain/IdleTargets.java
+++ b/domain/src/main/java/org/hallwall/domain/IdleTargets.java
@@ -45,6 +45,10 @@
         }
     }
 
+    List<KnownTarget> allOf(FabricDomainId fabric) {
+        return new ArrayList<>(byFabric.getOrDefault(fabric, List.of()));
+    }
+
     /** Picks targets of one fabric domain, those that hold the weights first; null if there are too few. */
     List<KnownTarget> fromFabric(FabricDomainId fabric, int count, ModelGroupSpec spec) {
         List<KnownTarget> there = byFabric.getOrDefault(fabric, List.of());
--- a/domain/src/main/java/org/hallwall/domain/TargetDirectory.java
+++ b/domain/src/main/java/org/hallwall/domain/TargetDirectory.java
@@ -27,16 +27,23 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.engine.Announcement;
+import org.jboss.logging.Logger;
 
 /** The targets of the failure domain, as they announce themselves. Safe for use by several threads. */
 public final class TargetDirectory {
 
+    private static final Logger LOG = Logger.getLogger(TargetDirectory.class);
     private static final long FORGET_MILLIS = 60_000;
+    private static final long PAUSE_MILLIS = 700;
+    private static final long SETTLE_MILLIS = 500;
 
     private final Ticker ticker;
     private final Map<InstanceId, KnownTarget> targets = new ConcurrentHashMap<>();
     private final AtomicLong taken = new AtomicLong();
     private final AtomicLong stale = new AtomicLong();
+    private volatile long beatAt;
+    private volatile long resetAt;
+    private volatile long ignoreUntil;
 
     /**
      * Creates an empty directory.
@@ -45,6 +52,32 @@
      */
     public TargetDirectory(Ticker ticker) {
         this.ticker = ticker;
+        this.beatAt = ticker.millis();
+        this.resetAt = beatAt;
+    }
+
+    /**
+     * Notes that this process runs; to be called several times a second. After a pause of the process all that is known
+     * is dropped, and what comes in at first too: it may have waited in buffers and be older than it says.
+     */
+    public void beat() {
+        long now = ticker.millis();
+        if (now - beatAt > PAUSE_MILLIS) {
+            LOG.infof("domain: this process stood still for %d ms and listens anew", now - beatAt);
+            ignoreUntil = now + SETTLE_MILLIS;
+            resetAt = ignoreUntil;
+            targets.clear();
+        }
+        beatAt = now;
+    }
+
+    /**
+     * Says since when announcements are taken without a break.
+     *
+     * @return the clock at the start of this process or after its last pause
+     */
+    public long listeningSince() {
+        return resetAt;
     }
 
     /**
@@ -52,10 +85,15 @@
      *
      * @param a the announcement
      * @param ageMillis how long ago it was made
-     * @return false if a later one is known already
+     * @return false if a later one is known already, or if this process has just stood still
      */
     public boolean take(Announcement a, long ageMillis) {
-        KnownTarget fresh = new KnownTarget(a, ticker.millis() - ageMillis);
+        long now = ticker.millis();
+        if (now < ignoreUntil || now - beatAt > PAUSE_MILLIS) {
+            stale.incrementAndGet();
+            return false;
+        }
+        KnownTarget fresh = new KnownTarget(a, now - ageMillis);
         KnownTarget kept = targets.merge(a.instance(), fresh, TargetDirectory::later);
         boolean isNew = kept == fresh;
         (isNew ? taken : stale).incrementAndGet();
--- a/entry/src/main/java/org/hallwall/entry/peer/AnnouncementRelay.java
+++ b/entry/src/main/java/org/hallwall/entry/peer/AnnouncementRelay.java
@@ -102,6 +102,7 @@
     }
 
     private void passOn() {
+        directory.beat();
         if (waiting.isEmpty()) {
             return;
         }
--- /dev/null
+++ b/entry/src/test/java/org/hallwall/entry/limit/RetryBudgetTest.java
@@ -0,0 +1,72 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.entry.limit;
+
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RetryBudgetTest {
+
+    private static final int REQUESTS = 10_000;
+    private static final int MOST_TRIES = 10;
+
+    /** Half of all attempts fail: without a budget the targets see twice the offered load. */
+    @Test
+    void fleetHalfDeadDoesNotSeeItsLoadMultiplied() {
+        double with = attemptsPerRequest(new RetryBudget());
+        double without = attemptsPerRequest(null);
+        assertTrue(with <= 1.2, "with a budget " + with);
+        assertTrue(without >= 1.9, "without a budget " + without);
+    }
+
+    @Test
+    void recoversWithSuccesses() {
+        RetryBudget budget = new RetryBudget();
+        while (budget.take()) {
+            assertTrue(budget.spent() <= MOST_TRIES);
+        }
+        for (int i = 0; i < MOST_TRIES; i++) {
+            budget.succeeded();
+        }
+        assertTrue(budget.take());
+        assertEquals(11, budget.spent());
+        assertEquals(1, budget.refused());
+    }
+
+    private static double attemptsPerRequest(RetryBudget budget) {
+        Random random = new Random(1);
+        int attempts = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            boolean again = true;
+            while (again) {
+                attempts++;
+                boolean failed = random.nextBoolean();
+                if (!failed && budget != null) {
+                    budget.succeeded();
+                }
+                again = failed && (budget == null || budget.take());
+            }
+        }
+        return (double) attempts / REQUESTS;
+    }
+}
--- a/integration/src/test/java/org/hallwall/integration/Fleet.java
+++ b/integration/src/test/java/org/hallwall/integration/Fleet.java
@@ -172,6 +172,10 @@
         proxies.values().forEach(FaultProxy::heal);
     }
 
+    NetAddress apiAddress(String voter) {
+        return address(voter + ".api");
+    }
+
     NetAddress callers(String entry) {
         return address(entry + ".callers");
     }
--- a/load/src/main/java/org/hallwall/load/PolicySchedule.java
+++ b/load/src/main/java/org/hallwall/load/PolicySchedule.java
@@ -19,6 +19,7 @@
 package org.hallwall.load;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -52,14 +53,14 @@
 final class PolicySchedule {
 
     private static final int FABRICS = 5;
-    private static final int TARGETS_A_FABRIC = 11;
+    private static final int TARGETS_A_FABRIC = 9;
     private static final int GROUP_SIZE = 4;
-    private static final int REPLICAS = 12;
+    private static final int REPLICAS = 10;
     private static final long MINUTES = 60_000;
-    private static final long STEP_MILLIS = 250;
+    private static final long STEP_MILLIS = 1_000;
     private static final long LENGTH_MILLIS = 240 * MINUTES;
     private static final long LOAD_MILLIS = 90_000;
-    private static final int LOADS_AT_ONCE = 8;
+    private static final int LOADS_AT_ONCE = 2;
     private static final String VERSION = "1";
     private static final ModelGroupId MODEL_GROUP = new ModelGroupId("m");
 
@@ -68,13 +69,16 @@
     private final Map<InstanceId, GroupId> ordered = new HashMap<>();
     private final Map<InstanceId, Long> orderedUntil = new HashMap<>();
     private final GroupPlanner planner = new GroupPlanner(DomainTiming.DEFAULT);
+    private final RepairPolicy policy;
     private final WantedGroup wanted;
+    private final long[] storeFreeAt = new long[LOADS_AT_ONCE];
     private long fencing;
     private double downtimeSeconds;
     private double strandedSeconds;
 
     PolicySchedule(long seed, RepairPolicy policy) {
         random = new Random(seed);
+        this.policy = policy;
         ModelGroupSpec spec = new ModelGroupSpec("m", VERSION, null, GROUP_SIZE, REPLICAS, null, policy, 1);
         wanted = new WantedGroup(MODEL_GROUP, 1, spec, REPLICAS);
         for (int f = 0; f < FABRICS; f++) {
@@ -86,14 +90,14 @@
     }
 
     PolicySchedule run() {
-        long nextFailure = 10 * MINUTES;
+        long nextFailure = 32 * MINUTES;
         for (long now = STEP_MILLIS; now < LENGTH_MILLIS; now += STEP_MILLIS) {
             if (now >= nextFailure) {
                 failSomething(now);
-                nextFailure = now + MINUTES + (long) (random.nextDouble() * 8 * MINUTES);
+                nextFailure = now + 2 * MINUTES + (long) (random.nextDouble() * 16 * MINUTES);
             }
             step(now);
-            if (now > 5 * MINUTES) {
+            if (now > 30 * MINUTES) {
                 measure(now);
             }
         }
@@ -155,18 +159,27 @@
             GroupMembership m = new GroupMembership(group, MODEL_GROUP, new FencingNumber(fencing), f.members(), false);
             for (InstanceId id : f.members()) {
                 if (targets.get(id).isUp(now)) {
-                    targets.get(id).join(m, VERSION, now + LOAD_MILLIS);
+                    PolicyTarget t = targets.get(id);
+                    t.join(m, VERSION, t.holds(VERSION) ? now : reserveLoad(now));
                 }
                 remember(now, id, group);
             }
         } else if (step instanceof GroupStep.Dissolve d) {
             for (InstanceId id : d.members()) {
-                targets.get(id).leave();
+                // The baseline restarts every engine of the group that it rebuilds.
+                targets.get(id).leave(policy == RepairPolicy.REBUILD);
                 remember(now, id, d.group());
             }
         }
     }
 
+    /** The weight store serves so many loads at once; the others wait. */
+    private long reserveLoad(long now) {
+        Arrays.sort(storeFreeAt);
+        storeFreeAt[0] = Math.max(now, storeFreeAt[0]) + LOAD_MILLIS;
+        return storeFreeAt[0];
+    }
+
     private void remember(long now, InstanceId id, GroupId group) {
         ordered.put(id, group);
         orderedUntil.put(id, now + 2 * STEP_MILLIS);
--- a/load/src/main/java/org/hallwall/load/PolicyTarget.java
+++ b/load/src/main/java/org/hallwall/load/PolicyTarget.java
@@ -79,8 +79,15 @@
         loadedAt = ready;
     }
 
-    void leave() {
+    /**
+     * Leaves its group.
+     *
+     * @param restarts whether the engine restarts with it and forgets its weights
+     */
+    void leave(boolean restarts) {
         joined = null;
+        held = restarts ? null : held;
+        loading = restarts ? null : loading;
     }
 
     boolean holds(String version) {
--- /dev/null
+++ b/measure/latency.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Compares requests through one entry with requests straight to the engines, side by side in one run.
+set -euo pipefail
+source "$(dirname "$0")/lib.sh"
+fleet 1 1 64 8 ", \"tokensPerSecond\": 500, \"slots\": 256"
+rate=${1:-200}
+load warm "$rate" 5 16 "" > /dev/null
+load warm-direct "$rate" 5 16 ', "direct": true' > /dev/null
+for round in 1 2 3; do
+  echo "round $round, $rate requests/s"
+  seed=$round load "through-$round" "$rate" 15 16 "" | sed -n '2,20p'
+  seed=$((round + 10)) load "direct-$round" "$rate" 15 16 ', "direct": true' | sed -n '2,20p'
+done
+echo "entry: resident $(usage "${e_admin[1]}" residentBytes) bytes, heap $(usage "${e_admin[1]}" heapBytes) bytes"
