--- a/integration/src/test/java/org/hallwall/integration/ProgramApprovalTest.java
+++ b/integration/src/test/java/org/hallwall/integration/ProgramApprovalTest.java
@@ -45,6 +45,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What programs print, as approved; and all sample settings are valid. */
 class ProgramApprovalTest {
@@ -114,7 +115,8 @@
     }
 
     private static void approve(String name, String text) {
-        try (NamedEnvironment env = NamerFactory.withParameters(name)) {
+        try (NamedEnvironment named = NamerFactory.withParameters(name)) {
+            assertTrue(named != null);
             Approvals.verify(text);
         }
     }
