--- a/domain/src/main/java/org/hallwall/domain/GroupView.java
+++ b/domain/src/main/java/org/hallwall/domain/GroupView.java
@@ -25,6 +25,7 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.engine.Announcement;
 import org.hallwall.engine.GroupMembership;
+import org.hallwall.resource.EngineRole;
 import org.hallwall.resource.ModelGroupSpec;
 
 /**
@@ -97,6 +98,36 @@
         return present.stream().anyMatch(t -> t.instance().equals(instance));
     }
 
+    /**
+     * Says whether the group can serve a whole request.
+     *
+     * @return true if its engines both read prompts and write answers
+     */
+    public boolean servesWhole() {
+        String role = present.get(0).announcement().role();
+        for (EngineRole r : EngineRole.values()) {
+            if (r.name().equals(role)) {
+                return r.servesWhole();
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Says whether the group has loaded an adapter.
+     *
+     * @param adapter the adapter; null for none
+     * @return true if every present member announces it
+     */
+    public boolean hasAdapter(String adapter) {
+        for (KnownTarget t : present) {
+            if (adapter != null && !t.announcement().adapters().contains(adapter)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /**
      * Says whether the group is what a spec asks for.
      *
--- a/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
@@ -175,6 +175,7 @@
         ServiceHandler services = new ServiceHandler(
                 bodies,
                 identify,
+                limits,
                 current,
                 new ServiceRunner(directory, timing, budget, counters, ticker),
                 new KeyedHandler<>(
--- a/entry/src/main/java/org/hallwall/entry/request/ServiceHandler.java
+++ b/entry/src/main/java/org/hallwall/entry/request/ServiceHandler.java
@@ -27,6 +27,7 @@
 import org.hallwall.core.verdict.RefusalException;
 import org.hallwall.entry.exchange.Exchange;
 import org.hallwall.entry.exchange.RequestHeaders;
+import org.hallwall.entry.limit.WorkspaceLimits;
 import org.hallwall.entry.relay.RelayCounters;
 import org.hallwall.entry.relay.ServiceCall;
 import org.hallwall.entry.relay.ServiceReply;
@@ -46,6 +47,7 @@
 
     private final BodyReader bodies;
     private final IdentifyFilter identify;
+    private final WorkspaceLimits limits;
     private final Supplier<Declarations> declarations;
     private final ServiceRunner runner;
     private final KeyedHandler<ServiceReply> keyed;
@@ -57,6 +59,7 @@
      *
      * @param bodies reads bodies
      * @param identify finds the workspace
+     * @param limits holds workspaces to their limits
      * @param declarations the declarations in force
      * @param runner runs calls
      * @param keyed handles calls with an idempotency key
@@ -65,12 +68,14 @@
     public ServiceHandler(
             BodyReader bodies,
             IdentifyFilter identify,
+            WorkspaceLimits limits,
             Supplier<Declarations> declarations,
             ServiceRunner runner,
             KeyedHandler<ServiceReply> keyed,
             RelayCounters counters) {
         this.bodies = bodies;
         this.identify = identify;
+        this.limits = limits;
         this.declarations = declarations;
         this.runner = runner;
         this.keyed = keyed;
@@ -105,6 +110,7 @@
             Exchange x = exchange(req, headers, declared.service(service), now);
             identify.apply(x);
             requireService(x, service, declared);
+            limits.apply(x);
             res.header(RequestHeaders.REQUEST_ID, x.requestId().value());
             HttpMethod method = req.method();
             String type = req.requestHeaders().get("Content-Type");
--- a/entry/src/main/java/org/hallwall/entry/routing/Dispatcher.java
+++ b/entry/src/main/java/org/hallwall/entry/routing/Dispatcher.java
@@ -254,7 +254,8 @@
     private boolean assign(Waiter w, long now) {
         List<GroupSlot> candidates = new ArrayList<>();
         for (GroupSlot s : table.usable(w.exchange().modelGroup(), now)) {
-            if (s.hasRoom() && !w.exchange().hasFailedOn(s.group())) {
+            boolean fits = s.view().hasAdapter(w.exchange().adapter());
+            if (fits && s.hasRoom() && !w.exchange().hasFailedOn(s.group())) {
                 candidates.add(s);
             }
         }
--- a/entry/src/main/java/org/hallwall/entry/routing/GroupSlot.java
+++ b/entry/src/main/java/org/hallwall/entry/routing/GroupSlot.java
@@ -132,7 +132,7 @@
      */
     public boolean isServing(long now, long lease) {
         GroupView v = view;
-        return !draining && !v.leaving() && v.isComplete(now, lease) && v.head() != null;
+        return !draining && !v.leaving() && v.isComplete(now, lease) && v.head() != null && v.servesWhole();
     }
 
     /**
--- a/integration/src/test/java/org/hallwall/integration/BadInputTest.java
+++ b/integration/src/test/java/org/hallwall/integration/BadInputTest.java
@@ -34,6 +34,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What an entry answers to bad requests and bad bytes, as approved; it is unharmed afterwards. */
@@ -81,6 +82,19 @@
         Approvals.verify(out.toString());
     }
 
+    @Test
+    void noCredentialShows() throws IOException {
+        Caller caller = new Caller(fleet.callers("e1"));
+        Http.Reply wrong = caller.call("POST", CHAT, GOOD, "Authorization", "Bearer not-the-key-at-all");
+        assertFalse(wrong.text().contains("not-the-key-at-all"));
+        caller.call("POST", CHAT, GOOD);
+        for (String process : new String[] {"e1", "v1", "v2", "v3"}) {
+            String shown = fleet.process(process).log() + fleet.dump(process);
+            assertFalse(shown.contains(Fleet.KEY), process);
+            assertFalse(shown.contains("not-the-key-at-all"), process);
+        }
+    }
+
     @Test
     void dumpHasTheseMembers() throws IOException {
         StringBuilder out = new StringBuilder();
