--- a/program/src/main/java/org/hallwall/program/DaemonProgram.java
+++ b/program/src/main/java/org/hallwall/program/DaemonProgram.java
@@ -76,6 +76,15 @@
      */
     protected abstract Daemon start(S settings) throws ProgramException;
 
+    /**
+     * Says where log lines go.
+     *
+     * @return standard error by default
+     */
+    protected LogTarget logTarget() {
+        return LogTarget.STANDARD_ERROR;
+    }
+
     /**
      * Adds options of one program to the common ones.
      *
@@ -156,7 +165,7 @@
     }
 
     private void serve(PrintStream out, S settings) throws ProgramException {
-        ProgramLogs.configure(settings.logFormat(), settings.logLevel());
+        ProgramLogs.configure(settings.logFormat(), settings.logLevel(), logTarget());
         CountDownLatch stopped = new CountDownLatch(1);
         CountDownLatch asked = new CountDownLatch(1);
         Daemon daemon = start(settings);
--- a/program/src/main/java/org/hallwall/program/LogFormat.java
+++ b/program/src/main/java/org/hallwall/program/LogFormat.java
@@ -41,6 +41,14 @@
         Formatter formatter() {
             return new JsonFormatter();
         }
+    },
+    /** One short JSON object a line: time, level, part and message; for processes whose logs cost processor time. */
+    @JsonProperty("compact")
+    COMPACT {
+        @Override
+        Formatter formatter() {
+            return new CompactFormatter();
+        }
     };
 
     abstract Formatter formatter();
--- a/program/src/main/java/org/hallwall/program/ProgramLogs.java
+++ b/program/src/main/java/org/hallwall/program/ProgramLogs.java
@@ -25,7 +25,7 @@
 
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
-/** Sets up the log of a program: one handler, to standard error. */
+/** Sets up the log of a program: one handler. */
 public final class ProgramLogs {
 
     private static final String OWN = "org.hallwall";
@@ -37,13 +37,14 @@
      *
      * @param format the form of the lines
      * @param level the least level that the project's own code logs
+     * @param target where the lines go
      */
-    public static void configure(LogFormat format, String level) {
+    public static void configure(LogFormat format, String level, LogTarget target) {
         Logger root = LogManager.getLogManager().getLogger("");
         for (Handler h : root.getHandlers()) {
             root.removeHandler(h);
         }
-        ConsoleHandler handler = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, format.formatter());
+        ConsoleHandler handler = new ConsoleHandler(target.console(), format.formatter());
         handler.setLevel(Level.ALL);
         root.addHandler(handler);
         root.setLevel(Level.WARNING);
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/config/CallerLimits.java
@@ -0,0 +1,33 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.config;
+
+/**
+ * What callers may send and how long they may rest.
+ *
+ * @param headerBytes the most bytes of a request's head
+ * @param bodyBytes the most bytes of a request's body
+ * @param headerMillis the longest time to send a head, in milliseconds
+ * @param idleMillis the longest time a kept connection rests, in milliseconds
+ */
+public record CallerLimits(int headerBytes, int bodyBytes, long headerMillis, long idleMillis) {
+
+    /** The limits before any configuration is known; the figures are those of the platform's example. */
+    public static final CallerLimits DEFAULT = new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -0,0 +1,316 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.control;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.log.LogMessage;
+import org.hallwall.log.LogSeat;
+import org.hallwall.log.LogStore;
+import org.hallwall.log.LogStoreException;
+import org.hallwall.log.LogTiming;
+import org.hallwall.log.LogVoter;
+import org.hallwall.program.ExitCode;
+import org.hallwall.serving.config.Configuration;
+import org.hallwall.serving.config.ConfigurationException;
+import org.hallwall.serving.config.ConfigurationReader;
+import org.hallwall.serving.group.GroupController;
+import org.hallwall.serving.group.TargetGateway;
+import org.hallwall.serving.target.FeedFollower;
+import org.hallwall.serving.target.FeedMessage;
+import org.hallwall.serving.target.FeedMessage.ControlMember;
+import org.hallwall.serving.target.TargetDirectory;
+import org.hallwall.serving.target.TargetFeed;
+import org.hallwall.serving.target.TargetRecord;
+import org.hallwall.wire.PeerCodec;
+import org.hallwall.wire.PeerKinds;
+import org.hallwall.wire.PeerLink;
+import org.hallwall.wire.PeerMessage;
+import org.hallwall.wire.PeerServer;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+
+/** A control instance: a voter of the log, the feed of what targets announce to it, and perhaps the group controller. */
+public final class ControlNode implements Closeable {
+
+    private static final Logger LOG = Logger.getLogger(ControlNode.class);
+    /** How long an entry counts after its last poll, in milliseconds: several polls. */
+    private static final long ENTRY_MILLIS = 3_000;
+
+    private final ControlNodeSettings settings;
+    private final ConfigurationReader reader;
+    private final Ticker ticker = Ticker.SYSTEM;
+    private final Map<InstanceId, PeerLink> links = new LinkedHashMap<>();
+    private final List<FeedFollower> followers = new ArrayList<>();
+    private final Map<InstanceId, Long> entries = new ConcurrentHashMap<>();
+    private final Map<InstanceId, NetAddress> apis = new HashMap<>();
+    private final TargetFeed feed;
+    private final TargetDirectory directory;
+    private final ConfigurationMachine machine;
+    private final AtomicReference<Configuration> parsed = new AtomicReference<>(Configuration.NONE);
+    private final PeerCodec codec = new PeerCodec(kinds());
+    private final PeerServer peers;
+    private volatile List<ControlMember> members = List.of();
+    private LogStore store;
+    private LogVoter voter;
+    private GroupController groups;
+    private ConfigurationService service;
+
+    /**
+     * Creates a control instance; {@link #start(TargetGateway)} starts it.
+     *
+     * @param settings what it knows at its start
+     * @param reader reads configurations
+     */
+    public ControlNode(ControlNodeSettings settings, ConfigurationReader reader) {
+        this.settings = settings;
+        this.reader = reader;
+        this.feed = new TargetFeed(ticker);
+        this.directory = new TargetDirectory(ticker);
+        this.machine = new ConfigurationMachine(feed::wake);
+        this.peers = new PeerServer(settings.fleet(), codec, this::handle);
+    }
+
+    /**
+     * Gives the kinds of peer messages.
+     *
+     * @return the kinds
+     */
+    public static PeerKinds kinds() {
+        PeerKinds kinds = new PeerKinds();
+        LogMessage.register(kinds);
+        FeedMessage.register(kinds);
+        return kinds;
+    }
+
+    /**
+     * Starts; returns when the members are known and the log is open.
+     *
+     * @param gateway speaks to targets
+     * @throws IOException if a port or the data folder cannot be opened
+     */
+    public void start(TargetGateway gateway) throws IOException {
+        peers.open(settings.peerListen());
+        members = findMembers();
+        LOG.infof("control: %s starts, members %s", settings.self().instance(), members);
+        for (ControlMember m : members) {
+            apis.put(m.instance(), m.api());
+            if (!m.instance().equals(settings.self().instance())) {
+                links.put(m.instance(), link(m));
+            }
+        }
+        store = LogStore.open(settings.dataFolder());
+        voter = new LogVoter(
+                new LogSeat(
+                        settings.self().instance(),
+                        members.stream().map(ControlMember::instance).toList(),
+                        LogTiming.DEFAULT),
+                store,
+                machine,
+                (to, message) -> links.get(to).send(message),
+                ticker,
+                new SecureRandom(),
+                () -> Runtime.getRuntime().halt(ExitCode.FAILURE.code()));
+        groups = new GroupController(voter, directory, this::configuration, gateway, settings.timing(), ticker);
+        service = new ConfigurationService(settings.self().instance(), voter, machine, reader, apis);
+        directory.onChange(r -> groups.nudge());
+        voter.start();
+        groups.start();
+        links.forEach((id, link) -> follow(id.value(), link));
+    }
+
+    /**
+     * Takes a target's announcement.
+     *
+     * @param record what it announced
+     */
+    public void announce(TargetRecord record) {
+        boolean news = feed.announce(record);
+        directory.take(record);
+        directory.heard(record.instance());
+        if (news) {
+            LOG.infof("targets: %s", record);
+        }
+    }
+
+    /**
+     * Takes a target's word that it ends.
+     *
+     * @param instance the target
+     */
+    public void leave(InstanceId instance) {
+        TargetRecord known = directory.find(instance);
+        LOG.infof("targets: %s ends, known as %s", instance, known);
+        feed.leave(instance, known);
+        if (known != null) {
+            directory.take(known.with(Long.MAX_VALUE, TargetRecord.Presence.GONE));
+        }
+    }
+
+    /**
+     * Gives the service for operators.
+     *
+     * @return the service; null until the log is open
+     */
+    public ConfigurationService service() {
+        return service;
+    }
+
+    /**
+     * Gives the log's voter.
+     *
+     * @return the voter; null until the log is open
+     */
+    public LogVoter voter() {
+        return voter;
+    }
+
+    /**
+     * Gives all targets that are known.
+     *
+     * @return the directory
+     */
+    public TargetDirectory directory() {
+        return directory;
+    }
+
+    @Override
+    public void close() {
+        LOG.infof("control: %s stops", settings.self().instance());
+        followers.forEach(FeedFollower::close);
+        if (groups != null) {
+            groups.close();
+        }
+        if (voter != null) {
+            voter.close();
+        }
+        peers.close();
+        links.values().forEach(PeerLink::close);
+        closeStore();
+    }
+
+    private void closeStore() {
+        try {
+            if (store != null) {
+                store.close();
+            }
+        } catch (LogStoreException e) {
+            LOG.warnf("control: the store was not closed, %s", e.getMessage());
+        }
+    }
+
+    private List<ControlMember> findMembers() throws LogStoreException {
+        ControlMembers list = new ControlMembers(settings.dataFolder());
+        List<ControlMember> stored = list.stored();
+        if (!stored.isEmpty()) {
+            return stored;
+        }
+        if (settings.firstStart()) {
+            list.form(settings.seeds());
+            return settings.seeds();
+        }
+        List<PeerLink> seeds = settings.seeds().stream()
+                .filter(s -> !s.instance().equals(settings.self().instance()))
+                .map(this::link)
+                .toList();
+        List<ControlMember> found = ControlMembers.ask(
+                new FeedMessage.MembersQuestion(settings.self().instance()), seeds);
+        seeds.forEach(PeerLink::close);
+        list.store(found);
+        return found;
+    }
+
+    private PeerLink link(ControlMember m) {
+        return new PeerLink(m.peer(), settings.fleet(), settings.self().instance(), codec);
+    }
+
+    private void follow(String name, PeerLink link) {
+        FeedFollower f = new FeedFollower(name, link, true, () -> Long.MAX_VALUE, this::take);
+        followers.add(f);
+        f.start();
+    }
+
+    private void take(FeedMessage.News news) {
+        news.records().forEach(directory::take);
+        news.heard().forEach(directory::heard);
+    }
+
+    private Configuration configuration() {
+        ConfigurationMachine.Held held = machine.held();
+        Configuration last = parsed.get();
+        if (held.version() == last.version()) {
+            return last;
+        }
+        try {
+            Configuration fresh = reader.read(PackedBytes.unpack(held.packed()));
+            parsed.set(fresh);
+            return fresh;
+        } catch (IOException | ConfigurationException e) {
+            LOG.errorf(e, "configuration: version %d cannot be read here", held.version());
+            return last;
+        }
+    }
+
+    private Mono<? extends PeerMessage> handle(InstanceId from, PeerMessage message) {
+        if (message instanceof LogMessage m) {
+            if (voter != null && m.from().equals(from)) {
+                voter.receive(m);
+            }
+            return Mono.empty();
+        }
+        if (message instanceof FeedMessage.Poll m) {
+            return answer(from, m);
+        }
+        if (message instanceof FeedMessage.MembersQuestion) {
+            return Mono.just(new FeedMessage.Members(members));
+        }
+        if (message instanceof FeedMessage.StandingHead m && groups != null) {
+            LOG.infof("groups: entry %s reports that head %s of %s stands still", from, m.head(), m.group());
+            groups.standing(m);
+        }
+        return Mono.empty();
+    }
+
+    private Mono<FeedMessage.News> answer(InstanceId from, FeedMessage.Poll poll) {
+        if (poll.heardAfter() < 0) {
+            entries.put(from, ticker.millis());
+        }
+        return feed.await(poll, machine.held().version()).map(news -> news(poll));
+    }
+
+    private FeedMessage.News news(FeedMessage.Poll poll) {
+        ConfigurationMachine.Held held = machine.held();
+        byte[] packed = held.version() > poll.configurationVersion() ? held.packed() : null;
+        long now = ticker.millis();
+        entries.values().removeIf(at -> now - at > ENTRY_MILLIS);
+        return feed.news(poll).with(held.version(), packed, members, entries.size());
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -0,0 +1,290 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.io.Closeable;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import org.hallwall.core.duty.DutyThread;
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.log.LogVoter;
+import org.hallwall.serving.config.Configuration;
+import org.hallwall.serving.config.EngineSpec;
+import org.hallwall.serving.config.TargetService;
+import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.TargetDirectory;
+import org.hallwall.serving.target.TargetDirectory.KnownTarget;
+import org.hallwall.serving.target.TargetRecord;
+import org.jboss.logging.Logger;
+
+/**
+ * Controls the groups while this voter leads. The leader's term is the fencing token; a lease check goes before each round of
+ * orders.
+ */
+public final class GroupController implements Closeable {
+
+    private static final Logger LOG = Logger.getLogger(GroupController.class);
+    private static final int RING = 512;
+    private static final long TICK_MILLIS = 50;
+    /** How long a new leader gathers what the other control instances have heard, in milliseconds: two polls. */
+    private static final long SETTLE_MILLIS = 800;
+    /** An order without an answer is given again after this, in milliseconds. */
+    private static final long RESEND_MILLIS = 700;
+    /** An order that was taken is given again if nothing is seen of it after this, in milliseconds. */
+    private static final long TAKEN_MILLIS = 2_500;
+    /** A load that was taken is given again if nothing is seen of it after this, in milliseconds. */
+    private static final long LOAD_TAKEN_MILLIS = 45_000;
+
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(600);
+    /** How long an engine may take to answer a probe; several times a round trip and the time of its answer. */
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(250);
+
+    private static final long PROBE_AGAIN_MILLIS = 500;
+    /** An engine that was silent for this many heartbeats gets no new work. */
+    private static final double SILENT_HEARTBEATS = 2.5;
+    /** An engine that was silent for this long is held for dead, in milliseconds; a cut one may still serve before. */
+    private static final long LOST_MILLIS = 20_000;
+
+    private final LogVoter voter;
+    private final TargetDirectory directory;
+    private final Supplier<Configuration> configuration;
+    private final TargetGateway gateway;
+    private final ControllerTiming timing;
+    private final Ticker ticker;
+    private final DutyThread duty;
+    private final Map<String, GroupPlan> plans = new HashMap<>();
+    private final Map<String, StagingPlan> stagings = new HashMap<>();
+    private final Map<InstanceId, Sent> sent = new HashMap<>();
+    private final Map<InstanceId, Long> unanswered = new HashMap<>();
+    private final Map<String, Long> probed = new HashMap<>();
+    private final LoadPacer pacer = new LoadPacer();
+    private final long startedAt;
+    private long term = -1;
+    private long leadsSince;
+    private boolean checking;
+
+    /**
+     * Creates a controller; {@link #start()} starts it.
+     *
+     * @param voter tells whether this instance leads
+     * @param directory all targets
+     * @param configuration gives the configuration in force
+     * @param gateway speaks to targets
+     * @param timing the limits
+     * @param ticker the clock
+     */
+    public GroupController(
+            LogVoter voter,
+            TargetDirectory directory,
+            Supplier<Configuration> configuration,
+            TargetGateway gateway,
+            ControllerTiming timing,
+            Ticker ticker) {
+        this.voter = voter;
+        this.directory = directory;
+        this.configuration = configuration;
+        this.gateway = gateway;
+        this.timing = timing;
+        this.ticker = ticker;
+        this.startedAt = ticker.millis();
+        this.duty = new DutyThread("groups", RING, TICK_MILLIS, this::tick);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        duty.start();
+    }
+
+    /** Takes the next step soon, because something has changed. */
+    public void nudge() {
+        duty.offer(this::tick);
+    }
+
+    /**
+     * Takes a report of a head whose streams stand still.
+     *
+     * @param report the report
+     */
+    public void standing(StandingHead report) {
+        duty.offer(() -> probe(report));
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void tick() {
+        if (checking || !voter.holdsLease()) {
+            return;
+        }
+        checking = true;
+        voter.readIndex()
+                .whenComplete((index, e) -> duty.offer(() -> {
+                    checking = false;
+                    if (e == null) {
+                        lead();
+                    }
+                }));
+    }
+
+    private void lead() {
+        long now = ticker.millis();
+        long current = voter.state().term();
+        if (current != term) {
+            LOG.infof("groups: controls the groups in term %d", current);
+            term = current;
+            leadsSince = now;
+            plans.clear();
+            stagings.clear();
+            sent.clear();
+        }
+        if (now - leadsSince < SETTLE_MILLIS || now - startedAt < timing.hearAllMillis()) {
+            return;
+        }
+        List<KnownTarget> all = new ArrayList<>(directory.list());
+        for (TargetService s : configuration.get().engineServices().values()) {
+            stepService(now, s, all);
+        }
+    }
+
+    private void stepService(long now, TargetService service, List<KnownTarget> all) {
+        Map<InstanceId, Engine> engines = new HashMap<>();
+        for (KnownTarget t : all) {
+            if (t.record().service().equals(service.name())) {
+                engines.put(t.record().instance(), view(now, t));
+            }
+        }
+        EngineSpec spec = service.engine();
+        GroupPlan plan = plans.computeIfAbsent(service.name(), n -> new GroupPlan(term, timing.stallMillis()));
+        StagingPlan staging = stagings.computeIfAbsent(service.name(), n -> new StagingPlan());
+        for (GroupAction a : plan.step(now, spec, engines)) {
+            give(now, a);
+        }
+        for (GroupAction a : staging.step(now, spec, plan.free(now, engines), engines)) {
+            load(now, spec, a);
+        }
+        sent.keySet().removeIf(id -> directory.find(id) == null);
+        endLoads(engines);
+    }
+
+    private Engine view(long now, KnownTarget t) {
+        long silence = now - t.heardAt();
+        Long failedAt = unanswered.get(t.record().instance());
+        boolean failed = failedAt != null && failedAt > t.heardAt();
+        boolean lost = failed || silence > LOST_MILLIS;
+        boolean silent = silence > timing.heartbeatMillis() * SILENT_HEARTBEATS;
+        TargetRecord r = t.record();
+        return new Engine(r, lost, silent);
+    }
+
+    /** A load has ended when the target announces the model, or is lost. */
+    private void endLoads(Map<InstanceId, Engine> engines) {
+        pacer.loading().forEach((id, model) -> {
+            Engine e = engines.get(id);
+            if (e != null && (!e.isUsable() || e.hasStaged(model))) {
+                pacer.ended(id);
+            }
+        });
+    }
+
+    private void load(long now, EngineSpec spec, GroupAction a) {
+        String model = ((TargetOrder.Stage) a.order()).model();
+        InstanceId id = a.target().id();
+        if (isDue(now, a) && pacer.tryBegin(id, model, spec.loadsPerSecond(), spec.loadsAtOnce(), now)) {
+            send(now, a);
+        }
+    }
+
+    private void give(long now, GroupAction a) {
+        if (isDue(now, a)) {
+            send(now, a);
+        }
+    }
+
+    private boolean isDue(long now, GroupAction a) {
+        Sent s = sent.get(a.target().id());
+        return s == null || !s.order.equals(a.order()) || now >= s.againAt;
+    }
+
+    private void send(long now, GroupAction a) {
+        InstanceId id = a.target().id();
+        Sent s = new Sent(a.order(), now + RESEND_MILLIS);
+        sent.put(id, s);
+        long token = term;
+        gateway.order(a.target().record(), a.order(), token, ORDER_TIMEOUT).subscribe(outcome -> {
+            LOG.infof("groups: order %s to %s in term %d: %s (%s)", a.order(), id, token, outcome, a.reason());
+            duty.offer(() -> taken(s, outcome));
+        });
+    }
+
+    private void taken(Sent s, OrderOutcome outcome) {
+        if (outcome == OrderOutcome.TAKEN) {
+            long wait = s.order instanceof TargetOrder.Stage ? LOAD_TAKEN_MILLIS : TAKEN_MILLIS;
+            s.againAt = ticker.millis() + wait;
+            tick();
+        }
+    }
+
+    private void probe(StandingHead report) {
+        long now = ticker.millis();
+        if (!voter.holdsLease()
+                || now - probed.getOrDefault(report.group(), -PROBE_AGAIN_MILLIS) < PROBE_AGAIN_MILLIS) {
+            return;
+        }
+        probed.put(report.group(), now);
+        for (GroupPlan plan : plans.values()) {
+            for (InstanceId id : plan.members(report.group())) {
+                probeOne(id, report.group());
+            }
+        }
+    }
+
+    private void probeOne(InstanceId id, String group) {
+        TargetRecord r = directory.find(id);
+        if (r == null) {
+            return;
+        }
+        gateway.answers(r, PROBE_TIMEOUT).filter(ok -> !ok).subscribe(no -> {
+            LOG.warnf("groups: %s of group %s does not answer, it is held for dead", id, group);
+            duty.offer(() -> {
+                unanswered.put(id, ticker.millis());
+                tick();
+            });
+        });
+    }
+
+    /** An order that was given and when it may be given again. */
+    private static final class Sent {
+
+        private final TargetOrder order;
+        private long againAt;
+
+        Sent(TargetOrder order, long againAt) {
+            this.order = order;
+            this.againAt = againAt;
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -0,0 +1,367 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.serving.config.EngineModel;
+import org.hallwall.serving.config.EngineSpec;
+import org.hallwall.serving.target.GroupMark;
+import org.hallwall.serving.target.GroupState;
+
+/**
+ * Decides which engines form groups, and takes groups apart that lost a member. It neither does I/O nor reads a clock.
+ *
+ * <p>It believes only what engines announce. An engine is free for another group only if no head can still count on it: the
+ * head of its last group has announced that it no longer serves, or must have broken by now.
+ */
+public final class GroupPlan {
+
+    /** Added to the time after which a head that lost a member breaks: the delay of orders and clocks, in milliseconds. */
+    private static final long BREAK_MARGIN_MILLIS = 600;
+    /** How long members may take to join when their hosts hold the model, besides the load itself, in milliseconds. */
+    private static final long JOIN_MARGIN_MILLIS = 4_000;
+    /** How long a closing head may finish its work before it is told to leave; the platform's bound is 10 s. */
+    private static final long CLOSE_MILLIS = 9_000;
+    /** Room for the counter below the term in an epoch. */
+    private static final long EPOCHS_A_TERM = 1_000_000L;
+
+    private final long term;
+    private final long stallMillis;
+    private final Map<String, PlannedGroup> groups = new LinkedHashMap<>();
+    private final Set<String> finished = new HashSet<>();
+    private final Map<InstanceId, Long> heldUntil = new HashMap<>();
+    private final Map<String, Long> closingSince = new HashMap<>();
+    private final Map<String, Long> headlessSince = new HashMap<>();
+    private long counter;
+    private List<GroupAction> actions = new ArrayList<>();
+
+    /**
+     * Creates a plan without groups.
+     *
+     * @param term the controller's term; epochs of a later term are higher
+     * @param stallMillis after how long a head that lost a member breaks, in milliseconds
+     */
+    public GroupPlan(long term, long stallMillis) {
+        this.term = term;
+        this.stallMillis = stallMillis;
+    }
+
+    /**
+     * Takes one step.
+     *
+     * @param now the clock in milliseconds
+     * @param spec what is known of the service's engines
+     * @param engines all engines of the service
+     * @return the orders that engines should have
+     */
+    public List<GroupAction> step(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
+        actions = new ArrayList<>();
+        adopt(now, spec, engines);
+        for (PlannedGroup g : List.copyOf(groups.values())) {
+            review(now, spec, g, engines);
+        }
+        form(now, spec, engines);
+        return actions;
+    }
+
+    /**
+     * Lists the groups.
+     *
+     * @return the groups
+     */
+    Collection<PlannedGroup> groups() {
+        return groups.values();
+    }
+
+    /**
+     * Finds the members of a group.
+     *
+     * @param name the group's name
+     * @return the members; empty if the group is not planned
+     */
+    public List<InstanceId> members(String name) {
+        PlannedGroup g = groups.get(name);
+        return g == null ? List.of() : g.members();
+    }
+
+    /**
+     * Lists the engines that are free for a new group or another model.
+     *
+     * @param now the clock in milliseconds
+     * @param engines all engines of the service
+     * @return the free engines by fabric domain
+     */
+    public Map<String, List<Engine>> free(long now, Map<InstanceId, Engine> engines) {
+        Set<InstanceId> taken = new HashSet<>();
+        groups.values().forEach(g -> taken.addAll(g.members()));
+        Map<String, List<Engine>> out = new TreeMap<>();
+        for (Engine e : engines.values()) {
+            String domain = e.record().fabricDomain();
+            if (domain != null && e.isUsable() && !taken.contains(e.id()) && isReleased(now, e, engines)) {
+                out.computeIfAbsent(domain, d -> new ArrayList<>()).add(e);
+            }
+        }
+        out.values().forEach(list -> list.sort(Comparator.comparing(Engine::id)));
+        return out;
+    }
+
+    // --- groups that another controller has formed
+
+    private void adopt(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
+        for (Engine e : engines.values()) {
+            GroupMark m = e.record().group();
+            if (m == null || m.rank() != 0 || groups.containsKey(m.name()) || finished.contains(m.name())) {
+                continue;
+            }
+            List<InstanceId> members = membersOf(m, engines.values());
+            EngineModel model =
+                    e.record().model() == null ? null : spec.model(e.record().model());
+            if (model != null && members.size() == model.size()) {
+                PlannedGroup g = new PlannedGroup(
+                        m.name(), m.epoch(), model.name(), e.record().fabricDomain(), members, now);
+                groups.put(g.name(), g);
+            } else if (m.state().holdsMembers() && !e.lost()) {
+                actions.add(
+                        new GroupAction(e, new TargetOrder.Leave(m.name(), m.epoch()), "a group of unknown members"));
+            }
+        }
+    }
+
+    private static List<InstanceId> membersOf(GroupMark mark, Collection<Engine> engines) {
+        Map<Integer, InstanceId> byRank = new TreeMap<>();
+        for (Engine e : engines) {
+            if (mark.sameGroup(e.record().group())) {
+                byRank.put(e.record().group().rank(), e.id());
+            }
+        }
+        return new ArrayList<>(byRank.values());
+    }
+
+    // --- groups of the plan
+
+    private void review(long now, EngineSpec spec, PlannedGroup g, Map<InstanceId, Engine> engines) {
+        Engine head = engines.get(g.head());
+        if (head == null || head.lost()) {
+            holdMembers(now, g);
+            drop(g);
+            return;
+        }
+        GroupMark mark = head.isIn(g.name(), g.epoch()) ? head.record().group() : null;
+        GroupState state = mark == null ? null : mark.state();
+        if (state == GroupState.OPEN) {
+            g.serves();
+        }
+        if (state == GroupState.BROKEN || (g.hasServed() && (state == null || !state.hasJoined()))) {
+            drop(g);
+            return;
+        }
+        boolean holds = state != null && state.holdsMembers();
+        if (hasLostMember(g, engines)) {
+            breakUp(g, head, holds, "a member is lost");
+        } else if (hasLeavingMember(g, engines)) {
+            finish(now, g, head, holds);
+        } else if (!holds) {
+            advance(now, spec, g, head, state, engines);
+        }
+    }
+
+    private void breakUp(PlannedGroup g, Engine head, boolean holds, String reason) {
+        if (holds) {
+            actions.add(new GroupAction(head, new TargetOrder.Leave(g.name(), g.epoch()), reason));
+        } else {
+            drop(g);
+        }
+    }
+
+    private void finish(long now, PlannedGroup g, Engine head, boolean holds) {
+        if (!holds) {
+            drop(g);
+            return;
+        }
+        long since = closingSince.computeIfAbsent(g.name(), n -> now);
+        g.close();
+        if (now - since > CLOSE_MILLIS) {
+            breakUp(g, head, true, "a member leaves and the work does not end");
+        } else {
+            actions.add(new GroupAction(head, new TargetOrder.Close(g.name(), g.epoch()), "a member leaves"));
+        }
+    }
+
+    private void advance(
+            long now, EngineSpec spec, PlannedGroup g, Engine head, GroupState state, Map<InstanceId, Engine> engines) {
+        boolean all = true;
+        for (InstanceId id : g.members()) {
+            Engine e = engines.get(id);
+            GroupMark m = e.isIn(g.name(), g.epoch()) ? e.record().group() : null;
+            if (m == null) {
+                TargetOrder join = new TargetOrder.Join(g.name(), g.epoch(), g.model(), g.members());
+                actions.add(new GroupAction(e, join, "forms a group"));
+            }
+            all &= m != null && m.state().hasJoined();
+        }
+        if (all && state == GroupState.READY && !g.isClosing()) {
+            actions.add(new GroupAction(head, new TargetOrder.Open(g.name(), g.epoch()), "all members are ready"));
+        } else if (now - g.since() > joinLimit(spec, g)) {
+            drop(g);
+        }
+    }
+
+    private static long joinLimit(EngineSpec spec, PlannedGroup g) {
+        EngineModel m = spec.model(g.model());
+        double warm = m == null ? 0 : m.warmSeconds();
+        return JOIN_MARGIN_MILLIS + (long) (warm * 2_000);
+    }
+
+    private static boolean hasLostMember(PlannedGroup g, Map<InstanceId, Engine> engines) {
+        for (InstanceId id : g.members()) {
+            Engine e = engines.get(id);
+            if (e == null || e.lost()) {
+                return true;
+            }
+            if (g.hasServed() && !e.isIn(g.name(), g.epoch())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean hasLeavingMember(PlannedGroup g, Map<InstanceId, Engine> engines) {
+        for (InstanceId id : g.members()) {
+            if (!engines.get(id).record().isServing()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Members of a head that cannot be asked wait until it must have broken. */
+    private void holdMembers(long now, PlannedGroup g) {
+        long until = now + stallMillis + BREAK_MARGIN_MILLIS;
+        for (InstanceId id : g.members()) {
+            heldUntil.put(id, until);
+        }
+    }
+
+    private void drop(PlannedGroup g) {
+        groups.remove(g.name());
+        closingSince.remove(g.name());
+        finished.add(g.name());
+    }
+
+    // --- free engines
+
+    private boolean isReleased(long now, Engine e, Map<InstanceId, Engine> engines) {
+        if (heldUntil.getOrDefault(e.id(), Long.MIN_VALUE) > now) {
+            return false;
+        }
+        GroupMark m = e.record().group();
+        if (m == null) {
+            return true;
+        }
+        if (m.rank() == 0) {
+            return !m.state().holdsMembers();
+        }
+        Engine head = headOf(m, engines.values());
+        if (head != null && !head.lost()) {
+            return !head.record().group().state().holdsMembers();
+        }
+        if (finished.contains(m.name())) {
+            return true;
+        }
+        long since = headlessSince.computeIfAbsent(m.name(), n -> now);
+        return now - since > stallMillis + BREAK_MARGIN_MILLIS;
+    }
+
+    private static Engine headOf(GroupMark mark, Collection<Engine> engines) {
+        for (Engine e : engines) {
+            GroupMark m = e.record().group();
+            if (mark.sameGroup(m) && m.rank() == 0) {
+                return e;
+            }
+        }
+        return null;
+    }
+
+    private void form(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
+        ModelNeed need = new ModelNeed(spec);
+        groups.values().forEach(g -> need.add(g.model(), 1));
+        for (Map.Entry<String, List<Engine>> domain : free(now, engines).entrySet()) {
+            List<Engine> left = new ArrayList<>(domain.getValue());
+            EngineModel next = formable(need, left);
+            while (next != null) {
+                formOne(now, next, domain.getKey(), left);
+                need.add(next.name(), 1);
+                next = formable(need, left);
+            }
+        }
+        for (Iterator<PlannedGroup> it = groups.values().iterator(); it.hasNext(); ) {
+            PlannedGroup g = it.next();
+            if (g.since() == now && !g.hasServed()) {
+                joinAll(g, engines);
+            }
+        }
+    }
+
+    private void joinAll(PlannedGroup g, Map<InstanceId, Engine> engines) {
+        TargetOrder join = new TargetOrder.Join(g.name(), g.epoch(), g.model(), g.members());
+        for (InstanceId id : g.members()) {
+            Engine e = engines.get(id);
+            if (!e.isIn(g.name(), g.epoch())) {
+                actions.add(new GroupAction(e, join, "forms a group"));
+            }
+        }
+    }
+
+    private static EngineModel formable(ModelNeed need, List<Engine> free) {
+        EngineModel best = null;
+        for (EngineModel m : need.spec().models()) {
+            long staged = free.stream().filter(e -> e.hasStaged(m.name())).count();
+            if (staged >= m.size() && (best == null || need.of(m) > need.of(best))) {
+                best = m;
+            }
+        }
+        return best;
+    }
+
+    private void formOne(long now, EngineModel model, String domain, List<Engine> left) {
+        List<Engine> staged = new ArrayList<>(
+                left.stream().filter(e -> e.hasStaged(model.name())).toList());
+        // Engines that held the model in their last group join at once.
+        staged.sort(Comparator.comparing(
+                (Engine e) -> !model.name().equals(e.record().model())));
+        List<Engine> chosen = staged.subList(0, model.size());
+        left.removeAll(chosen);
+        long epoch = term * EPOCHS_A_TERM + ++counter;
+        List<InstanceId> members = chosen.stream().map(Engine::id).toList();
+        PlannedGroup g = new PlannedGroup("g" + epoch, epoch, model.name(), domain, members, now);
+        groups.put(g.name(), g);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/group/TargetGateway.java
@@ -0,0 +1,48 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.time.Duration;
+
+import org.hallwall.serving.target.TargetRecord;
+import reactor.core.publisher.Mono;
+
+/** Speaks to targets on behalf of the controller; an adapter knows their form. */
+public interface TargetGateway {
+
+    /**
+     * Gives an order.
+     *
+     * @param target the target
+     * @param order the order
+     * @param fencingToken the controller's fencing token
+     * @param timeout how long an answer is awaited
+     * @return the outcome; never an error
+     */
+    Mono<OrderOutcome> order(TargetRecord target, TargetOrder order, long fencingToken, Duration timeout);
+
+    /**
+     * Asks whether a target answers at all.
+     *
+     * @param target the target
+     * @param timeout how long an answer is awaited
+     * @return true if it answered; never an error
+     */
+    Mono<Boolean> answers(TargetRecord target, Duration timeout);
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/group/TargetOrder.java
@@ -0,0 +1,68 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.util.List;
+
+import org.hallwall.core.id.InstanceId;
+
+/** An order to a model engine. */
+public sealed interface TargetOrder {
+
+    /**
+     * Joins a group.
+     *
+     * @param group the group's name
+     * @param epoch the group's epoch
+     * @param model the model
+     * @param members all members; the first is the head
+     */
+    record Join(String group, long epoch, String model, List<InstanceId> members) implements TargetOrder {}
+
+    /**
+     * Lets a ready head serve.
+     *
+     * @param group the group's name
+     * @param epoch the group's epoch
+     */
+    record Open(String group, long epoch) implements TargetOrder {}
+
+    /**
+     * Lets a head finish what it has and return to ready.
+     *
+     * @param group the group's name
+     * @param epoch the group's epoch
+     */
+    record Close(String group, long epoch) implements TargetOrder {}
+
+    /**
+     * Leaves a group at once.
+     *
+     * @param group the group's name
+     * @param epoch the group's epoch
+     */
+    record Leave(String group, long epoch) implements TargetOrder {}
+
+    /**
+     * Loads a model onto the host.
+     *
+     * @param model the model
+     */
+    record Stage(String model) implements TargetOrder {}
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/group/package-info.java
@@ -0,0 +1,2 @@
+/** Groups with a head: planning, orders and repair. */
+package org.hallwall.serving.group;
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -0,0 +1,49 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import org.hallwall.core.verdict.Verdict;
+
+/** One attempt at a target that gave no whole answer. */
+public class AttemptFailure extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final Verdict verdict;
+
+    /**
+     * Creates a failure.
+     *
+     * @param verdict whether the target may have run the request
+     * @param reason why
+     */
+    public AttemptFailure(Verdict verdict, String reason) {
+        super(reason, null, false, false);
+        this.verdict = verdict;
+    }
+
+    /**
+     * Gives the verdict.
+     *
+     * @return whether the target may have run the request
+     */
+    public Verdict verdict() {
+        return verdict;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -0,0 +1,261 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.hallwall.core.duty.DutyThread;
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.program.ProgramException;
+import org.hallwall.serving.config.ConfigurationException;
+import org.hallwall.serving.config.ConfigurationReader;
+import org.hallwall.serving.control.ControlNode;
+import org.hallwall.serving.control.PackedBytes;
+import org.hallwall.serving.target.FeedFollower;
+import org.hallwall.serving.target.FeedMessage;
+import org.hallwall.serving.target.FeedMessage.ControlMember;
+import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.TargetDirectory;
+import org.hallwall.wire.PeerCodec;
+import org.hallwall.wire.PeerLink;
+import org.jboss.logging.Logger;
+import reactor.netty.resources.LoopResources;
+
+/** An entry: it follows all control instances and relays callers' requests. */
+public final class EntryNode implements Closeable {
+
+    private static final Logger LOG = Logger.getLogger(EntryNode.class);
+    private static final int RING = 1_024;
+    private static final long TICK_MILLIS = 1_000;
+    /** Links to control instances at most; more would only cost bytes. */
+    private static final int MOST_LINKS = 8;
+    /** The pause between polls of the requests in progress while stopping, in milliseconds. */
+    private static final long STOP_POLL_MILLIS = 50;
+
+    private final EntryNodeSettings settings;
+    private final ConfigurationReader reader;
+    private final Ticker ticker = Ticker.SYSTEM;
+    private final TargetDirectory directory = new TargetDirectory(ticker);
+    private final EntryState state = new EntryState(directory);
+    private final PeerCodec codec = new PeerCodec(ControlNode.kinds());
+    private final Map<InstanceId, PeerLink> links = new LinkedHashMap<>();
+    private final List<FeedFollower> followers = new ArrayList<>();
+    private final LoopResources loops = LoopResources.create("io", 1, true);
+    private final RepeatBudget budget;
+    private final RelayServer server;
+    private final DutyThread duty;
+    private final AtomicLong received = new AtomicLong();
+    private volatile long heardSince = -1;
+    private volatile boolean stopping;
+
+    /**
+     * Creates an entry; {@link #start()} starts it.
+     *
+     * @param settings what it knows at its start
+     * @param names the names of headers
+     * @param reader reads configurations
+     * @param registry where counters are registered
+     */
+    public EntryNode(
+            EntryNodeSettings settings, HeaderNames names, ConfigurationReader reader, PrometheusRegistry registry) {
+        this.settings = settings;
+        this.reader = reader;
+        this.budget =
+                new RepeatBudget(settings.repeatRatio(), settings.repeatExtra(), settings.repeatWindowMillis(), ticker);
+        RelayContext context = new RelayContext(
+                state,
+                new Balancer(settings.failureDomain(), ticker),
+                new TargetClient(loops, names),
+                budget,
+                new ForwardedHeaders(names),
+                names,
+                this::report,
+                new RelayCounts(registry),
+                ticker);
+        this.server = new RelayServer(context);
+        this.duty = new DutyThread("feeds", RING, TICK_MILLIS, () -> {});
+    }
+
+    /**
+     * Starts.
+     *
+     * @throws IOException if the port cannot be opened
+     */
+    public void start() throws IOException {
+        try {
+            server.open(settings.listen(), loops);
+        } catch (ProgramException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+        duty.start();
+        connect(settings.seeds());
+        LOG.infof("entry: %s takes callers on port %d", settings.instance(), server.port());
+    }
+
+    /**
+     * Connects to control instances that are not known yet.
+     *
+     * @param members the control instances
+     */
+    public void connect(List<ControlMember> members) {
+        duty.offer(() -> connectNow(members));
+    }
+
+    /**
+     * Says whether the entry wants callers: it has a configuration, has heard the targets, and does not stop.
+     *
+     * @return true if it does
+     */
+    public boolean isReady() {
+        return !stopping
+                && state.routes().configuration().version() > 0
+                && heardSince >= 0
+                && state.targets().size() > 0;
+    }
+
+    /**
+     * Gives what the entry believes.
+     *
+     * @return the state
+     */
+    public EntryState state() {
+        return state;
+    }
+
+    /**
+     * Gives the relay.
+     *
+     * @return the relay
+     */
+    public RelayServer server() {
+        return server;
+    }
+
+    /** Stops being ready, finishes the requests in progress, then ends. */
+    @Override
+    public void close() {
+        LOG.infof("entry: %s stops, %d requests are in progress", settings.instance(), server.inFlight());
+        stopping = true;
+        server.beginStop();
+        long now = ticker.millis();
+        long earliest = now + settings.noticeMillis();
+        long latest = now + settings.stopMillis();
+        while (ticker.millis() < latest && (ticker.millis() < earliest || server.inFlight() > 0)) {
+            pause();
+        }
+        LOG.infof("entry: %s ends, %d requests are cut off", settings.instance(), server.inFlight());
+        followers.forEach(FeedFollower::close);
+        duty.close();
+        links.values().forEach(PeerLink::close);
+        server.close();
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(STOP_POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void connectNow(List<ControlMember> members) {
+        List<ControlMember> sorted = new ArrayList<>(members);
+        sorted.sort(Comparator.comparing(ControlMember::instance));
+        for (ControlMember m : sorted) {
+            if (!links.containsKey(m.instance()) && links.size() < MOST_LINKS) {
+                PeerLink link = new PeerLink(m.peer(), settings.fleet(), settings.instance(), codec);
+                links.put(m.instance(), link);
+                FeedFollower f =
+                        new FeedFollower(m.instance().value(), link, false, this::receivedVersion, onDuty(this::take));
+                followers.add(f);
+                f.start();
+            }
+        }
+    }
+
+    /** The version that was received, whether or not it was read yet: it need not be sent again. */
+    private long receivedVersion() {
+        return Math.max(received.get(), version());
+    }
+
+    private long version() {
+        return state.routes().configuration().version();
+    }
+
+    /** Hands news to the duty thread; a full ring is an error, so that the follower asks again. */
+    private Consumer<FeedMessage.News> onDuty(Consumer<FeedMessage.News> consumer) {
+        return news -> {
+            received.accumulateAndGet(news.configurationVersion(), Math::max);
+            if (!duty.offer(() -> consumer.accept(news))) {
+                throw new IllegalStateException("the ring is full");
+            }
+        };
+    }
+
+    private void take(FeedMessage.News news) {
+        news.records().forEach(directory::take);
+        if (news.configuration() != null) {
+            configure(news);
+        }
+        if (!news.records().isEmpty()) {
+            state.judge();
+        }
+        budget.entries(news.entries());
+        connectNow(news.members());
+        if (heardSince < 0) {
+            heardSince = ticker.millis();
+        }
+    }
+
+    private void configure(FeedMessage.News news) {
+        if (news.configurationVersion() <= version()) {
+            return;
+        }
+        try {
+            state.take(reader.read(PackedBytes.unpack(news.configuration())));
+        } catch (IOException | ConfigurationException e) {
+            LOG.errorf(e, "configuration: version %d cannot be read here", news.configurationVersion());
+        }
+    }
+
+    private void report(StandingHead report) {
+        LOG.infof("entry: head %s of %s stands still", report.head(), report.group());
+        links.values().forEach(l -> l.send(report));
+    }
+
+    /**
+     * Where callers connect.
+     *
+     * @return the address
+     */
+    public NetAddress address() {
+        return settings.listen();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -0,0 +1,61 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.function.Consumer;
+
+import org.hallwall.core.time.Ticker;
+import org.hallwall.serving.target.FeedMessage.StandingHead;
+
+/**
+ * What the runs of requests share.
+ *
+ * @param state what the entry believes
+ * @param balancer chooses targets
+ * @param client speaks to targets
+ * @param budget bounds repeats
+ * @param headers copies headers
+ * @param names the names of the headers
+ * @param standing reports a head whose streams stand still
+ * @param counters counts outcomes
+ * @param ticker the clock
+ */
+public record RelayContext(
+        EntryState state,
+        Balancer balancer,
+        TargetClient client,
+        RepeatBudget budget,
+        ForwardedHeaders headers,
+        HeaderNames names,
+        Consumer<StandingHead> standing,
+        RelayCounts counters,
+        Ticker ticker) {
+
+    /** When a caller comes back whose request found no target, in milliseconds: about the time in which a group is repaired. */
+    static final long COME_BACK_MILLIS = 250;
+
+    /**
+     * Gives the time.
+     *
+     * @return the clock in milliseconds
+     */
+    long now() {
+        return ticker.millis();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayCounts.java
@@ -0,0 +1,78 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Counts what became of requests. */
+public final class RelayCounts {
+
+    private static final double MILLIS_A_SECOND = 1_000.0;
+
+    private final Counter answers;
+    private final Counter attempts;
+    private final Counter refusals;
+    private final Histogram firstByte;
+
+    /**
+     * Creates the counters.
+     *
+     * @param registry where they are registered
+     */
+    public RelayCounts(PrometheusRegistry registry) {
+        answers = Counter.builder()
+                .name("hallwall_relay_answers")
+                .help("Answers passed on whole, by status")
+                .labelNames("status")
+                .register(registry);
+        attempts = Counter.builder()
+                .name("hallwall_relay_attempts")
+                .help("Attempts at targets, by outcome")
+                .labelNames("outcome")
+                .register(registry);
+        refusals = Counter.builder()
+                .name("hallwall_relay_refusals")
+                .help("Requests that got no whole answer, by status")
+                .labelNames("status")
+                .register(registry);
+        firstByte = Histogram.builder()
+                .name("hallwall_relay_first_seconds")
+                .help("Time to the first byte of an answer")
+                .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5)
+                .register(registry);
+    }
+
+    void answer(int status) {
+        answers.labelValues(Integer.toString(status)).inc();
+    }
+
+    void attempt(String outcome) {
+        attempts.labelValues(outcome).inc();
+    }
+
+    void refusal(int status) {
+        refusals.labelValues(Integer.toString(status)).inc();
+    }
+
+    void first(long millis) {
+        firstByte.observe(millis / MILLIS_A_SECOND);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
@@ -0,0 +1,96 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import org.hallwall.core.verdict.Verdict;
+
+/** A request that gets no answer from a target, with the verdict that the caller is told. */
+public class RelayRefusal extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final int status;
+    private final Verdict verdict;
+    private final long comeBackMillis;
+
+    /**
+     * Creates a refusal.
+     *
+     * @param status the HTTP status
+     * @param verdict whether the request may have run
+     * @param reason why, for the caller and the log
+     * @param comeBackMillis when to come back, in milliseconds; zero if the caller is not told
+     */
+    public RelayRefusal(int status, Verdict verdict, String reason, long comeBackMillis) {
+        super(reason, null, false, false);
+        this.status = status;
+        this.verdict = verdict;
+        this.comeBackMillis = comeBackMillis;
+    }
+
+    /**
+     * Refuses a request that has not run and may come back.
+     *
+     * @param reason why
+     * @param comeBackMillis when to come back, in milliseconds
+     * @return the refusal
+     */
+    public static RelayRefusal notRun(String reason, long comeBackMillis) {
+        return new RelayRefusal(503, Verdict.NOT_RUN, reason, comeBackMillis);
+    }
+
+    /**
+     * Ends a request by the verdict of its attempts.
+     *
+     * @param verdict whether it may have run
+     * @param reason why
+     * @param comeBackMillis when to come back if it has not run, in milliseconds
+     * @return the refusal
+     */
+    public static RelayRefusal after(Verdict verdict, String reason, long comeBackMillis) {
+        return verdict == Verdict.NOT_RUN ? notRun(reason, comeBackMillis) : new RelayRefusal(502, verdict, reason, 0);
+    }
+
+    /**
+     * Gives the status.
+     *
+     * @return the HTTP status
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Gives the verdict.
+     *
+     * @return whether the request may have run
+     */
+    public Verdict verdict() {
+        return verdict;
+    }
+
+    /**
+     * Gives the time to come back.
+     *
+     * @return milliseconds; zero if the caller is not told
+     */
+    public long comeBackMillis() {
+        return comeBackMillis;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -0,0 +1,147 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.hallwall.core.verdict.Verdict;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/** Sends attempts to targets over kept connections. */
+public final class TargetClient {
+
+    /** How long a connection may take to come up; a dropped opening packet is sent again only after a second. */
+    private static final int CONNECT_MILLIS = 350;
+    /** How long a kept connection rests; below the few seconds after which targets close theirs. */
+    private static final Duration MOST_IDLE = Duration.ofSeconds(4);
+    /** Kept connections to one target; above its slots. */
+    private static final int MOST_CONNECTIONS = 64;
+    /** The largest head of an answer, in bytes. */
+    private static final int MOST_HEAD_BYTES = 65_536;
+
+    private final HttpClient client;
+    private final HeaderNames names;
+
+    /**
+     * Creates a client.
+     *
+     * @param loops the I/O threads
+     * @param names the names of the headers that the relay sets
+     */
+    public TargetClient(LoopResources loops, HeaderNames names) {
+        ConnectionProvider pool = ConnectionProvider.builder("targets")
+                .maxConnections(MOST_CONNECTIONS)
+                .pendingAcquireTimeout(Duration.ofMillis(CONNECT_MILLIS))
+                .maxIdleTime(MOST_IDLE)
+                .lifo()
+                .build();
+        this.client = HttpClient.create(pool)
+                .runOn(loops)
+                .disableRetry(true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .httpResponseDecoder(spec -> spec.maxHeaderSize(MOST_HEAD_BYTES).maxInitialLineLength(MOST_HEAD_BYTES));
+        this.names = names;
+    }
+
+    /**
+     * Sends one attempt.
+     *
+     * @param target the target
+     * @param request the request
+     * @param lastEventId the last event that the caller has of this answer, or null
+     * @param remainingMillis the time that is left, in milliseconds
+     * @param answer takes the head of the answer and its body; an error that it gives is passed on
+     * @param <T> what the answer is turned into
+     * @return what the answer was turned into, or an {@link AttemptFailure}
+     */
+    <T> Flux<T> send(
+            ServingTarget target,
+            RelayRequest request,
+            String lastEventId,
+            long remainingMillis,
+            AnswerReader<T> answer) {
+        AtomicBoolean sent = new AtomicBoolean();
+        HttpClient c = client.headers(h -> {
+                    h.set(request.headers());
+                    h.set(names.expectedTarget(), target.instance().value());
+                    h.set(names.deadlineMillis(), Math.max(1, remainingMillis));
+                    h.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+                    if (lastEventId != null) {
+                        h.set(names.lastEventId(), lastEventId);
+                    }
+                })
+                .doOnRequest((r, conn) -> sent.set(true));
+        String url = "http://" + target.address() + request.uri();
+        return c.request(request.method())
+                .uri(url)
+                .send((r, out) -> out.send(Mono.just(Unpooled.wrappedBuffer(request.body()))))
+                .response((head, body) -> read(request, head, body, answer))
+                .onErrorMap(e -> !(e instanceof AttemptFailure), e -> failure(e, sent.get()));
+    }
+
+    private <T> Publisher<T> read(
+            RelayRequest request, HttpClientResponse head, ByteBufFlux body, AnswerReader<T> answer) {
+        String echoed = head.responseHeaders().get(names.attemptId());
+        if (echoed != null && !echoed.equals(request.attemptId())) {
+            return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "an answer to another request came"));
+        }
+        int status = head.status().code();
+        if (head.responseHeaders().contains(names.notRun()) || status == 421) {
+            return Flux.error(new AttemptFailure(Verdict.NOT_RUN, "the target did not run it, status " + status));
+        }
+        if (echoed == null) {
+            return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "an answer names no request"));
+        }
+        return answer.read(head, body);
+    }
+
+    private static AttemptFailure failure(Throwable e, boolean sent) {
+        Verdict verdict = sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+        return new AttemptFailure(verdict, e.getClass().getSimpleName() + ": " + e.getMessage());
+    }
+
+    /**
+     * Reads an answer.
+     *
+     * @param <T> what the answer is turned into
+     */
+    @FunctionalInterface
+    interface AnswerReader<T> {
+
+        /**
+         * Reads an answer.
+         *
+         * @param head the head
+         * @param body the body
+         * @return what it is turned into
+         */
+        Publisher<T> read(HttpClientResponse head, ByteBufFlux body);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -0,0 +1,80 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+/** What this entry has seen of one target; used on the I/O thread only. */
+final class TargetState {
+
+    /** The first pause after a failure, in milliseconds; it doubles with each further one. */
+    private static final long PAUSE_MILLIS = 400;
+
+    private static final long MOST_PAUSE_MILLIS = 3_000;
+
+    /** The weight of the latest gap in the running mean. */
+    private static final double GAP_WEIGHT = 0.1;
+
+    private int outstanding;
+    private int failures;
+    private long pausedUntil;
+    private long progressAt;
+    private double usualGap;
+
+    void begin() {
+        outstanding++;
+    }
+
+    void end() {
+        outstanding--;
+    }
+
+    int outstanding() {
+        return outstanding;
+    }
+
+    void progress(long now) {
+        progressAt = now;
+    }
+
+    long progressAt() {
+        return progressAt;
+    }
+
+    /** Notes the time between two events of one stream. */
+    void gap(long millis) {
+        usualGap += (millis - usualGap) * GAP_WEIGHT;
+    }
+
+    double usualGapMillis() {
+        return usualGap;
+    }
+
+    void succeeded() {
+        failures = 0;
+    }
+
+    void failed(long now) {
+        long pause = Math.min(MOST_PAUSE_MILLIS, PAUSE_MILLIS << Math.min(failures, 8));
+        failures++;
+        pausedUntil = now + pause;
+    }
+
+    boolean isPaused(long now) {
+        return now < pausedUntil;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/package-info.java
@@ -0,0 +1,2 @@
+/** The transparent relay of requests to targets. */
+package org.hallwall.serving.relay;
