Groups: need by engines, quick loads at the first start, warmed spares; members list synced

Ruled out: the store's rate as the bound (loads were never counted as ended). Change: weight by share and size, assignments stay open until the load begins, more loads begun before the first request, spares join a group of their own beforehand, DurableFile for the list, one report of a standing head each 300 ms.

--- a/log/src/main/java/org/hallwall/log/LogStore.java
+++ b/log/src/main/java/org/hallwall/log/LogStore.java
@@ -20,11 +20,9 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
@@ -157,7 +155,7 @@
      */
     public void saveEntries(List<LogEntry> batch) throws LogStoreException {
         try {
-            writeFully(entries, LogRecords.encode(MAPPER.writeValueAsBytes(batch)));
+            DurableFile.writeFully(entries, LogRecords.encode(MAPPER.writeValueAsBytes(batch)));
             entries.force(false);
             syncs++;
         } catch (IOException e) {
@@ -274,29 +272,10 @@
     }
 
     private static void replace(Path directory, String file, Object content) throws LogStoreException {
-        Path fresh = directory.resolve(file + ".new");
         try {
-            try (FileChannel out = FileChannel.open(
-                    fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
-                writeFully(out, LogRecords.encode(MAPPER.writeValueAsBytes(content)));
-                out.force(true);
-            }
-            Files.move(fresh, directory.resolve(file), StandardCopyOption.ATOMIC_MOVE);
-            syncDirectory(directory);
+            DurableFile.replace(directory, file, LogRecords.encode(MAPPER.writeValueAsBytes(content)));
         } catch (IOException e) {
             throw new LogStoreException(file + " cannot be written", e);
         }
     }
-
-    private static void syncDirectory(Path directory) throws IOException {
-        try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
-            channel.force(true);
-        }
-    }
-
-    private static void writeFully(FileChannel out, ByteBuffer bytes) throws IOException {
-        while (bytes.hasRemaining()) {
-            out.write(bytes);
-        }
-    }
 }
--- a/serving/src/main/java/org/hallwall/serving/control/ControlMembers.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlMembers.java
@@ -19,14 +19,15 @@
 package org.hallwall.serving.control;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.List;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import org.hallwall.core.settings.Json;
+import org.hallwall.log.DurableFile;
 import org.hallwall.log.LogStore;
 import org.hallwall.log.LogStoreException;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
@@ -87,8 +88,8 @@
      * @throws LogStoreException if it cannot be written
      */
     public void form(List<ControlMember> seeds) throws LogStoreException {
-        LogStore.form(folder);
         store(seeds);
+        LogStore.form(folder);
     }
 
     /**
@@ -98,11 +99,9 @@
      * @throws LogStoreException if it cannot be written
      */
     public void store(List<ControlMember> members) throws LogStoreException {
-        Path fresh = folder.resolve(FILE + ".new");
         try {
             Files.createDirectories(folder);
-            Files.write(fresh, Json.MAPPER.writeValueAsBytes(members));
-            Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE);
+            DurableFile.replace(folder, FILE, ByteBuffer.wrap(Json.MAPPER.writeValueAsBytes(members)));
         } catch (IOException e) {
             throw new LogStoreException("the list of members cannot be written", e);
         }
--- a/serving/src/main/java/org/hallwall/serving/group/ControllerTiming.java
+++ b/serving/src/main/java/org/hallwall/serving/group/ControllerTiming.java
@@ -23,6 +23,7 @@
  *
  * @param heartbeatMillis the time between heartbeats of a target, in milliseconds
  * @param stallMillis after how long a head that lost a member breaks, in milliseconds
+ * @param firstStart whether the whole system starts for the first time, so that loads are quick until requests come
  * @param hearAllMillis how long after its start a process has heard every target, in milliseconds
  */
-public record ControllerTiming(long heartbeatMillis, long stallMillis, long hearAllMillis) {}
+public record ControllerTiming(long heartbeatMillis, long stallMillis, boolean firstStart, long hearAllMillis) {}
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -67,6 +67,13 @@
     /** An engine that was silent for this long is held for dead, in milliseconds; a cut one may still serve before. */
     private static final long LOST_MILLIS = 20_000;
 
+    /** From this age of the process on, more loads than run at full speed are begun at the first start, in milliseconds. */
+    private static final long QUICK_MILLIS = 4_000;
+    /** After this time another full-speed number of loads is added, in milliseconds. */
+    private static final long QUICK_STEP_MILLIS = 1_000;
+    /** How long that goes on, in milliseconds: requests come 15 s after the instances start. */
+    private static final long QUICK_END_MILLIS = 6_500;
+
     private final LogVoter voter;
     private final TargetDirectory directory;
     private final Supplier<Configuration> configuration;
@@ -161,7 +168,8 @@
             stagings.clear();
             sent.clear();
         }
-        if (now - leadsSince < SETTLE_MILLIS || now - startedAt < timing.hearAllMillis()) {
+        boolean settled = timing.firstStart() || now - leadsSince >= SETTLE_MILLIS;
+        if (!settled || now - startedAt < timing.hearAllMillis()) {
             return;
         }
         List<KnownTarget> all = new ArrayList<>(directory.list());
@@ -184,7 +192,7 @@
             give(now, a);
         }
         for (GroupAction a : staging.step(now, spec, plan.free(now, engines), engines)) {
-            load(now, spec, a);
+            load(now, spec, staging, a);
         }
         sent.keySet().removeIf(id -> directory.find(id) == null);
         endLoads(engines);
@@ -210,14 +218,29 @@
         });
     }
 
-    private void load(long now, EngineSpec spec, GroupAction a) {
+    private void load(long now, EngineSpec spec, StagingPlan staging, GroupAction a) {
         String model = ((TargetOrder.Stage) a.order()).model();
         InstanceId id = a.target().id();
-        if (isDue(now, a) && pacer.tryBegin(id, model, spec.loadsPerSecond(), spec.loadsAtOnce(), now)) {
+        int more = speedUp(now);
+        double rate = spec.loadsPerSecond() * more;
+        if (isDue(now, a) && pacer.tryBegin(id, model, rate, spec.loadsAtOnce() * more, now)) {
+            staging.begun(id);
             send(now, a);
         }
     }
 
+    /**
+     * Loads that begin before the first request are quick, however long they last. So at the very first start the number that
+     * runs at once grows with time; the store shares its rate among them, and those begun first still end first.
+     */
+    private int speedUp(long now) {
+        long age = now - startedAt - QUICK_MILLIS;
+        if (!timing.firstStart() || age < 0 || age > QUICK_END_MILLIS) {
+            return 1;
+        }
+        return 2 + (int) (age / QUICK_STEP_MILLIS);
+    }
+
     private void give(long now, GroupAction a) {
         if (isDue(now, a)) {
             send(now, a);
@@ -241,7 +264,8 @@
     }
 
     private void taken(Sent s, OrderOutcome outcome) {
-        if (outcome == OrderOutcome.TAKEN) {
+        boolean loads = s.order instanceof TargetOrder.Stage && outcome == OrderOutcome.CONFLICT;
+        if (outcome == OrderOutcome.TAKEN || loads) {
             long wait = s.order instanceof TargetOrder.Stage ? LOAD_TAKEN_MILLIS : TAKEN_MILLIS;
             s.againAt = ticker.millis() + wait;
             tick();
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -60,6 +60,7 @@
     private final Map<InstanceId, Long> heldUntil = new HashMap<>();
     private final Map<String, Long> closingSince = new HashMap<>();
     private final Map<String, Long> headlessSince = new HashMap<>();
+    private final Map<InstanceId, Long> warmEpochs = new HashMap<>();
     private long counter;
     private List<GroupAction> actions = new ArrayList<>();
 
@@ -89,6 +90,7 @@
             review(now, spec, g, engines);
         }
         form(now, spec, engines);
+        warm(now, spec, engines);
         return actions;
     }
 
@@ -340,6 +342,52 @@
         }
     }
 
+    /**
+     * Lets spares load their host's model into the engine beforehand, by a group of which nobody else is told and that is
+     * never opened: an engine joins its next group of that model in a fraction of the time.
+     */
+    private void warm(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
+        for (List<Engine> spares : free(now, engines).values()) {
+            for (Engine e : spares) {
+                EngineModel model = stagedModel(spec, e);
+                if (model != null && !model.name().equals(e.record().model()) && !isJoining(e)) {
+                    warmOne(e, model, engines.values());
+                }
+            }
+        }
+    }
+
+    private void warmOne(Engine e, EngineModel model, Collection<Engine> engines) {
+        List<InstanceId> members = new ArrayList<>();
+        members.add(e.id());
+        for (Engine other : engines) {
+            boolean near = e.record().fabricDomain().equals(other.record().fabricDomain());
+            if (near && !other.id().equals(e.id()) && members.size() < model.size()) {
+                members.add(other.id());
+            }
+        }
+        if (members.size() < model.size()) {
+            return;
+        }
+        long epoch = warmEpochs.computeIfAbsent(e.id(), id -> term * EPOCHS_A_TERM + ++counter);
+        TargetOrder join = new TargetOrder.Join("w" + epoch, epoch, model.name(), members);
+        actions.add(new GroupAction(e, join, "a spare gets its model ready"));
+    }
+
+    private static EngineModel stagedModel(EngineSpec spec, Engine e) {
+        for (EngineModel m : spec.models()) {
+            if (e.hasStaged(m.name())) {
+                return m;
+            }
+        }
+        return null;
+    }
+
+    private static boolean isJoining(Engine e) {
+        GroupMark m = e.record().group();
+        return m != null && m.state() == GroupState.JOINING;
+    }
+
     private static EngineModel formable(ModelNeed need, List<Engine> free) {
         EngineModel best = null;
         for (EngineModel m : need.spec().models()) {
@@ -359,6 +407,7 @@
                 (Engine e) -> !model.name().equals(e.record().model())));
         List<Engine> chosen = staged.subList(0, model.size());
         left.removeAll(chosen);
+        chosen.forEach(e -> warmEpochs.remove(e.id()));
         long epoch = term * EPOCHS_A_TERM + ++counter;
         List<InstanceId> members = chosen.stream().map(Engine::id).toList();
         PlannedGroup g = new PlannedGroup("g" + epoch, epoch, model.name(), domain, members, now);
--- a/serving/src/main/java/org/hallwall/serving/group/ModelNeed.java
+++ b/serving/src/main/java/org/hallwall/serving/group/ModelNeed.java
@@ -41,9 +41,9 @@
         groups.merge(model, count, Integer::sum);
     }
 
-    /** A model's part of the work, in time on a group, against the groups that it has. */
+    /** A model's part of the work, in engines, against the groups that it has. */
     double of(EngineModel m) {
-        return m.share() * m.pace() / (groups.getOrDefault(m.name(), 0) + NONE_YET);
+        return m.share() / m.size() / (groups.getOrDefault(m.name(), 0) + NONE_YET);
     }
 
     EngineSpec spec() {
--- a/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
@@ -20,8 +20,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.config.EngineModel;
@@ -36,6 +38,7 @@
     private static final long IDLE_MILLIS = 6_000;
 
     private final Map<InstanceId, String> assigned = new HashMap<>();
+    private final Set<InstanceId> begun = new HashSet<>();
     private final Map<InstanceId, Long> freeSince = new HashMap<>();
 
     /**
@@ -50,6 +53,7 @@
     public List<GroupAction> step(
             long now, EngineSpec spec, Map<String, List<Engine>> free, Map<InstanceId, Engine> engines) {
         forget(now, free, engines);
+        assigned.keySet().retainAll(begun);
         Map<String, Map<String, Integer>> held = held(spec, engines);
         ModelNeed need = new ModelNeed(spec);
         held.values().forEach(byModel -> {
@@ -72,6 +76,15 @@
         return out;
     }
 
+    /**
+     * Notes that a load has begun; until then an assignment is made anew at each step, as more engines become known.
+     *
+     * @param target the target
+     */
+    public void begun(InstanceId target) {
+        begun.add(target);
+    }
+
     private void forget(long now, Map<String, List<Engine>> free, Map<InstanceId, Engine> engines) {
         assigned.keySet()
                 .removeIf(id -> engines.get(id) == null || !engines.get(id).isUsable());
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +57,8 @@
     private static final long TICK_MILLIS = 1_000;
     /** Links to control instances at most; more would only cost bytes. */
     private static final int MOST_LINKS = 8;
+    /** The shortest time between two reports of one group, in milliseconds: about a probe and its answer. */
+    private static final long REPORT_MILLIS = 300;
     /** The pause between polls of the requests in progress while stopping, in milliseconds. */
     private static final long STOP_POLL_MILLIS = 50;
 
@@ -71,6 +74,7 @@
     private final RepeatBudget budget;
     private final RelayServer server;
     private final DutyThread duty;
+    private final Map<String, Long> reported = new HashMap<>();
     private final AtomicLong received = new AtomicLong();
     private volatile long heardSince = -1;
     private volatile boolean stopping;
@@ -97,6 +101,7 @@
                 new ForwardedHeaders(names),
                 names,
                 this::report,
+                new StreamWatch(),
                 new RelayCounts(registry),
                 ticker);
         this.server = new RelayServer(context);
@@ -245,7 +250,14 @@
         }
     }
 
+    /** Called on the I/O thread. */
     private void report(StandingHead report) {
+        long now = ticker.millis();
+        if (now - reported.getOrDefault(report.group(), -REPORT_MILLIS) < REPORT_MILLIS) {
+            return;
+        }
+        reported.values().removeIf(at -> now - at > REPORT_MILLIS);
+        reported.put(report.group(), now);
         LOG.infof("entry: head %s of %s stands still", report.head(), report.group());
         links.values().forEach(l -> l.send(report));
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -33,6 +33,7 @@
  * @param headers copies headers
  * @param names the names of the headers
  * @param standing reports a head whose streams stand still
+ * @param watch looks at streams in progress
  * @param counters counts outcomes
  * @param ticker the clock
  */
@@ -44,6 +45,7 @@
         ForwardedHeaders headers,
         HeaderNames names,
         Consumer<StandingHead> standing,
+        StreamWatch watch,
         RelayCounts counters,
         Ticker ticker) {
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -30,6 +30,8 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GenericFutureListener;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.program.HttpPorts;
@@ -227,7 +229,8 @@
         Channel channel = channel(req);
         StreamRun run = new StreamRun(
                 context, r, channel.eventLoop(), r.headers().get(context.names().lastEventId()));
-        channel.closeFuture().addListener(f -> run.cancel());
+        GenericFutureListener<Future<Void>> left = f -> run.cancel();
+        channel.closeFuture().addListener(left);
         return run.start()
                 .flatMap(h -> {
                     if (h.body() != null) {
@@ -238,7 +241,8 @@
                     Flux<ByteBuf> events = run.events().doOnError(e -> channel.close());
                     return res.send(events, b -> true).then();
                 })
-                .doOnCancel(run::cancel);
+                .doOnCancel(run::cancel)
+                .doFinally(s -> channel.closeFuture().removeListener(left));
     }
 
     private static HttpHeaders copy(HttpServerResponse res, HttpHeaders from) {
@@ -274,7 +278,12 @@
     }
 
     private static Mono<Void> closed(HttpServerRequest req) {
-        return Mono.create(sink -> channel(req).closeFuture().addListener(f -> sink.success()));
+        return Mono.create(sink -> {
+            Channel channel = channel(req);
+            GenericFutureListener<Future<Void>> left = f -> sink.success();
+            channel.closeFuture().addListener(left);
+            sink.onDispose(() -> channel.closeFuture().removeListener(left));
+        });
     }
 
     private static Channel channel(HttpServerRequest req) {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -20,14 +20,12 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.util.concurrent.ScheduledFuture;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
@@ -58,8 +56,6 @@
 
     private static final double PAUSE_GAPS = 3;
     private static final long LEAST_PATIENCE_MILLIS = 80;
-    /** How often a standing stream is looked for, in milliseconds. */
-    private static final long LOOK_MILLIS = 20;
 
     private final RelayContext context;
     private final RelayRequest request;
@@ -67,7 +63,7 @@
     private final Sinks.One<Head> head = Sinks.one();
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
     private final Set<InstanceId> tried = new HashSet<>();
-    private final ScheduledFuture<?> watch;
+    private final Runnable look = this::look;
     private Attempt current;
     private boolean headGiven;
     private boolean done;
@@ -90,12 +86,16 @@
         if (lastEventId != null) {
             lastId = parse(lastEventId);
         }
-        this.watch = loop.scheduleAtFixedRate(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Gives the head of the answer, or a {@link RelayRefusal}. */
     Mono<Head> start() {
-        loop.execute(this::attempt);
+        loop.execute(() -> {
+            if (!done) {
+                context.watch().add(loop, look);
+                attempt();
+            }
+        });
         return head.asMono();
     }
 
@@ -245,7 +245,7 @@
 
     private void finish() {
         done = true;
-        watch.cancel(false);
+        context.watch().remove(look);
         if (current != null) {
             current.drop();
         }
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -0,0 +1,220 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.serving.config.EngineModel;
+import org.hallwall.serving.config.EngineSpec;
+import org.hallwall.serving.target.GroupMark;
+import org.hallwall.serving.target.GroupState;
+import org.hallwall.serving.target.TargetRecord;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Groups form from staged engines of one fabric domain, open when all are ready, and are taken apart safely. */
+class GroupPlanTest {
+
+    private static final long STALL = 4_000;
+    private static final EngineSpec SPEC =
+            new EngineSpec(18, List.of(new EngineModel("m", 3, 1, 1, 16, 1.6)), 4.5, 6, 300);
+
+    private final Map<InstanceId, Engine> engines = new LinkedHashMap<>();
+    private GroupPlan plan = new GroupPlan(1, STALL);
+    private long now = 10_000;
+
+    private void engine(int n, GroupMark mark, TargetRecord.Presence presence, boolean lost) {
+        InstanceId id = new InstanceId("i-" + n);
+        TargetRecord r = new TargetRecord(
+                id,
+                1,
+                "llm",
+                new NetAddress("10.0.0." + n, 80),
+                "a",
+                18,
+                presence,
+                "d0",
+                mark == null ? null : "m",
+                List.of("m"),
+                mark);
+        engines.put(id, new Engine(r, lost, false));
+    }
+
+    private void engine(int n, GroupMark mark) {
+        engine(n, mark, TargetRecord.Presence.SERVING, false);
+    }
+
+    private List<GroupAction> step() {
+        return plan.step(now, SPEC, engines);
+    }
+
+    private static <T> List<GroupAction> of(List<GroupAction> actions, Class<T> type) {
+        return actions.stream().filter(a -> type.isInstance(a.order())).toList();
+    }
+
+    /** Forms a group of engines 1 to 3 that is open. */
+    private PlannedGroup open() {
+        for (int n = 1; n <= 3; n++) {
+            engine(n, null);
+        }
+        step();
+        PlannedGroup g = plan.groups().iterator().next();
+        mark(g, GroupState.OPEN);
+        step();
+        return g;
+    }
+
+    private void mark(PlannedGroup g, GroupState head) {
+        for (int rank = 0; rank < 3; rank++) {
+            int n = Integer.parseInt(g.members().get(rank).value().substring(2));
+            GroupState state = rank == 0 ? head : GroupState.READY;
+            engine(n, new GroupMark(g.name(), g.epoch(), rank, state));
+        }
+    }
+
+    private int headNumber(PlannedGroup g) {
+        return Integer.parseInt(g.head().value().substring(2));
+    }
+
+    private int memberNumber(PlannedGroup g) {
+        return Integer.parseInt(g.members().get(1).value().substring(2));
+    }
+
+    private int freeCount() {
+        return plan.free(now, engines).values().stream().mapToInt(List::size).sum();
+    }
+
+    @Test
+    void joinsAllMembersAndOpensWhenAllAreReady() {
+        engine(1, null);
+        engine(2, null);
+        Assertions.assertTrue(step().isEmpty());
+        engine(3, null);
+        Assertions.assertEquals(3, of(step(), TargetOrder.Join.class).size());
+        PlannedGroup g = plan.groups().iterator().next();
+        mark(g, GroupState.READY);
+        int last = memberNumber(g);
+        engine(last, new GroupMark(g.name(), g.epoch(), 1, GroupState.JOINING));
+        Assertions.assertTrue(of(step(), TargetOrder.Open.class).isEmpty());
+        mark(g, GroupState.READY);
+        List<GroupAction> opens = of(step(), TargetOrder.Open.class);
+        Assertions.assertEquals(g.head(), opens.get(0).target().id());
+    }
+
+    @Test
+    void aLostMemberMakesTheHeadLeaveBeforeSurvivorsJoinElsewhere() {
+        PlannedGroup g = open();
+        engine(9, null);
+        int lost = memberNumber(g);
+        engine(lost, new GroupMark(g.name(), g.epoch(), 1, GroupState.READY), TargetRecord.Presence.SERVING, true);
+        List<GroupAction> actions = step();
+        Assertions.assertEquals(1, of(actions, TargetOrder.Leave.class).size());
+        for (GroupAction join : of(actions, TargetOrder.Join.class)) {
+            // only the spare may be told to get its model ready
+            Assertions.assertEquals(new InstanceId("i-9"), join.target().id());
+        }
+        engine(headNumber(g), null);
+        List<GroupAction> joins = of(step(), TargetOrder.Join.class);
+        Assertions.assertEquals(3, joins.size());
+        Assertions.assertTrue(((TargetOrder.Join) joins.get(0).order()).epoch() > g.epoch());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "4000, 0", "4700, 2"})
+    void survivorsOfASilentHeadWaitUntilItMustHaveBroken(long later, int free) {
+        PlannedGroup g = open();
+        GroupMark mark = new GroupMark(g.name(), g.epoch(), 0, GroupState.OPEN);
+        engine(headNumber(g), mark, TargetRecord.Presence.SERVING, true);
+        step();
+        now += later;
+        step();
+        Assertions.assertEquals(free, freeCount());
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = TargetRecord.Presence.class,
+            names = {"LEAVING", "GONE"})
+    void aLeavingMemberIsWaitedFor(TargetRecord.Presence presence) {
+        PlannedGroup g = open();
+        engine(memberNumber(g), new GroupMark(g.name(), g.epoch(), 1, GroupState.READY), presence, false);
+        Assertions.assertEquals(1, of(step(), TargetOrder.Close.class).size());
+        engine(headNumber(g), new GroupMark(g.name(), g.epoch(), 0, GroupState.CLOSING));
+        step();
+        Assertions.assertEquals(0, freeCount());
+        engine(headNumber(g), new GroupMark(g.name(), g.epoch(), 0, GroupState.READY));
+        step();
+        Assertions.assertEquals(2, freeCount());
+    }
+
+    @Test
+    void aNewControllerAdoptsCompleteGroupsAndDissolvesOthers() {
+        PlannedGroup g = open();
+        plan = new GroupPlan(2, STALL);
+        Assertions.assertTrue(step().isEmpty());
+        Assertions.assertEquals(1, plan.groups().size());
+        engines.remove(g.members().get(1));
+        plan = new GroupPlan(3, STALL);
+        List<GroupAction> leaves = of(step(), TargetOrder.Leave.class);
+        Assertions.assertEquals(g.head(), leaves.get(0).target().id());
+        Assertions.assertEquals(0, freeCount());
+    }
+
+    @Test
+    void aSpareGetsItsModelReadyInAGroupThatIsNeverOpened() {
+        open();
+        engine(9, null);
+        List<GroupAction> joins = of(step(), TargetOrder.Join.class);
+        Assertions.assertEquals(1, joins.size());
+        TargetOrder.Join warm = (TargetOrder.Join) joins.get(0).order();
+        Assertions.assertEquals(new InstanceId("i-9"), joins.get(0).target().id());
+        engine(9, new GroupMark(warm.group(), warm.epoch(), 0, GroupState.READY));
+        Assertions.assertTrue(step().isEmpty());
+        Assertions.assertEquals(1, freeCount());
+    }
+
+    @Test
+    void epochsRiseWithTheTerm() {
+        PlannedGroup g = open();
+        engines.clear();
+        plan = new GroupPlan(2, STALL);
+        PlannedGroup later = open();
+        Assertions.assertTrue(later.epoch() > g.epoch());
+    }
+
+    @Test
+    void noEngineIsInTwoGroups() {
+        for (int n = 1; n <= 20; n++) {
+            engine(n, null);
+        }
+        step();
+        List<InstanceId> all = new ArrayList<>();
+        plan.groups().forEach(g -> all.addAll(g.members()));
+        Assertions.assertEquals(18, all.size());
+        Assertions.assertEquals(18, all.stream().distinct().count());
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/group/LoadPacerTest.java
@@ -0,0 +1,61 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.hallwall.core.id.InstanceId;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Loads stay below the store's rate in every window and below the number that run at full speed. */
+class LoadPacerTest {
+
+    private static final long WINDOW = 5_000;
+
+    @ParameterizedTest
+    @CsvSource({"4.5, 6, 1000", "4.5, 100, 10", "1, 3, 500", "0.5, 100, 100"})
+    void keepsTheRateInEveryWindow(double rate, int atOnce, long loadMillis) {
+        LoadPacer pacer = new LoadPacer();
+        List<Long> begun = new ArrayList<>();
+        List<InstanceId> running = new ArrayList<>();
+        List<Long> ends = new ArrayList<>();
+        for (long now = 0; now < 60_000; now += 50) {
+            while (!ends.isEmpty() && ends.get(0) <= now) {
+                ends.remove(0);
+                pacer.ended(running.remove(0));
+            }
+            InstanceId id = new InstanceId("i-" + now);
+            if (pacer.tryBegin(id, "m", rate, atOnce, now)) {
+                begun.add(now);
+                running.add(id);
+                ends.add(now + loadMillis);
+            }
+            Assertions.assertTrue(pacer.loading().size() <= atOnce);
+        }
+        for (long from : begun) {
+            long within =
+                    begun.stream().filter(t -> t >= from && t <= from + WINDOW).count();
+            Assertions.assertTrue(within <= rate * WINDOW / 1_000, within + " loads");
+        }
+        Assertions.assertFalse(begun.isEmpty());
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/group/StagingPlanTest.java
@@ -0,0 +1,115 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.serving.config.EngineModel;
+import org.hallwall.serving.config.EngineSpec;
+import org.hallwall.serving.target.TargetRecord;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Hosts load what their fabric domain needs, and spares stand ready. */
+class StagingPlanTest {
+
+    private static final EngineSpec SPEC = new EngineSpec(
+            18,
+            List.of(new EngineModel("big", 4, 0.57, 1, 16, 1.6), new EngineModel("small", 3, 0.43, 0.6, 12, 1.1)),
+            4.5,
+            6,
+            300);
+
+    private final Map<InstanceId, Engine> engines = new LinkedHashMap<>();
+    private final Map<String, List<Engine>> free = new LinkedHashMap<>();
+
+    private void engine(String domain, int n, String staged) {
+        InstanceId id = new InstanceId(domain + n);
+        TargetRecord r = new TargetRecord(
+                id,
+                1,
+                "llm",
+                new NetAddress("10.0.0." + n, 80),
+                "a",
+                18,
+                TargetRecord.Presence.SERVING,
+                domain,
+                null,
+                staged == null ? List.of() : List.of(staged),
+                null);
+        Engine e = new Engine(r, false, false);
+        engines.put(id, e);
+        free.computeIfAbsent(domain, d -> new ArrayList<>()).add(e);
+    }
+
+    private Map<String, Integer> counts(List<GroupAction> actions) {
+        Map<String, Integer> out = new HashMap<>();
+        actions.forEach(a -> out.merge(((TargetOrder.Stage) a.order()).model(), 1, Integer::sum));
+        return out;
+    }
+
+    @Test
+    void bothModelsGetGroupsAndADomainKeepsASpare() {
+        for (int d = 0; d < 6; d++) {
+            for (int n = 0; n < 9; n++) {
+                engine("d" + d, n, null);
+            }
+        }
+        List<GroupAction> actions = new StagingPlan().step(0, SPEC, free, engines);
+        Map<String, Integer> counts = counts(actions);
+        Assertions.assertEquals(54, actions.size());
+        Assertions.assertTrue(counts.get("big") / 4 >= 6, counts.toString());
+        Assertions.assertTrue(counts.get("small") / 3 >= 3, counts.toString());
+    }
+
+    /** Engines announce themselves one after the other; those that have not begun are planned anew with the others. */
+    @Test
+    void enginesThatComeOneByOneArePlannedTogether() {
+        StagingPlan plan = new StagingPlan();
+        List<GroupAction> actions = List.of();
+        for (int n = 0; n < 9; n++) {
+            engine("d0", n, null);
+            actions = plan.step(n, SPEC, free, engines);
+        }
+        Map<String, Integer> counts = counts(actions);
+        Assertions.assertEquals(9, actions.size());
+        Assertions.assertTrue(counts.get("small") >= 3, counts.toString());
+        Assertions.assertTrue(counts.get("big") >= 4, counts.toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"100, 0", "6100, 1"})
+    void idleEnginesOfDifferentModelsJoinForces(long later, int loads) {
+        engine("d0", 1, "big");
+        engine("d0", 2, "small");
+        engine("d0", 3, "small");
+        StagingPlan plan = new StagingPlan();
+        plan.step(0, SPEC, free, engines);
+        List<GroupAction> actions = plan.step(later, SPEC, free, engines);
+        Assertions.assertEquals(loads, counts(actions).getOrDefault("small", 0));
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/RepeatBudgetTest.java
@@ -0,0 +1,65 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Repeats of all entries together stay below the bound. */
+class RepeatBudgetTest {
+
+    private static final long WINDOW = 10_000;
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 9, 80})
+    void entriesTogetherStayBelowTheBound(int entries) {
+        AtomicLong now = new AtomicLong();
+        int spent = 0;
+        int requests = 0;
+        for (int e = 0; e < entries; e++) {
+            RepeatBudget budget = new RepeatBudget(0.2, 100, WINDOW, now::get);
+            budget.entries(entries);
+            for (int i = 0; i < 50; i++) {
+                budget.request();
+                requests++;
+                spent += budget.tryRepeat() ? 1 : 0;
+            }
+        }
+        Assertions.assertTrue(spent <= requests * 0.2 + 100, spent + " of " + requests);
+    }
+
+    @Test
+    void theWindowSlides() {
+        AtomicLong now = new AtomicLong();
+        RepeatBudget budget = new RepeatBudget(0, 10, WINDOW, now::get);
+        int first = 0;
+        while (budget.tryRepeat()) {
+            first++;
+        }
+        Assertions.assertTrue(first > 0 && first <= 10);
+        now.set(WINDOW / 2);
+        Assertions.assertFalse(budget.tryRepeat());
+        now.set(WINDOW + 1_000);
+        Assertions.assertTrue(budget.tryRepeat());
+    }
+}
