--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -0,0 +1,145 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.io.Closeable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.program.ProgramException;
+import org.hallwall.serving.config.CallerLimits;
+import org.hallwall.serving.config.Configuration;
+import org.hallwall.serving.config.EngineModel;
+import org.hallwall.serving.config.EngineSpec;
+import org.hallwall.serving.config.RequestKind;
+import org.hallwall.serving.config.Route;
+import org.hallwall.serving.config.TargetService;
+import org.hallwall.serving.config.WorkspaceKeys;
+import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.GroupMark;
+import org.hallwall.serving.target.GroupState;
+import org.hallwall.serving.target.TargetDirectory;
+import org.hallwall.serving.target.TargetRecord;
+import reactor.netty.resources.LoopResources;
+
+/** A relay on loopback before stand-in targets. */
+final class RelayFixture implements Closeable {
+
+    static final HeaderNames NAMES = new HeaderNames(
+            "X-Attempt", "X-Deadline", "X-Expected", "X-Workspace", "X-Key", "X-Not-Run", "X-Model", "Last-Event-Id");
+
+    private final LoopResources loops = LoopResources.create("test", 1, true);
+    private final TargetDirectory directory = new TargetDirectory(Ticker.SYSTEM);
+    private final EntryState state = new EntryState(directory);
+    private final List<StandingHead> standing = new CopyOnWriteArrayList<>();
+    private final RelayServer server;
+    private long sequence;
+
+    RelayFixture() throws ProgramException {
+        RepeatBudget budget = new RepeatBudget(0.2, 100, 10_000, Ticker.SYSTEM);
+        server = new RelayServer(new RelayContext(
+                state,
+                new Balancer("a", Ticker.SYSTEM),
+                new TargetClient(loops, NAMES),
+                budget,
+                new ForwardedHeaders(NAMES),
+                NAMES,
+                standing::add,
+                new StreamWatch(),
+                new RelayCounts(new PrometheusRegistry()),
+                Ticker.SYSTEM));
+        server.open(new NetAddress("127.0.0.1", 0), loops);
+        state.take(configuration());
+    }
+
+    private static Configuration configuration() {
+        List<Route> routes = new ArrayList<>();
+        for (RequestKind k : RequestKind.values()) {
+            routes.add(new Route(
+                    k.name(),
+                    "127.0.0.1",
+                    "/" + k.name().toLowerCase(java.util.Locale.ROOT) + "/",
+                    k,
+                    4_000,
+                    400,
+                    1,
+                    List.of(new Route.WeightedService(k == RequestKind.STREAM ? "llm" : "app", 1)),
+                    2,
+                    false,
+                    true,
+                    400));
+        }
+        EngineSpec spec = new EngineSpec(4, List.of(new EngineModel("m", 1, 1, 1, 1, 1)), 1, 1, 1);
+        Map<String, TargetService> services =
+                Map.of("app", new TargetService("app", 9, null), "llm", new TargetService("llm", 9, spec));
+        return new Configuration(
+                1,
+                routes,
+                services,
+                List.of(new WorkspaceKeys("w", List.of("secret"), null)),
+                new CallerLimits(2_000, 10_000, 1_000, 1_000));
+    }
+
+    /** Adds a plain target or the head of a group of one. */
+    void add(String service, String id, int port) {
+        boolean head = service.equals("llm");
+        GroupMark mark = head ? new GroupMark("g-" + id, 1, 0, GroupState.OPEN) : null;
+        announce(service, id, port, mark);
+    }
+
+    void announce(String service, String id, int port, GroupMark mark) {
+        directory.take(new TargetRecord(
+                new InstanceId(id),
+                ++sequence,
+                service,
+                new NetAddress("127.0.0.1", port),
+                "a",
+                4,
+                TargetRecord.Presence.SERVING,
+                mark == null ? null : "d",
+                mark == null ? null : "m",
+                List.of("m"),
+                mark));
+        state.judge();
+    }
+
+    int port() {
+        return server.port();
+    }
+
+    List<StandingHead> standing() {
+        return standing;
+    }
+
+    int inFlight() {
+        return server.inFlight();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        loops.dispose();
+    }
+}
