Dead targets are told to all entries

Ruled out: capacity (13 groups open, 5 of them dead). Change: the controller marks what does not answer a probe; entries leave marked targets out; a heartbeat takes the mark back.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -139,7 +139,8 @@
                 ticker,
                 new SecureRandom(),
                 () -> Runtime.getRuntime().halt(ExitCode.FAILURE.code()));
-        groups = new GroupController(voter, directory, this::configuration, gateway, settings.timing(), ticker);
+        groups = new GroupController(
+                voter, directory, this::configuration, gateway, feed::markLost, settings.timing(), ticker);
         service = new ConfigurationService(settings.self().instance(), voter, machine, reader, apis);
         directory.onChange(r -> groups.nudge());
         voter.start();
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -22,8 +22,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.hallwall.core.duty.DutyThread;
@@ -78,6 +81,7 @@
     private final TargetDirectory directory;
     private final Supplier<Configuration> configuration;
     private final TargetGateway gateway;
+    private final Consumer<Set<InstanceId>> lostListener;
     private final ControllerTiming timing;
     private final Ticker ticker;
     private final DutyThread duty;
@@ -99,6 +103,7 @@
      * @param directory all targets
      * @param configuration gives the configuration in force
      * @param gateway speaks to targets
+     * @param lostListener told which targets are held for dead
      * @param timing the limits
      * @param ticker the clock
      */
@@ -107,12 +112,14 @@
             TargetDirectory directory,
             Supplier<Configuration> configuration,
             TargetGateway gateway,
+            Consumer<Set<InstanceId>> lostListener,
             ControllerTiming timing,
             Ticker ticker) {
         this.voter = voter;
         this.directory = directory;
         this.configuration = configuration;
         this.gateway = gateway;
+        this.lostListener = lostListener;
         this.timing = timing;
         this.ticker = ticker;
         this.startedAt = ticker.millis();
@@ -144,7 +151,11 @@
     }
 
     private void tick() {
-        if (checking || !voter.holdsLease()) {
+        if (!voter.holdsLease()) {
+            lostListener.accept(Set.of());
+            return;
+        }
+        if (checking) {
             return;
         }
         checking = true;
@@ -173,6 +184,7 @@
             return;
         }
         List<KnownTarget> all = new ArrayList<>(directory.list());
+        markLost(now, all);
         for (TargetService s : configuration.get().engineServices().values()) {
             stepService(now, s, all);
         }
@@ -198,11 +210,25 @@
         endLoads(engines);
     }
 
-    private Engine view(long now, KnownTarget t) {
-        long silence = now - t.heardAt();
+    private void markLost(long now, List<KnownTarget> all) {
+        Set<InstanceId> lost = new HashSet<>();
+        for (KnownTarget t : all) {
+            if (isLost(now, t)) {
+                lost.add(t.record().instance());
+            }
+        }
+        lostListener.accept(lost);
+    }
+
+    private boolean isLost(long now, KnownTarget t) {
         Long failedAt = unanswered.get(t.record().instance());
         boolean failed = failedAt != null && failedAt > t.heardAt();
-        boolean lost = failed || silence > LOST_MILLIS;
+        return failed || now - t.heardAt() > LOST_MILLIS;
+    }
+
+    private Engine view(long now, KnownTarget t) {
+        long silence = now - t.heardAt();
+        boolean lost = isLost(now, t);
         boolean silent = silence > timing.heartbeatMillis() * SILENT_HEARTBEATS;
         TargetRecord r = t.record();
         return new Engine(r, lost, silent);
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -74,6 +74,7 @@
     private final RepeatBudget budget;
     private final RelayServer server;
     private final DutyThread duty;
+    private final Map<String, String> boots = new HashMap<>();
     private final Map<String, Long> reported = new HashMap<>();
     private final AtomicLong received = new AtomicLong();
     private volatile long heardSince = -1;
@@ -197,8 +198,12 @@
             if (!links.containsKey(m.instance()) && links.size() < MOST_LINKS) {
                 PeerLink link = new PeerLink(m.peer(), settings.fleet(), settings.instance(), codec);
                 links.put(m.instance(), link);
-                FeedFollower f =
-                        new FeedFollower(m.instance().value(), link, false, this::receivedVersion, onDuty(this::take));
+                FeedFollower f = new FeedFollower(
+                        m.instance().value(),
+                        link,
+                        false,
+                        this::receivedVersion,
+                        onDuty(news -> take(m.instance().value(), news)));
                 followers.add(f);
                 f.start();
             }
@@ -224,12 +229,15 @@
         };
     }
 
-    private void take(FeedMessage.News news) {
+    private void take(String control, FeedMessage.News news) {
         news.records().forEach(directory::take);
+        if (!news.boot().equals(boots.put(control, news.boot())) || news.lost() != null) {
+            state.takeLost(control, news.lost() == null ? List.of() : news.lost());
+        }
         if (news.configuration() != null) {
             configure(news);
         }
-        if (!news.records().isEmpty()) {
+        if (!news.records().isEmpty() || news.lost() != null) {
             state.judge();
         }
         budget.entries(news.entries());
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryState.java
@@ -19,9 +19,14 @@
 package org.hallwall.serving.relay;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.RouteTable;
 import org.hallwall.serving.target.TargetDirectory;
@@ -36,6 +41,7 @@
 
     private final TargetDirectory directory;
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private final Map<String, Set<InstanceId>> lostBy = new HashMap<>();
     private volatile RouteTable routes = new RouteTable(Configuration.NONE);
     private volatile ServingTargets targets = ServingTargets.NONE;
 
@@ -92,11 +98,24 @@
         judge();
     }
 
+    /**
+     * Takes what a control instance holds for dead.
+     *
+     * @param control the control instance
+     * @param lost all that it holds for dead
+     */
+    public synchronized void takeLost(String control, Collection<InstanceId> lost) {
+        lostBy.put(control, Set.copyOf(lost));
+    }
+
     /** Judges the targets anew, because one has changed. */
     public synchronized void judge() {
         List<TargetRecord> records = new ArrayList<>();
         for (KnownTarget t : directory.list()) {
-            records.add(t.record());
+            TargetRecord r = t.record();
+            if (lostBy.values().stream().noneMatch(lost -> lost.contains(r.instance()))) {
+                records.add(r);
+            }
         }
         targets = ServingTargets.of(routes.configuration(), records);
         listeners.forEach(Runnable::run);
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -77,6 +77,7 @@
     private int resumed;
     private long eventCount;
     private long longestPause;
+    private long firstAfter;
 
     StreamRun(RelayContext context, RelayRequest request, EventLoop loop, String lastEventId) {
         this.context = context;
@@ -256,20 +257,23 @@
         context.counters().attempt("answered");
         finish();
         LOG.infof(
-                "request %s: %d events in %d ms from %s, %d resumed, longest pause %d ms",
+                "request %s: %d events in %d ms from %s, first after %d ms, longest pause %d ms, %d resumed, %d turned away",
                 request.attemptId(),
                 eventCount,
                 context.now() - request.receivedAt(),
                 a.target.instance(),
+                firstAfter,
+                longestPause,
                 resumed,
-                longestPause);
+                turnedAway);
         events.tryEmitComplete();
     }
 
     private void deliver(Attempt a, EventCutter.Event e) {
         long now = context.now();
         if (eventCount == 0) {
-            context.counters().first(now - request.receivedAt());
+            firstAfter = now - request.receivedAt();
+            context.counters().first(firstAfter);
         } else {
             longestPause = Math.max(longestPause, now - progressAt);
             a.state.gap(now - progressAt);
