Voters are replaced by log entries; blank control instances at new addresses join

Cause: a control instance that is gone for good was never replaced: the voters came from the first seeds alone, and an instance at a new address acknowledged targets that nobody followed. Change: log entries name the voters (one change at a time), a newcomer learns the log and is admitted before it counts, a voter silent for 3 s makes room; control instances and entries follow the list; an instance that does not count answers 503.

--- a/log/src/main/java/org/hallwall/log/LogEntryKind.java
+++ b/log/src/main/java/org/hallwall/log/LogEntryKind.java
@@ -24,6 +24,8 @@
     START,
     /** Admits the data folder of a voter. */
     ADMIT,
+    /** Names all voters from here on. */
+    VOTERS,
     /** A command of the state machine. */
     COMMAND
 }
--- a/log/src/main/java/org/hallwall/log/LogFollowers.java
+++ b/log/src/main/java/org/hallwall/log/LogFollowers.java
@@ -30,53 +30,100 @@
 
     private static final LogFolder UNKNOWN = new LogFolder("", false);
 
-    private final List<InstanceId> others;
-    private final int quorum;
+    private final LogVoters voters;
     private final Map<InstanceId, LogFollower> followers = new HashMap<>();
+    private InstanceId learner;
 
-    LogFollowers(List<InstanceId> others, int quorum) {
-        this.others = others;
-        this.quorum = quorum;
+    LogFollowers(LogVoters voters) {
+        this.voters = voters;
     }
 
     /** Begins a leader's term; the others get one election timeout to answer. */
     void reset(long lastIndex, long now) {
         followers.clear();
-        for (InstanceId v : others) {
+        learner = null;
+        refresh(lastIndex, now);
+    }
+
+    /** Follows the voters that the log names now. */
+    void refresh(long lastIndex, long now) {
+        if (learner != null && voters.contains(learner)) {
+            learner = null;
+        }
+        followers.keySet().removeIf(id -> !voters.contains(id) && !id.equals(learner));
+        for (InstanceId v : voters.others()) {
+            add(v, lastIndex, now);
+        }
+    }
+
+    /** Begins to replicate to a newcomer that does not count yet; there is one at a time. */
+    void learn(InstanceId newcomer, long lastIndex, long now) {
+        learner = newcomer;
+        refresh(lastIndex, now);
+        add(newcomer, lastIndex, now);
+    }
+
+    InstanceId learner() {
+        return learner;
+    }
+
+    private void add(InstanceId id, long lastIndex, long now) {
+        followers.computeIfAbsent(id, i -> {
             LogFollower f = new LogFollower(lastIndex + 1);
             f.heard(UNKNOWN, now);
-            followers.put(v, f);
-        }
+            return f;
+        });
+    }
+
+    /** Gives all that entries are sent to. */
+    Map<InstanceId, LogFollower> all() {
+        return followers;
     }
 
+    /** Gives a follower's state; null if it is none. */
     LogFollower get(InstanceId voter) {
         return followers.get(voter);
     }
 
     /** Says whether a quorum, the leader included, has answered what was sent within a time. */
     boolean haveAnswered(long now, long within) {
+        List<InstanceId> others = voters.others();
         if (others.isEmpty()) {
             return true;
         }
         long[] heard = new long[others.size()];
-        int i = 0;
-        for (LogFollower f : followers.values()) {
-            heard[i++] = f.heardSentAt();
+        for (int i = 0; i < heard.length; i++) {
+            heard[i] = followers.get(others.get(i)).heardSentAt();
         }
         Arrays.sort(heard);
-        return now - heard[heard.length - (quorum - 1)] < within;
+        return now - heard[heard.length - (voters.quorum() - 1)] < within;
     }
 
     /** Gives the highest index that a quorum of admitted folders holds. */
     long agreedIndex(long ownLast, LogAdmissions admissions) {
+        List<InstanceId> others = voters.others();
         long[] matches = new long[others.size() + 1];
         matches[0] = ownLast;
-        int i = 1;
-        for (Map.Entry<InstanceId, LogFollower> e : followers.entrySet()) {
-            LogFollower f = e.getValue();
-            matches[i++] = admissions.counts(e.getKey(), f.folder()) ? f.match() : 0;
+        for (int i = 1; i < matches.length; i++) {
+            InstanceId id = others.get(i - 1);
+            LogFollower f = followers.get(id);
+            matches[i] = admissions.counts(id, f.folder()) ? f.match() : 0;
         }
         Arrays.sort(matches);
-        return matches[matches.length - quorum];
+        return matches[matches.length - voters.quorum()];
+    }
+
+    /** Finds the voter that has been silent longest, if that is longer than a time; null if none has. */
+    InstanceId silentFor(long now, long millis) {
+        InstanceId found = null;
+        long oldest = now - millis;
+        for (InstanceId id : voters.others()) {
+            long heard = followers.get(id).heardSentAt();
+            if (heard < oldest) {
+                oldest = heard;
+                found = id;
+            }
+        }
+        return found;
     }
 }
--- a/log/src/main/java/org/hallwall/log/LogIndex.java
+++ b/log/src/main/java/org/hallwall/log/LogIndex.java
@@ -80,6 +80,16 @@
         return null;
     }
 
+    /** Finds the last entry of a kind up to an index; zero if the entries in memory have none. */
+    long lastOf(LogEntryKind kind, long upTo) {
+        for (long i = Math.min(upTo, lastIndex()); i > baseIndex; i--) {
+            if (get(i).kind() == kind) {
+                return i;
+            }
+        }
+        return 0;
+    }
+
     void append(LogEntry entry) {
         entries.add(entry);
     }
--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -41,15 +41,19 @@
 public final class LogReplica {
 
     private static final int MOST_ENTRIES = 64;
+    /** Fewer voters would survive no loss. */
+    private static final int LEAST_VOTERS = 3;
+    /** After this silence a voter may make room for another, in milliseconds: longer than a restart of a process. */
+    private static final long SILENT_MILLIS = 3_000;
 
     private final InstanceId self;
-    private final List<InstanceId> others;
-    private final int quorum;
     private final LogTiming timing;
     private final RandomGenerator random;
     private final LogIndex log;
     private final LogAdmissions admissions;
+    private final LogVoters voters;
     private final LogFollowers followers;
+    private final int usualVoters;
     private final Set<InstanceId> votes = new HashSet<>();
     private List<LogAction> actions = new ArrayList<>();
 
@@ -72,8 +76,7 @@
      */
     public LogReplica(LogSeat seat, LogStored stored, RandomGenerator random, long now) {
         this.self = seat.self();
-        this.others = seat.voters().stream().filter(v -> !v.equals(self)).toList();
-        this.quorum = seat.voters().size() / 2 + 1;
+        this.usualVoters = Math.max(LEAST_VOTERS, seat.voters().size() - 1 | 1);
         this.timing = seat.timing();
         this.random = random;
         this.term = stored.vote().term();
@@ -83,7 +86,9 @@
         this.commit = snapshot.index();
         this.admissions = new LogAdmissions(self, stored.folder(), log);
         this.admissions.restore(snapshot.admitted());
-        this.followers = new LogFollowers(others, quorum);
+        this.voters = new LogVoters(self, seat.voters(), log);
+        this.voters.restore(snapshot.voters());
+        this.followers = new LogFollowers(voters);
         this.leaderHeardAt = now;
         this.role = restingRole();
         resetElection(now);
@@ -102,6 +107,8 @@
             }
             if (!followers.haveAnswered(now, 2 * timing.electionMillis())) {
                 becomeFollower(now);
+            } else {
+                removeSurplus(now);
             }
         } else if (now >= electionAt) {
             startElection(now, true);
@@ -117,7 +124,8 @@
      * @return the actions to carry out
      */
     public List<LogAction> receive(long now, LogMessage message) {
-        if (others.contains(message.from())) {
+        if (!message.from().equals(self)) {
+            // A voter that missed changes of the voters takes what it is told by one that it does not know.
             dispatch(now, message);
         }
         return taken();
@@ -157,8 +165,10 @@
      * @return the snapshot, to be stored before anything else is done
      */
     public LogSnapshot compact(byte[] state) {
-        LogSnapshot snapshot = new LogSnapshot(commit, log.termAt(commit), admissions.copy(), state);
+        voters.compact(commit);
+        LogSnapshot snapshot = new LogSnapshot(commit, log.termAt(commit), admissions.copy(), voters.at(commit), state);
         log.dropUpTo(commit);
+        voters.refresh();
         return snapshot;
     }
 
@@ -198,7 +208,8 @@
      * @return its state
      */
     public LogState state() {
-        return new LogState(role, term, leader, commit, log.lastIndex(), log.baseIndex(), admissions.copy());
+        return new LogState(
+                role, term, leader, commit, log.lastIndex(), log.baseIndex(), admissions.copy(), voters.all());
     }
 
     private void dispatch(long now, LogMessage message) {
@@ -219,7 +230,7 @@
 
     private void startElection(long now, boolean preVote) {
         resetElection(now);
-        if (!admissions.mayVote()) {
+        if (!admissions.mayVote() || !voters.contains(self)) {
             return;
         }
         leader = null;
@@ -232,7 +243,7 @@
             saveVote(term + 1, self);
         }
         long wanted = preVote ? term + 1 : term;
-        for (InstanceId v : others) {
+        for (InstanceId v : voters.others()) {
             send(v, new VoteRequest(wanted, self, log.lastIndex(), log.lastTerm(), preVote));
         }
         countVotes(now);
@@ -275,14 +286,14 @@
         }
         boolean probing = role == LogRole.PRE_CANDIDATE && m.preVote() && m.term() == term + 1;
         boolean standing = role == LogRole.CANDIDATE && !m.preVote() && m.term() == term;
-        if ((probing || standing) && admissions.counts(m.from(), m.folder())) {
+        if ((probing || standing) && voters.contains(m.from()) && admissions.counts(m.from(), m.folder())) {
             votes.add(m.from());
             countVotes(now);
         }
     }
 
     private void countVotes(long now) {
-        if (votes.size() < quorum) {
+        if (votes.size() < voters.quorum()) {
             return;
         }
         if (role == LogRole.PRE_CANDIDATE) {
@@ -295,6 +306,7 @@
     private void becomeLeader(long now) {
         role = LogRole.LEADER;
         leader = self;
+        voters.refresh();
         followers.reset(log.lastIndex(), now);
         appendOwn(LogEntryKind.START, new byte[0]);
         if (!admissions.isCommitted(self, admissions.folder())) {
@@ -368,6 +380,7 @@
             log.append(e);
             fresh.add(e);
         }
+        voters.refresh();
         if (!fresh.isEmpty()) {
             actions.add(new LogAction.SaveEntries(fresh));
         }
@@ -400,6 +413,7 @@
         log.reset(s.index(), s.term(), kept);
         commit = s.index();
         admissions.restore(s.admitted());
+        voters.restore(s.voters());
         actions.add(new LogAction.Restore(s, kept));
         noteOwnAdmission();
     }
@@ -419,6 +433,9 @@
             return;
         }
         LogFollower f = followers.get(m.from());
+        if (f == null) {
+            return;
+        }
         f.heard(m.folder(), m.sentAt());
         if (m.accepted()) {
             f.accepted(m.index());
@@ -453,17 +470,69 @@
         LogEntry entry = new LogEntry(log.lastIndex() + 1, term, kind, payload);
         log.append(entry);
         actions.add(new LogAction.SaveEntries(List.of(entry)));
-        if (others.isEmpty()) {
+        if (voters.others().isEmpty()) {
             advanceCommit(entry.index());
         }
         return entry.index();
     }
 
+    // --- changes of the voters
+
+    /**
+     * Considers a newcomer as a voter. It learns the log first and does not count until its data folder is admitted, so that a
+     * quorum is never harder to reach through it. A voter that has been silent for long makes room in a change of its own.
+     *
+     * @param now the clock in milliseconds
+     * @param newcomer the newcomer
+     */
+    public void consider(long now, InstanceId newcomer) {
+        if (!mayChangeVoters() || voters.contains(newcomer)) {
+            return;
+        }
+        LogFollower f = newcomer.equals(followers.learner()) ? followers.get(newcomer) : null;
+        if (f == null) {
+            followers.learn(newcomer, log.lastIndex(), now);
+            sendToAll(now);
+            return;
+        }
+        InstanceId silent = followers.silentFor(now, SILENT_MILLIS);
+        if (silent != null && voters.all().size() >= usualVoters) {
+            nameVoters(now, voters.without(silent));
+        } else if (voters.all().size() <= usualVoters && hasLearnt(newcomer, f)) {
+            nameVoters(now, voters.with(newcomer));
+        }
+    }
+
+    private boolean hasLearnt(InstanceId newcomer, LogFollower f) {
+        boolean knowsItself = f.folder() != null && f.folder().admitted();
+        return knowsItself && admissions.isCommitted(newcomer, f.folder()) && f.match() >= commit;
+    }
+
+    private void removeSurplus(long now) {
+        if (voters.all().size() <= usualVoters || !mayChangeVoters()) {
+            return;
+        }
+        InstanceId silent = followers.silentFor(now, SILENT_MILLIS);
+        if (silent != null) {
+            nameVoters(now, voters.without(silent));
+        }
+    }
+
+    /** One change at a time, and only by a leader that has committed an entry of its own term. */
+    private boolean mayChangeVoters() {
+        return role == LogRole.LEADER && log.termAt(commit) == term && voters.namedAt() <= commit;
+    }
+
+    private void nameVoters(long now, List<InstanceId> named) {
+        appendOwn(LogEntryKind.VOTERS, LogVoters.payload(named));
+        voters.refresh();
+        followers.refresh(log.lastIndex(), now);
+        sendToAll(now);
+    }
+
     private void sendToAll(long now) {
         heartbeatAt = now + timing.heartbeatMillis();
-        for (InstanceId v : others) {
-            sendTo(now, v, followers.get(v));
-        }
+        followers.all().forEach((v, f) -> sendTo(now, v, f));
     }
 
     private void sendTo(long now, InstanceId to, LogFollower f) {
--- a/log/src/main/java/org/hallwall/log/LogSnapshot.java
+++ b/log/src/main/java/org/hallwall/log/LogSnapshot.java
@@ -18,18 +18,27 @@
  */
 package org.hallwall.log;
 
+import java.util.List;
 import java.util.Map;
 
+import org.hallwall.core.id.InstanceId;
+
 /**
  * The state up to an index; replaces the entries up to it.
  *
  * @param index the last index it covers
  * @param term the term of that entry
  * @param admitted the admitted data folder of each voter
+ * @param voters the voters as of that index; empty if none were named
  * @param state the state machine's own snapshot
  */
-public record LogSnapshot(long index, long term, Map<String, String> admitted, byte[] state) {
+public record LogSnapshot(long index, long term, Map<String, String> admitted, List<InstanceId> voters, byte[] state) {
 
     /** The snapshot before the first entry. */
-    public static final LogSnapshot EMPTY = new LogSnapshot(0, 0, Map.of(), new byte[0]);
+    public static final LogSnapshot EMPTY = new LogSnapshot(0, 0, Map.of(), List.of(), new byte[0]);
+
+    /** Reads snapshots of versions that named no voters. */
+    public LogSnapshot {
+        voters = voters == null ? List.of() : List.copyOf(voters);
+    }
 }
--- a/log/src/main/java/org/hallwall/log/LogState.java
+++ b/log/src/main/java/org/hallwall/log/LogState.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.log;
 
+import java.util.List;
 import java.util.Map;
 
 import org.hallwall.core.id.InstanceId;
@@ -32,6 +33,7 @@
  * @param lastIndex the last index held
  * @param snapshotIndex the last index covered by its snapshot
  * @param admitted the admitted data folder of each voter
+ * @param voters the voters that the log names
  */
 public record LogState(
         LogRole role,
@@ -40,4 +42,5 @@
         long commit,
         long lastIndex,
         long snapshotIndex,
-        Map<String, String> admitted) {}
+        Map<String, String> admitted,
+        List<InstanceId> voters) {}
--- a/log/src/main/java/org/hallwall/log/LogVoter.java
+++ b/log/src/main/java/org/hallwall/log/LogVoter.java
@@ -100,6 +100,18 @@
         duty.offer(() -> perform(replica.receive(ticker.millis(), message)));
     }
 
+    /**
+     * Considers a newcomer as a voter; only a leader acts on it.
+     *
+     * @param newcomer the newcomer
+     */
+    public void consider(InstanceId newcomer) {
+        duty.offer(() -> {
+            replica.consider(ticker.millis(), newcomer);
+            perform(replica.taken());
+        });
+    }
+
     /**
      * Proposes a command.
      *
@@ -212,6 +224,9 @@
         if (before.role() != state.role()) {
             LOG.infof("log: %s is now %s in term %d", self, state.role(), state.term());
         }
+        if (!before.voters().equals(state.voters())) {
+            LOG.infof("log: the voters are now %s", state.voters());
+        }
     }
 
     private void performOne(LogAction action) throws LogStoreException {
--- a/log/src/test/java/org/hallwall/log/LogReplicaPropertyTest.java
+++ b/log/src/test/java/org/hallwall/log/LogReplicaPropertyTest.java
@@ -40,6 +40,12 @@
         assertTrue(new LogSimulation(seed, 5).run() > 0);
     }
 
+    /** Instances go for good and blank ones come at other addresses. */
+    @Property(tries = 600, seed = "20261202", shrinking = ShrinkingMode.OFF)
+    void votersAreReplaced(@ForAll @LongRange(min = 0, max = 1_000_000_000) long seed) {
+        assertTrue(new LogSimulation(seed, 3, true).run() > 0);
+    }
+
     /** A schedule that failed once: a voter forgot on a restart that its new data folder had been admitted. */
     @ParameterizedTest
     @ValueSource(longs = {509})
--- a/log/src/test/java/org/hallwall/log/LogSimulation.java
+++ b/log/src/test/java/org/hallwall/log/LogSimulation.java
@@ -54,11 +54,20 @@
     private final Set<InstanceId> cutOff = new HashSet<>();
     private final Map<Long, InstanceId> leaders = new HashMap<>();
     private final Map<Long, LogEntry> committed = new HashMap<>();
+    private final boolean replacing;
+    private InstanceId newcomer;
+    private int replaced;
     private boolean calm;
     private long now;
     private int proposals;
 
     LogSimulation(long seed, int size) {
+        this(seed, size, false);
+    }
+
+    /** With replacing, instances go for good and blank ones come at other addresses. */
+    LogSimulation(long seed, int size, boolean replacing) {
+        this.replacing = replacing;
         random = new Random(seed);
         List<InstanceId> ids = new ArrayList<>();
         for (int i = 0; i < size; i++) {
@@ -119,11 +128,53 @@
         if (random.nextInt(4) == 0) {
             proposeSomewhere();
         }
+        if (newcomer != null && random.nextInt(20) == 0) {
+            letNewcomerAsk();
+        }
+    }
+
+    private void letNewcomerAsk() {
+        for (SimulatedVoter v : List.copyOf(voters.values())) {
+            if (v.isUp()) {
+                v.consider(now, newcomer);
+            }
+        }
+        List<InstanceId> known = known();
+        if (known != null && known.contains(newcomer) && known.size() == voters.size()) {
+            newcomer = null;
+        }
+    }
+
+    /** An instance goes for good and a blank one comes, or the blank one comes first. */
+    private void replace(SimulatedVoter gone) {
+        List<InstanceId> known = known();
+        if (!replacing || newcomer != null || known == null || !mayLoseDisk(gone)) {
+            return;
+        }
+        newcomer = new InstanceId("n" + replaced++);
+        SimulatedVoter v = SimulatedVoter.blank(newcomer, known, this, new Random(random.nextLong()));
+        voters.remove(gone.id());
+        gone.crash();
+        cutOff.clear();
+        voters.put(newcomer, v);
+        v.start(now);
+    }
+
+    /** The voters that all have in common; null while they differ. */
+    private List<InstanceId> known() {
+        List<InstanceId> out = null;
+        for (SimulatedVoter v : voters.values()) {
+            if (!v.isUp() || (out != null && !out.equals(v.replica().state().voters()))) {
+                return null;
+            }
+            out = v.replica().state().voters();
+        }
+        return out;
     }
 
     private void deliver(Flight f) {
         SimulatedVoter to = voters.get(f.to);
-        if (to.isUp() && cutOff.contains(f.from) == cutOff.contains(f.to)) {
+        if (to != null && to.isUp() && cutOff.contains(f.from) == cutOff.contains(f.to)) {
             to.receive(now, f.message);
             noteLeader(to);
         }
@@ -158,7 +209,9 @@
         } else if (dice == 3 && mayLoseDisk(v)) {
             v.crash();
             v.loseDisk();
-        } else if (dice < 12 && !v.isUp()) {
+        } else if (dice == 4) {
+            replace(v);
+        } else if (dice < 13 && !v.isUp()) {
             v.start(now);
         }
     }
@@ -171,7 +224,7 @@
                 whole++;
             }
         }
-        return whole == voters.size() - 1;
+        return newcomer == null && whole == voters.size() - 1;
     }
 
     private SimulatedVoter pick() {
@@ -214,7 +267,8 @@
             LogState s = v.replica().state();
             boolean admitted = v.folder().id().equals(s.admitted().get(v.id().value()));
             leading += s.role() == LogRole.LEADER ? 1 : 0;
-            if (!admitted || s.commit() + 5 < committed.size()) {
+            boolean agreed = s.voters().size() == voters.size() && s.voters().containsAll(voters.keySet());
+            if (!agreed || !admitted || s.commit() + 5 < committed.size()) {
                 return false;
             }
         }
--- a/log/src/test/java/org/hallwall/log/LogStoreTest.java
+++ b/log/src/test/java/org/hallwall/log/LogStoreTest.java
@@ -68,7 +68,8 @@
     void snapshotReplacesEntries() throws LogStoreException {
         try (LogStore store = LogStore.open(folder)) {
             store.saveEntries(List.of(entry(1, 1, "a"), entry(2, 1, "b"), entry(3, 1, "c")));
-            store.saveSnapshot(new LogSnapshot(2, 1, Map.of("v1", "f"), new byte[] {9}), List.of(entry(3, 1, "c")));
+            store.saveSnapshot(
+                    new LogSnapshot(2, 1, Map.of("v1", "f"), List.of(), new byte[] {9}), List.of(entry(3, 1, "c")));
             store.saveEntries(List.of(entry(4, 1, "d")));
         }
         try (LogStore store = LogStore.open(folder)) {
--- a/log/src/test/java/org/hallwall/log/SimulatedVoter.java
+++ b/log/src/test/java/org/hallwall/log/SimulatedVoter.java
@@ -49,6 +49,18 @@
         this.folder = new LogFolder(id + "-0", true);
     }
 
+    /** A blank instance at a new address, which knows the voters of that moment. */
+    static SimulatedVoter blank(InstanceId id, List<InstanceId> voters, LogSimulation simulation, Random random) {
+        SimulatedVoter v = new SimulatedVoter(id, voters, simulation, random);
+        v.folder = new LogFolder(id + "-0", false);
+        return v;
+    }
+
+    void consider(long now, InstanceId newcomer) {
+        replica.consider(now, newcomer);
+        perform(now, replica.taken());
+    }
+
     InstanceId id() {
         return id;
     }
--- a/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
@@ -20,7 +20,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Map;
+import java.util.function.Function;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
@@ -42,7 +42,7 @@
     private final ConfigurationMachine machine;
     private final ConfigurationReader reader;
     private final InstanceId self;
-    private final Map<InstanceId, NetAddress> apis;
+    private final Function<InstanceId, NetAddress> apis;
 
     /**
      * Creates the service.
@@ -58,7 +58,7 @@
             LogVoter voter,
             ConfigurationMachine machine,
             ConfigurationReader reader,
-            Map<InstanceId, NetAddress> apis) {
+            Function<InstanceId, NetAddress> apis) {
         this.self = self;
         this.voter = voter;
         this.machine = machine;
@@ -98,7 +98,7 @@
             return Mono.just(new ConfigurationReply.Unsure("no leader is known"));
         }
         if (!leader.equals(self)) {
-            return Mono.just(new ConfigurationReply.Elsewhere(apis.get(leader)));
+            return Mono.just(new ConfigurationReply.Elsewhere(apis.apply(leader)));
         }
         return answer.timeout(COMMIT_TIMEOUT).onErrorResume(e -> {
             LOG.warnf("configuration: no sure answer: %s", e.getMessage());
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlMembership.java
@@ -0,0 +1,125 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.control;
+
+import java.io.Closeable;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.time.Ticker;
+import org.hallwall.log.LogState;
+import org.hallwall.log.LogVoter;
+import org.hallwall.serving.target.FeedMessage.ControlMember;
+import org.hallwall.serving.target.FeedMessage.JoinRequest;
+import org.hallwall.serving.target.FeedMessage.Members;
+import org.hallwall.serving.target.FeedMessage.MembersQuestion;
+import org.hallwall.wire.PeerLink;
+import org.jboss.logging.Logger;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+
+/**
+ * Follows the voters that the log names, and asks to become one of them if this instance is none.
+ *
+ * <p>An instance that hears of no leader for long asks the others whether it still counts: it may have been replaced while it
+ * was away.
+ */
+final class ControlMembership implements Closeable {
+
+    private static final Logger LOG = Logger.getLogger(ControlMembership.class);
+    private static final long LOOK_MILLIS = 400;
+    /** Without a leader for this long, the others are asked, in milliseconds: several elections. */
+    private static final long LEADERLESS_MILLIS = 4_000;
+
+    private static final Duration ASK_TIMEOUT = Duration.ofMillis(400);
+
+    private final ControlNodeSettings settings;
+    private final Function<InstanceId, PeerLink> links;
+    private final Consumer<InstanceId> follow;
+    private final Ticker ticker;
+    private LogVoter voter;
+    private Disposable looking;
+    private long leaderAt;
+    private volatile boolean replaced;
+
+    ControlMembership(
+            ControlNodeSettings settings,
+            Function<InstanceId, PeerLink> links,
+            Consumer<InstanceId> follow,
+            Ticker ticker) {
+        this.settings = settings;
+        this.links = links;
+        this.follow = follow;
+        this.ticker = ticker;
+    }
+
+    void start(LogVoter log) {
+        voter = log;
+        leaderAt = ticker.millis();
+        looking = Schedulers.parallel().schedulePeriodically(this::look, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (looking != null) {
+            looking.dispose();
+        }
+    }
+
+    private void look() {
+        LogState state = voter.state();
+        InstanceId self = settings.self().instance();
+        List<InstanceId> others =
+                state.voters().stream().filter(v -> !v.equals(self)).toList();
+        others.forEach(follow);
+        long now = ticker.millis();
+        if (state.leader() != null) {
+            leaderAt = now;
+            replaced = false;
+        }
+        if (!state.voters().contains(self) || replaced) {
+            others.forEach(o -> links.apply(o).send(new JoinRequest(self)));
+        } else if (now - leaderAt > LEADERLESS_MILLIS) {
+            leaderAt = now;
+            askWhetherReplaced(self, others);
+        }
+    }
+
+    private void askWhetherReplaced(InstanceId self, List<InstanceId> others) {
+        Flux.fromIterable(others)
+                .flatMap(o -> links.apply(o)
+                        .call(new MembersQuestion(self), ASK_TIMEOUT)
+                        .cast(Members.class)
+                        .onErrorResume(e -> Mono.empty()))
+                .filter(m -> !m.members().isEmpty())
+                .map(m -> m.members().stream().map(ControlMember::instance).toList())
+                .filter(m -> !m.contains(self))
+                .next()
+                .subscribe(m -> {
+                    LOG.warnf("control: %s was replaced while it was away, the voters are %s", self, m);
+                    replaced = true;
+                });
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -21,16 +21,12 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.security.SecureRandom;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.hallwall.core.id.InstanceId;
-import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.log.LogMessage;
 import org.hallwall.log.LogSeat;
@@ -68,17 +64,16 @@
     private final ControlNodeSettings settings;
     private final ConfigurationReader reader;
     private final Ticker ticker = Ticker.SYSTEM;
-    private final Map<InstanceId, PeerLink> links = new LinkedHashMap<>();
-    private final List<FeedFollower> followers = new ArrayList<>();
+    private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+    private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
     private final Map<InstanceId, Long> entries = new ConcurrentHashMap<>();
-    private final Map<InstanceId, NetAddress> apis = new HashMap<>();
     private final TargetFeed feed;
     private final TargetDirectory directory;
     private final ConfigurationMachine machine;
     private final AtomicReference<Configuration> parsed = new AtomicReference<>(Configuration.NONE);
     private final PeerCodec codec = new PeerCodec(kinds());
     private final PeerServer peers;
-    private volatile List<ControlMember> members = List.of();
+    private final ControlMembership membership;
     private LogStore store;
     private LogVoter voter;
     private GroupController groups;
@@ -96,6 +91,7 @@
         this.feed = new TargetFeed(ticker);
         this.directory = new TargetDirectory(ticker);
         this.machine = new ConfigurationMachine(feed::wake);
+        this.membership = new ControlMembership(settings, this::linkTo, this::follow, ticker);
         this.peers = new PeerServer(settings.fleet(), codec, this::handle);
     }
 
@@ -119,33 +115,29 @@
      */
     public void start(TargetGateway gateway) throws IOException {
         peers.open(settings.peerListen());
-        members = findMembers();
-        LOG.infof("control: %s starts, members %s", settings.self().instance(), members);
-        for (ControlMember m : members) {
-            apis.put(m.instance(), m.api());
-            if (!m.instance().equals(settings.self().instance())) {
-                links.put(m.instance(), link(m));
-            }
-        }
+        List<InstanceId> known = findMembers();
+        LOG.infof("control: %s starts, members %s", settings.self().instance(), known);
         store = LogStore.open(settings.dataFolder());
         voter = new LogVoter(
-                new LogSeat(
-                        settings.self().instance(),
-                        members.stream().map(ControlMember::instance).toList(),
-                        LogTiming.DEFAULT),
+                new LogSeat(settings.self().instance(), known, LogTiming.DEFAULT),
                 store,
                 machine,
-                (to, message) -> links.get(to).send(message),
+                (to, message) -> linkTo(to).send(message),
                 ticker,
                 new SecureRandom(),
                 () -> Runtime.getRuntime().halt(ExitCode.FAILURE.code()));
         groups = new GroupController(
                 voter, directory, this::configuration, gateway, feed::markLost, settings.timing(), ticker);
-        service = new ConfigurationService(settings.self().instance(), voter, machine, reader, apis);
+        service = new ConfigurationService(
+                settings.self().instance(),
+                voter,
+                machine,
+                reader,
+                id -> settings.member(id).api());
         directory.onChange(r -> groups.nudge());
         voter.start();
         groups.start();
-        links.forEach((id, link) -> follow(id.value(), link));
+        membership.start(voter);
     }
 
     /**
@@ -179,10 +171,20 @@
     /**
      * Gives the service for operators.
      *
-     * @return the service; null until the log is open
+     * @return the service; null until the log is open and this instance counts
      */
     public ConfigurationService service() {
-        return service;
+        return isMember() ? service : null;
+    }
+
+    /**
+     * Says whether this instance counts: what is announced to one that does not count would reach nobody.
+     *
+     * @return true if the log names it among the voters
+     */
+    public boolean isMember() {
+        LogVoter v = voter;
+        return v != null && v.state().voters().contains(settings.self().instance());
     }
 
     /**
@@ -206,7 +208,8 @@
     @Override
     public void close() {
         LOG.infof("control: %s stops", settings.self().instance());
-        followers.forEach(FeedFollower::close);
+        membership.close();
+        followers.values().forEach(FeedFollower::close);
         if (groups != null) {
             groups.close();
         }
@@ -228,35 +231,48 @@
         }
     }
 
-    private List<ControlMember> findMembers() throws LogStoreException {
+    private List<InstanceId> findMembers() throws LogStoreException {
         ControlMembers list = new ControlMembers(settings.dataFolder());
-        List<ControlMember> stored = list.stored();
-        if (!stored.isEmpty()) {
-            return stored;
-        }
-        if (settings.firstStart()) {
-            list.form(settings.seeds());
-            return settings.seeds();
+        List<ControlMember> known = list.stored();
+        if (known.isEmpty() && settings.firstStart()) {
+            known = settings.seeds();
+            list.form(known);
+        } else if (known.isEmpty()) {
+            known = ControlMembers.ask(
+                    new FeedMessage.MembersQuestion(settings.self().instance()),
+                    settings.seeds().stream()
+                            .map(ControlMember::instance)
+                            .filter(s -> !s.equals(settings.self().instance()))
+                            .map(this::linkTo)
+                            .toList());
+            list.store(known);
         }
-        List<PeerLink> seeds = settings.seeds().stream()
-                .filter(s -> !s.instance().equals(settings.self().instance()))
-                .map(this::link)
-                .toList();
-        List<ControlMember> found = ControlMembers.ask(
-                new FeedMessage.MembersQuestion(settings.self().instance()), seeds);
-        seeds.forEach(PeerLink::close);
-        list.store(found);
-        return found;
+        return known.stream().map(ControlMember::instance).toList();
     }
 
-    private PeerLink link(ControlMember m) {
-        return new PeerLink(m.peer(), settings.fleet(), settings.self().instance(), codec);
+    private PeerLink linkTo(InstanceId id) {
+        return links.computeIfAbsent(
+                id,
+                i -> new PeerLink(
+                        settings.member(i).peer(),
+                        settings.fleet(),
+                        settings.self().instance(),
+                        codec));
     }
 
-    private void follow(String name, PeerLink link) {
-        FeedFollower f = new FeedFollower(name, link, true, () -> Long.MAX_VALUE, this::take);
-        followers.add(f);
-        f.start();
+    private void follow(InstanceId id) {
+        followers.computeIfAbsent(id, i -> {
+            FeedFollower f = new FeedFollower(i.value(), linkTo(i), true, () -> Long.MAX_VALUE, this::take);
+            f.start();
+            return f;
+        });
+    }
+
+    private List<ControlMember> members() {
+        LogVoter v = voter;
+        return v == null
+                ? List.of()
+                : v.state().voters().stream().map(settings::member).toList();
     }
 
     private void take(FeedMessage.News news) {
@@ -291,7 +307,11 @@
             return answer(from, m);
         }
         if (message instanceof FeedMessage.MembersQuestion) {
-            return Mono.just(new FeedMessage.Members(members));
+            return Mono.just(new FeedMessage.Members(members()));
+        }
+        if (message instanceof FeedMessage.JoinRequest m && voter != null) {
+            voter.consider(m.from());
+            return Mono.empty();
         }
         if (message instanceof FeedMessage.StandingHead m && groups != null) {
             LOG.infof("groups: entry %s reports that head %s of %s stands still", from, m.head(), m.group());
@@ -312,6 +332,6 @@
         byte[] packed = held.version() > poll.configurationVersion() ? held.packed() : null;
         long now = ticker.millis();
         entries.values().removeIf(at -> now - at > ENTRY_MILLIS);
-        return feed.news(poll).with(held.version(), packed, members, entries.size());
+        return feed.news(poll).with(held.version(), packed, members(), entries.size());
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNodeSettings.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNodeSettings.java
@@ -21,6 +21,7 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.group.ControllerTiming;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
@@ -43,4 +44,19 @@
         Path dataFolder,
         boolean firstStart,
         List<ControlMember> seeds,
-        ControllerTiming timing) {}
+        ControllerTiming timing) {
+
+    /**
+     * Describes a control instance by its name, which is its address; ports are alike on all instances.
+     *
+     * @param instance the name
+     * @return the control instance
+     */
+    public ControlMember member(InstanceId instance) {
+        String host = instance.value();
+        return new ControlMember(
+                instance,
+                new NetAddress(host, self.peer().port()),
+                new NetAddress(host, self.api().port()));
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -69,7 +69,7 @@
     private final EntryState state = new EntryState(directory);
     private final PeerCodec codec = new PeerCodec(ControlNode.kinds());
     private final Map<InstanceId, PeerLink> links = new LinkedHashMap<>();
-    private final List<FeedFollower> followers = new ArrayList<>();
+    private final Map<InstanceId, FeedFollower> followers = new HashMap<>();
     private final LoopResources loops = LoopResources.create("io", 1, true);
     private final RepeatBudget budget;
     private final RelayServer server;
@@ -177,7 +177,7 @@
             pause();
         }
         LOG.infof("entry: %s ends, %d requests are cut off", settings.instance(), server.inFlight());
-        followers.forEach(FeedFollower::close);
+        followers.values().forEach(FeedFollower::close);
         duty.close();
         links.values().forEach(PeerLink::close);
         server.close();
@@ -191,6 +191,19 @@
         }
     }
 
+    /** Drops control instances that are no longer named and cannot be reached. */
+    private void disconnectFrom(List<ControlMember> members) {
+        List<InstanceId> named = members.stream().map(ControlMember::instance).toList();
+        for (InstanceId id : List.copyOf(links.keySet())) {
+            if (!named.contains(id) && !followers.get(id).isInTouch()) {
+                LOG.infof("entry: control instance %s is no longer named", id);
+                followers.remove(id).close();
+                links.remove(id).close();
+                state.takeLost(id.value(), List.of());
+            }
+        }
+    }
+
     private void connectNow(List<ControlMember> members) {
         List<ControlMember> sorted = new ArrayList<>(members);
         sorted.sort(Comparator.comparing(ControlMember::instance));
@@ -204,7 +217,7 @@
                         false,
                         this::receivedVersion,
                         onDuty(news -> take(m.instance().value(), news)));
-                followers.add(f);
+                followers.put(m.instance(), f);
                 f.start();
             }
         }
@@ -241,7 +254,10 @@
             state.judge();
         }
         budget.entries(news.entries());
-        connectNow(news.members());
+        if (!news.members().isEmpty()) {
+            disconnectFrom(news.members());
+            connectNow(news.members());
+        }
         if (heardSince < 0) {
             heardSince = ticker.millis();
         }
