--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -77,6 +78,9 @@
     /** How long that goes on, in milliseconds: requests come 15 s after the instances start. */
     private static final long QUICK_END_MILLIS = 6_500;
 
+    /** The time between two lines on the state of the groups, in milliseconds. */
+    private static final long REPORT_MILLIS = 2_000;
+
     private final LogVoter voter;
     private final TargetDirectory directory;
     private final Supplier<Configuration> configuration;
@@ -94,6 +98,7 @@
     private final long startedAt;
     private long term = -1;
     private long leadsSince;
+    private long reportedAt;
     private boolean checking;
 
     /**
@@ -206,10 +211,30 @@
         for (GroupAction a : staging.step(now, spec, plan.free(now, engines), engines)) {
             load(now, spec, staging, a);
         }
+        report(now, service.name(), plan, engines);
         sent.keySet().removeIf(id -> directory.find(id) == null);
         endLoads(engines);
     }
 
+    /** One line now and then on what serves and what stands idle. */
+    private void report(long now, String service, GroupPlan plan, Map<InstanceId, Engine> engines) {
+        if (now - reportedAt < REPORT_MILLIS) {
+            return;
+        }
+        reportedAt = now;
+        Map<String, Integer> idle = new TreeMap<>();
+        plan.free(now, engines).forEach((domain, free) -> idle.put(domain, free.size()));
+        long lost = engines.values().stream().filter(Engine::lost).count();
+        LOG.infof(
+                "groups: %s: %s serve, idle by fabric domain %s, %d of %d engines lost, %d loads run",
+                service,
+                plan.open(engines),
+                idle,
+                lost,
+                engines.size(),
+                pacer.loading().size());
+    }
+
     private void markLost(long now, List<KnownTarget> all) {
         Set<InstanceId> lost = new HashSet<>();
         for (KnownTarget t : all) {
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -103,6 +103,25 @@
         return groups.values();
     }
 
+    /**
+     * Counts the groups that serve.
+     *
+     * @param engines all engines of the service
+     * @return how many by model
+     */
+    public Map<String, Integer> open(Map<InstanceId, Engine> engines) {
+        Map<String, Integer> out = new TreeMap<>();
+        for (PlannedGroup g : groups.values()) {
+            Engine head = engines.get(g.head());
+            boolean open = head != null
+                    && !head.lost()
+                    && head.isIn(g.name(), g.epoch())
+                    && head.record().group().state() == GroupState.OPEN;
+            out.merge(g.model(), open ? 1 : 0, Integer::sum);
+        }
+        return out;
+    }
+
     /**
      * Finds the members of a group.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -257,8 +257,9 @@
         context.counters().attempt("answered");
         finish();
         LOG.infof(
-                "request %s: %d events in %d ms from %s, first after %d ms, longest pause %d ms, %d resumed, %d turned away",
+                "request %s on %s: %d events in %d ms from %s, first after %d ms, longest pause %d ms, %d resumed, %d turned away",
                 request.attemptId(),
+                request.route().name(),
                 eventCount,
                 context.now() - request.receivedAt(),
                 a.target.instance(),
