Members leave a silent head before they join elsewhere

Ruled out: an order carried out late. Change: such members are told to leave and join only after they announce no group; a head that was told to open leaves before its members are let go. Tests failed first (a member was free after the wait alone).

--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -203,12 +203,12 @@
             }
         }
         EngineSpec spec = service.engine();
-        GroupPlan plan = plans.computeIfAbsent(service.name(), n -> new GroupPlan(term, timing.stallMillis()));
+        GroupPlan plan = plans.computeIfAbsent(service.name(), n -> new GroupPlan(term));
         StagingPlan staging = stagings.computeIfAbsent(service.name(), n -> new StagingPlan());
         for (GroupAction a : plan.step(now, spec, engines)) {
             give(now, a);
         }
-        for (GroupAction a : staging.step(now, spec, plan.free(now, engines), engines)) {
+        for (GroupAction a : staging.step(now, spec, plan.free(engines), engines)) {
             load(now, spec, staging, a);
         }
         report(now, service.name(), plan, engines);
@@ -223,7 +223,7 @@
         }
         reportedAt = now;
         Map<String, Integer> idle = new TreeMap<>();
-        plan.free(now, engines).forEach((domain, free) -> idle.put(domain, free.size()));
+        plan.free(engines).forEach((domain, free) -> idle.put(domain, free.size()));
         long lost = engines.values().stream().filter(Engine::lost).count();
         LOG.infof(
                 "groups: %s: %s serve, idle by fabric domain %s, %d of %d engines lost, %d loads run",
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -40,12 +40,10 @@
  * Decides which engines form groups, and takes groups apart that lost a member. It neither does I/O nor reads a clock.
  *
  * <p>It believes only what engines announce. An engine is free for another group only if no head can still count on it: the
- * head of its last group has announced that it no longer serves, or must have broken by now.
+ * head of its last group has announced that it no longer serves, or the engine itself has announced that it has left.
  */
 public final class GroupPlan {
 
-    /** Added to the time after which a head that lost a member breaks: the delay of orders and clocks, in milliseconds. */
-    private static final long BREAK_MARGIN_MILLIS = 600;
     /** How long members may take to join when their hosts hold the model, besides the load itself, in milliseconds. */
     private static final long JOIN_MARGIN_MILLIS = 4_000;
     /** How long a closing head may finish its work before it is told to leave; the platform's bound is 10 s. */
@@ -54,12 +52,10 @@
     private static final long EPOCHS_A_TERM = 1_000_000L;
 
     private final long term;
-    private final long stallMillis;
     private final Map<String, PlannedGroup> groups = new LinkedHashMap<>();
     private final Set<String> finished = new HashSet<>();
-    private final Map<InstanceId, Long> heldUntil = new HashMap<>();
+    private final Set<String> ended = new HashSet<>();
     private final Map<String, Long> closingSince = new HashMap<>();
-    private final Map<String, Long> headlessSince = new HashMap<>();
     private final Map<InstanceId, Long> warmEpochs = new HashMap<>();
     private long counter;
     private List<GroupAction> actions = new ArrayList<>();
@@ -68,11 +64,9 @@
      * Creates a plan without groups.
      *
      * @param term the controller's term; epochs of a later term are higher
-     * @param stallMillis after how long a head that lost a member breaks, in milliseconds
      */
-    public GroupPlan(long term, long stallMillis) {
+    public GroupPlan(long term) {
         this.term = term;
-        this.stallMillis = stallMillis;
     }
 
     /**
@@ -89,8 +83,9 @@
         for (PlannedGroup g : List.copyOf(groups.values())) {
             review(now, spec, g, engines);
         }
+        leaveSilentHeads(engines);
         form(now, spec, engines);
-        warm(now, spec, engines);
+        warm(spec, engines);
         return actions;
     }
 
@@ -136,17 +131,16 @@
     /**
      * Lists the engines that are free for a new group or another model.
      *
-     * @param now the clock in milliseconds
      * @param engines all engines of the service
      * @return the free engines by fabric domain
      */
-    public Map<String, List<Engine>> free(long now, Map<InstanceId, Engine> engines) {
+    public Map<String, List<Engine>> free(Map<InstanceId, Engine> engines) {
         Set<InstanceId> taken = new HashSet<>();
         groups.values().forEach(g -> taken.addAll(g.members()));
         Map<String, List<Engine>> out = new TreeMap<>();
         for (Engine e : engines.values()) {
             String domain = e.record().fabricDomain();
-            if (domain != null && e.isUsable() && !taken.contains(e.id()) && isReleased(now, e, engines)) {
+            if (domain != null && e.isUsable() && !taken.contains(e.id()) && isReleased(e, engines)) {
                 out.computeIfAbsent(domain, d -> new ArrayList<>()).add(e);
             }
         }
@@ -191,8 +185,8 @@
     private void review(long now, EngineSpec spec, PlannedGroup g, Map<InstanceId, Engine> engines) {
         Engine head = engines.get(g.head());
         if (head == null || head.lost()) {
-            holdMembers(now, g);
-            drop(g);
+            groups.remove(g.name());
+            finished.add(g.name());
             return;
         }
         GroupMark mark = head.isIn(g.name(), g.epoch()) ? head.record().group() : null;
@@ -214,8 +208,10 @@
         }
     }
 
+    /** A head that was told to open may do so late; it leaves before its members are let go. */
     private void breakUp(PlannedGroup g, Engine head, boolean holds, String reason) {
-        if (holds) {
+        boolean mayOpen = g.wasToldToOpen() && head.isIn(g.name(), g.epoch());
+        if (holds || mayOpen) {
             actions.add(new GroupAction(head, new TargetOrder.Leave(g.name(), g.epoch()), reason));
         } else {
             drop(g);
@@ -224,7 +220,7 @@
 
     private void finish(long now, PlannedGroup g, Engine head, boolean holds) {
         if (!holds) {
-            drop(g);
+            breakUp(g, head, false, "a member leaves");
             return;
         }
         long since = closingSince.computeIfAbsent(g.name(), n -> now);
@@ -249,9 +245,10 @@
             all &= m != null && m.state().hasJoined();
         }
         if (all && state == GroupState.READY && !g.isClosing()) {
+            g.tellToOpen();
             actions.add(new GroupAction(head, new TargetOrder.Open(g.name(), g.epoch()), "all members are ready"));
         } else if (now - g.since() > joinLimit(spec, g)) {
-            drop(g);
+            breakUp(g, head, false, "its members do not get ready");
         }
     }
 
@@ -283,26 +280,17 @@
         return false;
     }
 
-    /** Members of a head that cannot be asked wait until it must have broken. */
-    private void holdMembers(long now, PlannedGroup g) {
-        long until = now + stallMillis + BREAK_MARGIN_MILLIS;
-        for (InstanceId id : g.members()) {
-            heldUntil.put(id, until);
-        }
-    }
-
+    /** Ends a group whose head has announced that it does not count on its members. */
     private void drop(PlannedGroup g) {
         groups.remove(g.name());
         closingSince.remove(g.name());
         finished.add(g.name());
+        ended.add(g.name());
     }
 
     // --- free engines
 
-    private boolean isReleased(long now, Engine e, Map<InstanceId, Engine> engines) {
-        if (heldUntil.getOrDefault(e.id(), Long.MIN_VALUE) > now) {
-            return false;
-        }
+    private boolean isReleased(Engine e, Map<InstanceId, Engine> engines) {
         GroupMark m = e.record().group();
         if (m == null) {
             return true;
@@ -314,11 +302,24 @@
         if (head != null && !head.lost()) {
             return !head.record().group().state().holdsMembers();
         }
-        if (finished.contains(m.name())) {
-            return true;
+        return head == null && ended.contains(m.name());
+    }
+
+    /** Members whose head cannot be asked leave it first: it may be alive, and it then breaks. */
+    private void leaveSilentHeads(Map<InstanceId, Engine> engines) {
+        Set<InstanceId> taken = new HashSet<>();
+        groups.values().forEach(g -> taken.addAll(g.members()));
+        for (Engine e : engines.values()) {
+            GroupMark m = e.record().group();
+            if (m == null || m.rank() == 0 || !e.isUsable() || taken.contains(e.id())) {
+                continue;
+            }
+            Engine head = headOf(m, engines.values());
+            if ((head == null && !ended.contains(m.name())) || (head != null && head.lost())) {
+                TargetOrder leave = new TargetOrder.Leave(m.name(), m.epoch());
+                actions.add(new GroupAction(e, leave, "its head is lost"));
+            }
         }
-        long since = headlessSince.computeIfAbsent(m.name(), n -> now);
-        return now - since > stallMillis + BREAK_MARGIN_MILLIS;
     }
 
     private static Engine headOf(GroupMark mark, Collection<Engine> engines) {
@@ -334,7 +335,7 @@
     private void form(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
         ModelNeed need = new ModelNeed(spec);
         groups.values().forEach(g -> need.add(g.model(), 1));
-        for (Map.Entry<String, List<Engine>> domain : free(now, engines).entrySet()) {
+        for (Map.Entry<String, List<Engine>> domain : free(engines).entrySet()) {
             List<Engine> left = new ArrayList<>(domain.getValue());
             EngineModel next = formable(need, left);
             while (next != null) {
@@ -365,8 +366,8 @@
      * Lets spares load their host's model into the engine beforehand, by a group of which nobody else is told and that is
      * never opened: an engine joins its next group of that model in a fraction of the time.
      */
-    private void warm(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
-        for (List<Engine> spares : free(now, engines).values()) {
+    private void warm(EngineSpec spec, Map<InstanceId, Engine> engines) {
+        for (List<Engine> spares : free(engines).values()) {
             for (Engine e : spares) {
                 EngineModel model = stagedModel(spec, e);
                 if (model != null && !model.name().equals(e.record().model()) && !isJoining(e)) {
--- a/serving/src/main/java/org/hallwall/serving/group/PlannedGroup.java
+++ b/serving/src/main/java/org/hallwall/serving/group/PlannedGroup.java
@@ -33,6 +33,7 @@
     private final long since;
     private boolean closing;
     private boolean served;
+    private boolean toldToOpen;
 
     PlannedGroup(String name, long epoch, String model, String fabricDomain, List<InstanceId> members, long since) {
         this.name = name;
@@ -79,6 +80,14 @@
         closing = true;
     }
 
+    boolean wasToldToOpen() {
+        return toldToOpen;
+    }
+
+    void tellToOpen() {
+        toldToOpen = true;
+    }
+
     boolean hasServed() {
         return served;
     }
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -33,18 +33,17 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Groups form from staged engines of one fabric domain, open when all are ready, and are taken apart safely. */
 class GroupPlanTest {
 
-    private static final long STALL = 4_000;
     private static final EngineSpec SPEC =
             new EngineSpec(18, List.of(new EngineModel("m", 3, 1, 1, 16, 1.6)), 4.5, 6, 300);
 
     private final Map<InstanceId, Engine> engines = new LinkedHashMap<>();
-    private GroupPlan plan = new GroupPlan(1, STALL);
+    private GroupPlan plan = new GroupPlan(1);
     private long now = 10_000;
 
     private void engine(int n, GroupMark mark, TargetRecord.Presence presence, boolean lost) {
@@ -105,7 +104,7 @@
     }
 
     private int freeCount() {
-        return plan.free(now, engines).values().stream().mapToInt(List::size).sum();
+        return plan.free(engines).values().stream().mapToInt(List::size).sum();
     }
 
     @Test
@@ -143,16 +142,25 @@
         Assertions.assertTrue(((TargetOrder.Join) joins.get(0).order()).epoch() > g.epoch());
     }
 
+    /** The head may be alive and open: however long it was silent, a member is joined elsewhere only after it has left. */
     @ParameterizedTest
-    @CsvSource({"0, 0", "4000, 0", "4700, 2"})
-    void survivorsOfASilentHeadWaitUntilItMustHaveBroken(long later, int free) {
+    @ValueSource(longs = {0, 5_000, 60_000})
+    void survivorsOfASilentHeadLeaveItBeforeTheyJoinElsewhere(long later) {
         PlannedGroup g = open();
         GroupMark mark = new GroupMark(g.name(), g.epoch(), 0, GroupState.OPEN);
         engine(headNumber(g), mark, TargetRecord.Presence.SERVING, true);
+        engine(9, null);
         step();
         now += later;
-        step();
-        Assertions.assertEquals(free, freeCount());
+        List<GroupAction> actions = step();
+        Assertions.assertEquals(2, of(actions, TargetOrder.Leave.class).size());
+        for (GroupAction join : of(actions, TargetOrder.Join.class)) {
+            Assertions.assertEquals(new InstanceId("i-9"), join.target().id());
+        }
+        for (InstanceId member : g.members().subList(1, 3)) {
+            engine(Integer.parseInt(member.value().substring(2)), null);
+        }
+        Assertions.assertEquals(3, of(step(), TargetOrder.Join.class).size());
     }
 
     @ParameterizedTest
@@ -171,14 +179,36 @@
         Assertions.assertEquals(2, freeCount());
     }
 
+    /** An order to open may be carried out late. */
+    @Test
+    void aHeadThatWasToldToOpenLeavesBeforeItsMembersAreLetGo() {
+        for (int n = 1; n <= 3; n++) {
+            engine(n, null);
+        }
+        step();
+        PlannedGroup g = plan.groups().iterator().next();
+        mark(g, GroupState.READY);
+        Assertions.assertEquals(1, of(step(), TargetOrder.Open.class).size());
+        engine(
+                memberNumber(g),
+                new GroupMark(g.name(), g.epoch(), 1, GroupState.READY),
+                TargetRecord.Presence.SERVING,
+                true);
+        Assertions.assertEquals(1, of(step(), TargetOrder.Leave.class).size());
+        Assertions.assertEquals(0, freeCount());
+        engine(headNumber(g), null);
+        step();
+        Assertions.assertEquals(2, freeCount());
+    }
+
     @Test
     void aNewControllerAdoptsCompleteGroupsAndDissolvesOthers() {
         PlannedGroup g = open();
-        plan = new GroupPlan(2, STALL);
+        plan = new GroupPlan(2);
         Assertions.assertTrue(step().isEmpty());
         Assertions.assertEquals(1, plan.groups().size());
         engines.remove(g.members().get(1));
-        plan = new GroupPlan(3, STALL);
+        plan = new GroupPlan(3);
         List<GroupAction> leaves = of(step(), TargetOrder.Leave.class);
         Assertions.assertEquals(g.head(), leaves.get(0).target().id());
         Assertions.assertEquals(0, freeCount());
@@ -201,7 +231,7 @@
     void epochsRiseWithTheTerm() {
         PlannedGroup g = open();
         engines.clear();
-        plan = new GroupPlan(2, STALL);
+        plan = new GroupPlan(2);
         PlannedGroup later = open();
         Assertions.assertTrue(later.epoch() > g.epoch());
     }
