--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -0,0 +1,136 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.target;
+
+import java.util.List;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.wire.PeerKinds;
+import org.hallwall.wire.PeerMessage;
+
+/** Messages between entries and control instances. */
+public sealed interface FeedMessage extends PeerMessage {
+
+    /**
+     * Registers the kinds of message.
+     *
+     * @param kinds where to register them
+     */
+    static void register(PeerKinds kinds) {
+        kinds.add(60, Poll.class)
+                .add(61, News.class)
+                .add(62, MembersQuestion.class)
+                .add(63, Members.class)
+                .add(64, StandingHead.class)
+                .add(65, JoinRequest.class);
+    }
+
+    /**
+     * Asks for news; it is answered when there are some or the wait is over.
+     *
+     * @param boot the feed's start that {@code after} belongs to
+     * @param after the last change that the asker has
+     * @param heardAfter the last heartbeat that the asker has; negative if it wants none
+     * @param configurationVersion the version that the asker has
+     * @param waitMillis the longest wait, in milliseconds
+     */
+    record Poll(String boot, long after, long heardAfter, long configurationVersion, long waitMillis)
+            implements FeedMessage {}
+
+    /**
+     * Answers a poll.
+     *
+     * @param boot the feed's start
+     * @param next the last change that this answer covers
+     * @param records the targets that changed
+     * @param lost all targets that the group controller of this instance holds for dead, or null if that has not changed
+     * @param heardNext the last heartbeat that this answer covers
+     * @param heard the targets that were heard, whether they changed or not
+     * @param configurationVersion the version in force here
+     * @param configuration the compressed configuration if the asker has an older one, or null
+     * @param members the control instances
+     * @param entries how many entries have asked lately
+     */
+    record News(
+            String boot,
+            long next,
+            List<TargetRecord> records,
+            List<InstanceId> lost,
+            long heardNext,
+            List<InstanceId> heard,
+            long configurationVersion,
+            byte[] configuration,
+            List<ControlMember> members,
+            int entries)
+            implements FeedMessage {
+
+        /**
+         * Completes an answer.
+         *
+         * @param version the version in force here
+         * @param packed the compressed configuration, or null
+         * @param all the control instances
+         * @param asking how many entries have asked lately
+         * @return the whole answer
+         */
+        public News with(long version, byte[] packed, List<ControlMember> all, int asking) {
+            return new News(boot, next, records, lost, heardNext, heard, version, packed, all, asking);
+        }
+    }
+
+    /**
+     * Asks for the list of control instances.
+     *
+     * @param from the asker
+     */
+    record MembersQuestion(InstanceId from) implements FeedMessage {}
+
+    /**
+     * Answers with the list of control instances.
+     *
+     * @param members the members; empty if this instance doesn't know them
+     */
+    record Members(List<ControlMember> members) implements FeedMessage {}
+
+    /**
+     * Asks to become a control instance that counts.
+     *
+     * @param from the asker
+     */
+    record JoinRequest(InstanceId from) implements FeedMessage {}
+
+    /**
+     * Reports a head whose streams stand still.
+     *
+     * @param head the head
+     * @param group the group's name
+     * @param epoch the group's epoch
+     */
+    record StandingHead(InstanceId head, String group, long epoch) implements FeedMessage {}
+
+    /**
+     * A control instance.
+     *
+     * @param instance its name among the voters
+     * @param peer where it takes peer messages
+     * @param api where it takes the operator's calls
+     */
+    record ControlMember(InstanceId instance, NetAddress peer, NetAddress api) {}
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/target/GroupState.java
@@ -0,0 +1,59 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.target;
+
+/** What a target says of its place in a group. */
+public enum GroupState {
+    /** It loads the model or waits for it. */
+    JOINING(false, false),
+    /** It has joined and waits. */
+    READY(true, false),
+    /** It is a head that serves, or is about to. */
+    OPEN(true, true),
+    /** It is a head that finishes its work. */
+    CLOSING(true, true),
+    /** It is a head whose group has lost a member. */
+    BROKEN(false, false);
+
+    private final boolean joined;
+    private final boolean holdsMembers;
+
+    GroupState(boolean joined, boolean holdsMembers) {
+        this.joined = joined;
+        this.holdsMembers = holdsMembers;
+    }
+
+    /**
+     * Says whether the target has been ready in its group.
+     *
+     * @return true if it has joined
+     */
+    public boolean hasJoined() {
+        return joined;
+    }
+
+    /**
+     * Says whether a head in this state keeps its members from joining another group.
+     *
+     * @return true if they must not be joined elsewhere
+     */
+    public boolean holdsMembers() {
+        return holdsMembers;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/target/package-info.java
@@ -0,0 +1,2 @@
+/** What targets announce, and how control instances pass it on. */
+package org.hallwall.serving.target;
