Loads complete groups first; slow groups over several domains when few are left

Ruled out: detection (0.35 s) and joins (0.2 s). Change: a new engine first completes a set, loads that a group waits for go first and keep two of the store's places, reloads of idle engines need two loads at most, and engines idle for 1.5 s form a group over several fabric domains (2.5 times slower, weighed so by the entries) when less than 0.7 of a model's groups are left.

--- a/serving/src/main/java/org/hallwall/serving/config/EngineSpec.java
+++ b/serving/src/main/java/org/hallwall/serving/config/EngineSpec.java
@@ -27,10 +27,16 @@
  * @param models the models
  * @param loadsPerSecond how many loads from the weight store may begin each second
  * @param loadsAtOnce how many loads run at full speed
+ * @param farFactor how much slower a group over several fabric domains runs
  * @param formMillis the time from the order to open until a head serves, in milliseconds
  */
 public record EngineSpec(
-        int slots, List<EngineModel> models, double loadsPerSecond, int loadsAtOnce, double formMillis) {
+        int slots,
+        List<EngineModel> models,
+        double loadsPerSecond,
+        int loadsAtOnce,
+        double farFactor,
+        double formMillis) {
 
     /**
      * Finds a model.
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -78,6 +78,8 @@
     /** How long that goes on, in milliseconds: requests come 15 s after the instances start. */
     private static final long QUICK_END_MILLIS = 6_500;
 
+    /** How many loads at full speed are kept from spares. */
+    private static final int KEPT_LOADS = 2;
     /** The time between two lines on the state of the groups, in milliseconds. */
     private static final long REPORT_MILLIS = 2_000;
 
@@ -208,8 +210,8 @@
         for (GroupAction a : plan.step(now, spec, engines)) {
             give(now, a);
         }
-        for (GroupAction a : staging.step(now, spec, plan.free(engines), engines)) {
-            load(now, spec, staging, a);
+        for (StageOrder o : staging.step(now, spec, plan.free(engines), engines)) {
+            load(now, spec, staging, o);
         }
         report(now, service.name(), plan, engines);
         sent.keySet().removeIf(id -> directory.find(id) == null);
@@ -269,12 +271,14 @@
         });
     }
 
-    private void load(long now, EngineSpec spec, StagingPlan staging, GroupAction a) {
-        String model = ((TargetOrder.Stage) a.order()).model();
-        InstanceId id = a.target().id();
+    /** Loads for spares leave room for those that a group waits for. */
+    private void load(long now, EngineSpec spec, StagingPlan staging, StageOrder order) {
+        GroupAction a = order.action();
         int more = speedUp(now);
-        double rate = spec.loadsPerSecond() * more;
-        if (isDue(now, a) && pacer.tryBegin(id, model, rate, spec.loadsAtOnce() * more, now)) {
+        int atOnce = spec.loadsAtOnce() * more;
+        int most = order.isSpare() && more == 1 ? Math.max(1, atOnce - KEPT_LOADS) : atOnce;
+        InstanceId id = order.target().id();
+        if (isDue(now, a) && pacer.tryBegin(id, order.model(), spec.loadsPerSecond() * more, most, now)) {
             staging.begun(id);
             send(now, a);
         }
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -48,6 +48,12 @@
     private static final long JOIN_MARGIN_MILLIS = 4_000;
     /** How long a closing head may finish its work before it is told to leave; the platform's bound is 10 s. */
     private static final long CLOSE_MILLIS = 9_000;
+    /** The part of a model's most groups below which slow groups over several domains are formed. */
+    private static final double FEW_GROUPS = 0.7;
+    /** How long engines stand idle before that, in milliseconds: longer than a repair within a domain. */
+    private static final long IDLE_MILLIS = 1_500;
+    /** Stands for the fabric domain of a group over several. */
+    private static final String ACROSS = "several";
     /** Room for the counter below the term in an epoch. */
     private static final long EPOCHS_A_TERM = 1_000_000L;
 
@@ -57,6 +63,8 @@
     private final Set<String> ended = new HashSet<>();
     private final Map<String, Long> closingSince = new HashMap<>();
     private final Map<InstanceId, Long> warmEpochs = new HashMap<>();
+    private final Map<String, Integer> peaks = new HashMap<>();
+    private final Map<InstanceId, Long> freeSince = new HashMap<>();
     private long counter;
     private List<GroupAction> actions = new ArrayList<>();
 
@@ -344,6 +352,7 @@
                 next = formable(need, left);
             }
         }
+        formAcross(now, need, engines);
         for (Iterator<PlannedGroup> it = groups.values().iterator(); it.hasNext(); ) {
             PlannedGroup g = it.next();
             if (g.since() == now && !g.hasServed()) {
@@ -352,6 +361,44 @@
         }
     }
 
+    /**
+     * Forms slower groups over several fabric domains from engines that stand idle, but only of a model that has lost many of
+     * its groups: a slow group serves better than none, and spares are worth more where groups are many.
+     */
+    private void formAcross(long now, ModelNeed need, Map<InstanceId, Engine> engines) {
+        List<Engine> idle = idle(now, engines);
+        for (EngineModel m : need.spec().models()) {
+            int count = (int) groups.values().stream()
+                    .filter(g -> g.model().equals(m.name()))
+                    .count();
+            int peak = peaks.merge(m.name(), count, Math::max);
+            long staged = idle.stream().filter(e -> e.hasStaged(m.name())).count();
+            while (count < peak * FEW_GROUPS && staged >= m.size()) {
+                formOne(now, m, ACROSS, idle);
+                count++;
+                staged -= m.size();
+            }
+        }
+    }
+
+    /** Lists the engines that have been free for a while, those of the emptiest domains last: they may still get company. */
+    private List<Engine> idle(long now, Map<InstanceId, Engine> engines) {
+        Map<InstanceId, Long> still = new HashMap<>();
+        List<Engine> out = new ArrayList<>();
+        for (List<Engine> list : free(engines).values()) {
+            for (Engine e : list) {
+                long since = freeSince.getOrDefault(e.id(), now);
+                still.put(e.id(), since);
+                if (now - since >= IDLE_MILLIS) {
+                    out.add(e);
+                }
+            }
+        }
+        freeSince.clear();
+        freeSince.putAll(still);
+        return out;
+    }
+
     private void joinAll(PlannedGroup g, Map<InstanceId, Engine> engines) {
         TargetOrder join = new TargetOrder.Join(g.name(), g.epoch(), g.model(), g.members());
         for (InstanceId id : g.members()) {
--- a/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.group;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -37,7 +38,11 @@
     /** How long engines that cannot form a group stand idle before their hosts load another model, in milliseconds. */
     private static final long IDLE_MILLIS = 6_000;
 
+    /** Idle engines load another model only if no more than this many loads make a group of them. */
+    private static final int MOST_RELOADS = 2;
+
     private final Map<InstanceId, String> assigned = new HashMap<>();
+    private final Map<InstanceId, Integer> missingAt = new HashMap<>();
     private final Set<InstanceId> begun = new HashSet<>();
     private final Map<InstanceId, Long> freeSince = new HashMap<>();
 
@@ -50,7 +55,7 @@
      * @param engines all engines of the service
      * @return the engines whose hosts should load a model, the most useful first
      */
-    public List<GroupAction> step(
+    public List<StageOrder> step(
             long now, EngineSpec spec, Map<String, List<Engine>> free, Map<InstanceId, Engine> engines) {
         forget(now, free, engines);
         assigned.keySet().retainAll(begun);
@@ -61,18 +66,19 @@
                 need.add(m.name(), byModel.getOrDefault(m.name(), 0) / m.size());
             }
         });
-        List<GroupAction> out = new ArrayList<>();
+        List<StageOrder> out = new ArrayList<>();
         for (Map.Entry<String, List<Engine>> domain : free.entrySet()) {
-            Map<String, Integer> here = held.computeIfAbsent(domain.getKey(), d -> new HashMap<>());
-            assign(need, here, unassigned(domain.getValue()));
+            Map<String, Integer> all = held.computeIfAbsent(domain.getKey(), d -> new HashMap<>());
+            assign(need, idleByModel(spec, domain.getValue()), all, unassigned(domain.getValue()));
             reassignIdle(now, spec, domain.getValue());
             for (Engine e : domain.getValue()) {
                 String model = assigned.get(e.id());
                 if (model != null && !e.hasStaged(model)) {
-                    out.add(new GroupAction(e, new TargetOrder.Stage(model), "its host lacks the model"));
+                    out.add(new StageOrder(e, model, missingAt.getOrDefault(e.id(), StageOrder.SPARE)));
                 }
             }
         }
+        out.sort(Comparator.comparingInt(StageOrder::missing));
         return out;
     }
 
@@ -88,6 +94,8 @@
     private void forget(long now, Map<String, List<Engine>> free, Map<InstanceId, Engine> engines) {
         assigned.keySet()
                 .removeIf(id -> engines.get(id) == null || !engines.get(id).isUsable());
+        begun.retainAll(assigned.keySet());
+        missingAt.keySet().retainAll(begun);
         Map<InstanceId, Long> still = new HashMap<>();
         for (List<Engine> list : free.values()) {
             list.forEach(e -> still.put(e.id(), freeSince.getOrDefault(e.id(), now)));
@@ -109,6 +117,18 @@
         return out;
     }
 
+    /** Counts by model the free engines of a domain whose hosts hold it or will. */
+    private Map<String, Integer> idleByModel(EngineSpec spec, List<Engine> free) {
+        Map<String, Integer> out = new HashMap<>();
+        for (Engine e : free) {
+            String model = modelOf(spec, e);
+            if (model != null) {
+                out.merge(model, 1, Integer::sum);
+            }
+        }
+        return out;
+    }
+
     private String modelOf(EngineSpec spec, Engine e) {
         String planned = assigned.get(e.id());
         if (planned != null) {
@@ -132,49 +152,59 @@
         return out;
     }
 
-    private void assign(ModelNeed need, Map<String, Integer> here, List<Engine> left) {
-        while (!left.isEmpty()) {
-            EngineModel next = nextSet(need, here, left.size() - SPARES_A_DOMAIN);
-            if (next == null) {
-                give(left.remove(0), spareModel(need, here), here);
-                continue;
-            }
-            int missing = missing(here, next);
+    /** First sets that can be completed, the most needed and least incomplete first; what is left becomes spares. */
+    private void assign(ModelNeed need, Map<String, Integer> idle, Map<String, Integer> all, List<Engine> left) {
+        EngineModel next = nextSet(need, idle, left.size());
+        while (next != null) {
+            int missing = missing(idle, next);
             for (int i = 0; i < missing; i++) {
-                give(left.remove(0), next, here);
+                give(left.remove(0), next, missing, idle, all);
             }
             need.add(next.name(), 1);
+            next = nextSet(need, idle, left.size());
+        }
+        while (!left.isEmpty()) {
+            give(left.remove(0), spareModel(need, idle, all), StageOrder.SPARE, idle, all);
         }
     }
 
-    private void give(Engine e, EngineModel model, Map<String, Integer> here) {
+    private void give(Engine e, EngineModel model, int missing, Map<String, Integer> idle, Map<String, Integer> all) {
         assigned.put(e.id(), model.name());
-        here.merge(model.name(), 1, Integer::sum);
+        missingAt.put(e.id(), missing);
+        idle.merge(model.name(), 1, Integer::sum);
+        all.merge(model.name(), 1, Integer::sum);
     }
 
-    private static int missing(Map<String, Integer> here, EngineModel m) {
-        return m.size() - here.getOrDefault(m.name(), 0) % m.size();
+    private static int missing(Map<String, Integer> idle, EngineModel m) {
+        return m.size() - idle.getOrDefault(m.name(), 0) % m.size();
     }
 
-    private static EngineModel nextSet(ModelNeed need, Map<String, Integer> here, int most) {
+    private static EngineModel nextSet(ModelNeed need, Map<String, Integer> idle, int left) {
         EngineModel best = null;
+        double most = 0;
         for (EngineModel m : need.spec().models()) {
-            if (missing(here, m) <= most && (best == null || need.of(m) > need.of(best))) {
+            int missing = missing(idle, m);
+            // a set that is begun may take the last engine; a new one leaves a spare
+            int reserve = missing < m.size() ? 0 : SPARES_A_DOMAIN;
+            double worth = need.of(m) / missing;
+            if (missing <= left - reserve && worth > most) {
+                most = worth;
                 best = m;
             }
         }
         return best;
     }
 
-    /** A spare is for the model with the most groups for each spare in the domain. */
-    private static EngineModel spareModel(ModelNeed need, Map<String, Integer> here) {
+    /** A spare completes a set that lacks one engine, or is for the model with the most groups for each spare. */
+    private static EngineModel spareModel(ModelNeed need, Map<String, Integer> idle, Map<String, Integer> all) {
         EngineModel best = need.spec().models().get(0);
         double most = -1;
         for (EngineModel m : need.spec().models()) {
-            int count = here.getOrDefault(m.name(), 0);
-            double groupsASpare = (double) (count / m.size()) / (1 + count % m.size());
-            if (groupsASpare > most) {
-                most = groupsASpare;
+            int spares = idle.getOrDefault(m.name(), 0) % m.size();
+            int groups = (all.getOrDefault(m.name(), 0) - spares) / m.size();
+            double worth = spares > 1 ? spares : (double) groups / (1 + spares);
+            if (worth > most) {
+                most = worth;
                 best = m;
             }
         }
@@ -190,7 +220,7 @@
             }
         }
         EngineModel best = null;
-        int fewest = Integer.MAX_VALUE;
+        int fewest = MOST_RELOADS + 1;
         for (EngineModel m : spec.models()) {
             int has = (int) idle.stream().filter(e -> e.hasStaged(m.name())).count();
             if (idle.size() >= m.size() && has < m.size() && m.size() - has < fewest) {
@@ -201,9 +231,11 @@
         if (best == null) {
             return;
         }
+        int missing = fewest;
         for (Engine e : idle) {
             if (fewest > 0 && !e.hasStaged(best.name())) {
                 assigned.put(e.id(), best.name());
+                missingAt.put(e.id(), missing);
                 fewest--;
             }
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -91,7 +91,8 @@
 
     private double load(ServingTarget t, long now) {
         TargetState s = state(t);
-        double load = s.outstanding() + ThreadLocalRandom.current().nextDouble();
+        double load = (s.outstanding() + 1) * t.slowness()
+                + ThreadLocalRandom.current().nextDouble();
         if (!t.failureDomain().equals(failureDomain)) {
             load += OTHER_DOMAIN;
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/ServingTarget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ServingTarget.java
@@ -31,9 +31,16 @@
  * @param slots how many requests it runs at once
  * @param model the model of its group; null for a plain one
  * @param group its group; null for a plain one
+ * @param slowness how much slower it is than others of its kind
  */
 public record ServingTarget(
-        InstanceId instance, NetAddress address, String failureDomain, int slots, String model, GroupMark group) {
+        InstanceId instance,
+        NetAddress address,
+        String failureDomain,
+        int slots,
+        String model,
+        GroupMark group,
+        double slowness) {
 
     /**
      * Says whether another target is the same one with the same group.
--- a/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
@@ -21,8 +21,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.config.Configuration;
@@ -56,6 +58,7 @@
      */
     public static ServingTargets of(Configuration configuration, Collection<TargetRecord> records) {
         Map<String, Integer> present = new HashMap<>();
+        Map<String, Set<String>> domains = new HashMap<>();
         Map<InstanceId, GroupMark> heads = new HashMap<>();
         for (TargetRecord r : records) {
             GroupMark m = r.group();
@@ -64,6 +67,7 @@
             }
             if (r.isServing() && m.state().hasJoined()) {
                 present.merge(key(m), 1, Integer::sum);
+                domains.computeIfAbsent(key(m), k -> new HashSet<>()).add(r.fabricDomain());
             }
             if (m.rank() == 0 && m.state().holdsMembers() && r.presence() != TargetRecord.Presence.GONE) {
                 heads.put(r.instance(), m);
@@ -71,7 +75,7 @@
         }
         Map<String, List<ServingTarget>> out = new HashMap<>();
         for (TargetRecord r : records) {
-            ServingTarget t = judge(configuration, r, present);
+            ServingTarget t = judge(configuration, r, present, domains);
             if (t != null) {
                 out.computeIfAbsent(r.service(), s -> new ArrayList<>()).add(t);
             }
@@ -115,14 +119,15 @@
         return byService.values().stream().mapToInt(List::size).sum();
     }
 
-    private static ServingTarget judge(Configuration c, TargetRecord r, Map<String, Integer> present) {
+    private static ServingTarget judge(
+            Configuration c, TargetRecord r, Map<String, Integer> present, Map<String, Set<String>> domains) {
         TargetService service = c.services().get(r.service());
         if (service == null || !r.isServing()) {
             return null;
         }
         EngineSpec spec = service.engine();
         if (spec == null) {
-            return new ServingTarget(r.instance(), r.address(), r.failureDomain(), r.slots(), null, null);
+            return new ServingTarget(r.instance(), r.address(), r.failureDomain(), r.slots(), null, null, 1);
         }
         GroupMark m = r.group();
         EngineModel model = r.model() == null ? null : spec.model(r.model());
@@ -132,7 +137,8 @@
         if (present.getOrDefault(key(m), 0) != model.size()) {
             return null;
         }
-        return new ServingTarget(r.instance(), r.address(), r.failureDomain(), spec.slots(), model.name(), m);
+        double slowness = domains.get(key(m)).size() > 1 ? spec.farFactor() : 1;
+        return new ServingTarget(r.instance(), r.address(), r.failureDomain(), spec.slots(), model.name(), m, slowness);
     }
 
     private static String key(GroupMark m) {
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -33,6 +33,7 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -40,13 +41,17 @@
 class GroupPlanTest {
 
     private static final EngineSpec SPEC =
-            new EngineSpec(18, List.of(new EngineModel("m", 3, 1, 1, 16, 1.6)), 4.5, 6, 300);
+            new EngineSpec(18, List.of(new EngineModel("m", 3, 1, 1, 16, 1.6)), 4.5, 6, 2.5, 300);
 
     private final Map<InstanceId, Engine> engines = new LinkedHashMap<>();
     private GroupPlan plan = new GroupPlan(1);
     private long now = 10_000;
 
     private void engine(int n, GroupMark mark, TargetRecord.Presence presence, boolean lost) {
+        engine(n, "d0", mark, presence, lost);
+    }
+
+    private void engine(int n, String domain, GroupMark mark, TargetRecord.Presence presence, boolean lost) {
         InstanceId id = new InstanceId("i-" + n);
         TargetRecord r = new TargetRecord(
                 id,
@@ -56,7 +61,7 @@
                 "a",
                 18,
                 presence,
-                "d0",
+                domain,
                 mark == null ? null : "m",
                 List.of("m"),
                 mark);
@@ -247,4 +252,23 @@
         Assertions.assertEquals(18, all.size());
         Assertions.assertEquals(18, all.stream().distinct().count());
     }
+
+    /** Idle engines of several domains serve together when too few groups are left, and only then. */
+    @ParameterizedTest
+    @CsvSource({"0, 2000, 0", "1, 2000, 1", "1, 500, 0"})
+    void slowGroupsAreFormedWhenFewAreLeft(int lostGroups, long later, int formed) {
+        PlannedGroup g = open();
+        for (int n = 11; n <= 13; n++) {
+            engine(n, "e" + n, null, TargetRecord.Presence.SERVING, false);
+        }
+        step();
+        if (lostGroups > 0) {
+            g.members().forEach(engines::remove);
+        }
+        step();
+        now += later;
+        long before = plan.groups().size();
+        step();
+        Assertions.assertEquals(formed, plan.groups().size() - before);
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/group/StagingPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/StagingPlanTest.java
@@ -42,6 +42,7 @@
             List.of(new EngineModel("big", 4, 0.57, 1, 16, 1.6), new EngineModel("small", 3, 0.43, 0.6, 12, 1.1)),
             4.5,
             6,
+            2.5,
             300);
 
     private final Map<InstanceId, Engine> engines = new LinkedHashMap<>();
@@ -66,9 +67,9 @@
         free.computeIfAbsent(domain, d -> new ArrayList<>()).add(e);
     }
 
-    private Map<String, Integer> counts(List<GroupAction> actions) {
+    private Map<String, Integer> counts(List<StageOrder> actions) {
         Map<String, Integer> out = new HashMap<>();
-        actions.forEach(a -> out.merge(((TargetOrder.Stage) a.order()).model(), 1, Integer::sum));
+        actions.forEach(a -> out.merge(a.model(), 1, Integer::sum));
         return out;
     }
 
@@ -79,7 +80,7 @@
                 engine("d" + d, n, null);
             }
         }
-        List<GroupAction> actions = new StagingPlan().step(0, SPEC, free, engines);
+        List<StageOrder> actions = new StagingPlan().step(0, SPEC, free, engines);
         Map<String, Integer> counts = counts(actions);
         Assertions.assertEquals(54, actions.size());
         Assertions.assertTrue(counts.get("big") / 4 >= 6, counts.toString());
@@ -90,7 +91,7 @@
     @Test
     void enginesThatComeOneByOneArePlannedTogether() {
         StagingPlan plan = new StagingPlan();
-        List<GroupAction> actions = List.of();
+        List<StageOrder> actions = List.of();
         for (int n = 0; n < 9; n++) {
             engine("d0", n, null);
             actions = plan.step(n, SPEC, free, engines);
@@ -109,7 +110,34 @@
         engine("d0", 3, "small");
         StagingPlan plan = new StagingPlan();
         plan.step(0, SPEC, free, engines);
-        List<GroupAction> actions = plan.step(later, SPEC, free, engines);
+        List<StageOrder> actions = plan.step(later, SPEC, free, engines);
         Assertions.assertEquals(loads, counts(actions).getOrDefault("small", 0));
     }
+
+    /** A new engine completes the set that lacks one, before it becomes a spare of the other model. */
+    @ParameterizedTest
+    @CsvSource({"big, 3", "small, 2"})
+    void aNewEngineCompletesWhatLacksOne(String model, int idle) {
+        for (int n = 0; n < idle; n++) {
+            engine("d0", n, model);
+        }
+        engine("d0", 8, null);
+        StageOrder order = new StagingPlan().step(0, SPEC, free, engines).get(0);
+        Assertions.assertEquals(model, order.model());
+        Assertions.assertEquals(1, order.missing());
+    }
+
+    @Test
+    void loadsThatAGroupWaitsForComeFirst() {
+        for (int n = 0; n < 2; n++) {
+            engine("d0", n, null);
+        }
+        for (int n = 0; n < 3; n++) {
+            engine("d1", n, "big");
+        }
+        engine("d1", 9, null);
+        List<StageOrder> orders = new StagingPlan().step(0, SPEC, free, engines);
+        Assertions.assertEquals(new InstanceId("d19"), orders.get(0).target().id());
+        Assertions.assertTrue(orders.get(1).isSpare());
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -91,7 +91,7 @@
                     true,
                     400));
         }
-        EngineSpec spec = new EngineSpec(4, List.of(new EngineModel("m", 1, 1, 1, 1, 1)), 1, 1, 1);
+        EngineSpec spec = new EngineSpec(4, List.of(new EngineModel("m", 1, 1, 1, 1, 1)), 1, 1, 2.5, 1);
         Map<String, TargetService> services =
                 Map.of("app", new TargetService("app", 9, null), "llm", new TargetService("llm", 9, spec));
         return new Configuration(
