--- a/cli/src/main/java/org/hallwall/cli/CliMain.java
+++ b/cli/src/main/java/org/hallwall/cli/CliMain.java
@@ -33,6 +33,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.program.ExitCode;
 import org.hallwall.program.LogFormat;
+import org.hallwall.program.LogTarget;
 import org.hallwall.program.ProgramException;
 import org.hallwall.program.ProgramLogs;
 import org.hallwall.program.ProgramVersion;
@@ -51,7 +52,7 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        ProgramLogs.configure(LogFormat.TEXT, "WARN");
+        ProgramLogs.configure(LogFormat.TEXT, "WARN", LogTarget.STANDARD_ERROR);
         System.exit(run(System.out, System.err, args).code());
     }
 
--- a/integration/src/test/java/org/hallwall/integration/ModuleRulesTest.java
+++ b/integration/src/test/java/org/hallwall/integration/ModuleRulesTest.java
@@ -46,6 +46,8 @@
         "domain, core wire resource engine domain",
         "control, core program wire log resource control",
         "entry, core program wire resource engine domain entry",
+        "serving, core program wire log serving",
+        "platform, core program wire log serving platform",
         "cli, core program resource cli",
         "fakes, core program engine fakes",
         "load, core program resource engine domain fakes load"
@@ -63,7 +65,13 @@
 
     /** Decisions neither do I/O nor read a clock. */
     @ParameterizedTest
-    @CsvSource({"log.LogReplica", "domain.LeaseElector", "domain.GroupPlanner"})
+    @CsvSource({
+        "log.LogReplica",
+        "serving.group.GroupPlan",
+        "serving.group.StagingPlan",
+        "domain.LeaseElector",
+        "domain.GroupPlanner"
+    })
     void decisionsArePure(String name) {
         ArchRuleDefinition.noClasses()
                 .that()
--- a/load/src/main/java/org/hallwall/load/LoadMain.java
+++ b/load/src/main/java/org/hallwall/load/LoadMain.java
@@ -32,6 +32,7 @@
 import org.hallwall.core.settings.SettingsSchema;
 import org.hallwall.program.ExitCode;
 import org.hallwall.program.LogFormat;
+import org.hallwall.program.LogTarget;
 import org.hallwall.program.ProgramLogs;
 import org.hallwall.program.ProgramVersion;
 
@@ -48,7 +49,7 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        ProgramLogs.configure(LogFormat.TEXT, "INFO");
+        ProgramLogs.configure(LogFormat.TEXT, "INFO", LogTarget.STANDARD_ERROR);
         System.exit(run(System.out, System.err, args).code());
     }
 
