--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -71,6 +71,7 @@
     private final Map<InstanceId, PeerLink> links = new LinkedHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new HashMap<>();
     private final LoopResources loops = LoopResources.create("io", 1, true);
+    private final Admission admission = new Admission();
     private final RepeatBudget budget;
     private final RelayServer server;
     private final DutyThread duty;
@@ -78,6 +79,7 @@
     private final Map<String, Long> reported = new HashMap<>();
     private final AtomicLong received = new AtomicLong();
     private volatile long heardSince = -1;
+    private volatile boolean hadTargets;
     private volatile boolean stopping;
 
     /**
@@ -102,6 +104,7 @@
                 new ForwardedHeaders(names),
                 names,
                 this::report,
+                admission,
                 new StreamWatch(),
                 new RelayCounts(registry),
                 ticker);
@@ -140,10 +143,13 @@
      * @return true if it does
      */
     public boolean isReady() {
-        return !stopping
-                && state.routes().configuration().version() > 0
-                && heardSince >= 0
-                && state.targets().size() > 0;
+        return !stopping && state.routes().configuration().version() > 0 && heardSince >= 0 && hadTargets();
+    }
+
+    /** Once it has known targets an entry stays ready: losing them is told to callers, not to the balancer. */
+    private boolean hadTargets() {
+        hadTargets |= state.targets().size() > 0;
+        return hadTargets;
     }
 
     /**
@@ -254,6 +260,7 @@
             state.judge();
         }
         budget.entries(news.entries());
+        admission.entries(news.entries());
         if (!news.members().isEmpty()) {
             disconnectFrom(news.members());
             connectNow(news.members());
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -33,6 +33,7 @@
  * @param headers copies headers
  * @param names the names of the headers
  * @param standing reports a head whose streams stand still
+ * @param admission bounds the streams in progress
  * @param watch looks at streams in progress
  * @param counters counts outcomes
  * @param ticker the clock
@@ -45,12 +46,15 @@
         ForwardedHeaders headers,
         HeaderNames names,
         Consumer<StandingHead> standing,
+        Admission admission,
         StreamWatch watch,
         RelayCounts counters,
         Ticker ticker) {
 
     /** When a caller comes back whose request found no target, in milliseconds: about the time in which a group is repaired. */
     static final long COME_BACK_MILLIS = 250;
+    /** When a caller comes back whose request found all groups full, in milliseconds: a good part of a stream's life. */
+    static final long FULL_COME_BACK_MILLIS = 400;
 
     /**
      * Gives the time.
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -227,8 +227,17 @@
 
     private Mono<Void> stream(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
         Channel channel = channel(req);
+        AdmissionWindow window =
+                context.admission().enter(r, context.state().targets().of(r.service(), r.model()));
+        if (window == null) {
+            return Mono.error(RelayRefusal.notRun("its groups are full", RelayContext.FULL_COME_BACK_MILLIS));
+        }
         StreamRun run = new StreamRun(
-                context, r, channel.eventLoop(), r.headers().get(context.names().lastEventId()));
+                context,
+                r,
+                window,
+                channel.eventLoop(),
+                r.headers().get(context.names().lastEventId()));
         GenericFutureListener<Future<Void>> left = f -> run.cancel();
         channel.closeFuture().addListener(left);
         return run.start()
@@ -242,7 +251,10 @@
                     return res.send(events, b -> true).then();
                 })
                 .doOnCancel(run::cancel)
-                .doFinally(s -> channel.closeFuture().removeListener(left));
+                .doFinally(s -> {
+                    window.leave();
+                    channel.closeFuture().removeListener(left);
+                });
     }
 
     private static HttpHeaders copy(HttpServerResponse res, HttpHeaders from) {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -59,6 +59,7 @@
 
     private final RelayContext context;
     private final RelayRequest request;
+    private final AdmissionWindow window;
     private final EventLoop loop;
     private final Sinks.One<Head> head = Sinks.one();
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
@@ -79,7 +80,8 @@
     private long longestPause;
     private long firstAfter;
 
-    StreamRun(RelayContext context, RelayRequest request, EventLoop loop, String lastEventId) {
+    StreamRun(RelayContext context, RelayRequest request, AdmissionWindow window, EventLoop loop, String lastEventId) {
+        this.window = window;
         this.context = context;
         this.request = request;
         this.loop = loop;
@@ -275,6 +277,9 @@
         if (eventCount == 0) {
             firstAfter = now - request.receivedAt();
             context.counters().first(firstAfter);
+            if (ran == 0) {
+                window.first((double) firstAfter / request.route().objectiveMillis(), now);
+            }
         } else {
             longestPause = Math.max(longestPause, now - progressAt);
             a.state.gap(now - progressAt);
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -67,6 +67,7 @@
                 new ForwardedHeaders(NAMES),
                 NAMES,
                 standing::add,
+                new Admission(),
                 new StreamWatch(),
                 new RelayCounts(new PrometheusRegistry()),
                 Ticker.SYSTEM));
