--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -55,13 +55,13 @@
     /** How long a new leader gathers what the other control instances have heard, in milliseconds: two polls. */
     private static final long SETTLE_MILLIS = 800;
     /** An order without an answer is given again after this, in milliseconds. */
-    private static final long RESEND_MILLIS = 700;
+    private static final long RESEND_MILLIS = 350;
     /** An order that was taken is given again if nothing is seen of it after this, in milliseconds. */
     private static final long TAKEN_MILLIS = 2_500;
     /** A load that was taken is given again if nothing is seen of it after this, in milliseconds. */
     private static final long LOAD_TAKEN_MILLIS = 45_000;
 
-    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(600);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(300);
     /** How long an engine may take to answer a probe; several times a round trip and the time of its answer. */
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(250);
 
