--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -41,12 +41,6 @@
 public final class LogReplica {
 
     private static final int MOST_ENTRIES = 64;
-    /** Fewer voters would survive no loss. */
-    private static final int LEAST_VOTERS = 3;
-    /** After this silence a voter may make room for another, in milliseconds: longer than a restart of a process. */
-    private static final long SILENT_MILLIS = 3_000;
-    /** While a voter has been silent for this long, none is added: it may be about to make room, in milliseconds. */
-    private static final long DOUBTFUL_MILLIS = 1_000;
 
     private final InstanceId self;
     private final LogTiming timing;
@@ -55,7 +49,7 @@
     private final LogAdmissions admissions;
     private final LogVoters voters;
     private final LogFollowers followers;
-    private final int usualVoters;
+    private final LogSuccession succession;
     private final Set<InstanceId> votes = new HashSet<>();
     private List<LogAction> actions = new ArrayList<>();
 
@@ -78,7 +72,6 @@
      */
     public LogReplica(LogSeat seat, LogStored stored, RandomGenerator random, long now) {
         this.self = seat.self();
-        this.usualVoters = Math.max(LEAST_VOTERS, seat.voters().size() - 1 | 1);
         this.timing = seat.timing();
         this.random = random;
         this.term = stored.vote().term();
@@ -91,6 +84,7 @@
         this.voters = new LogVoters(self, seat.voters(), log);
         this.voters.restore(snapshot.voters());
         this.followers = new LogFollowers(voters);
+        this.succession = new LogSuccession(seat.voters().size(), voters, followers, admissions);
         this.leaderHeardAt = now;
         this.role = restingRole();
         resetElection(now);
@@ -491,35 +485,21 @@
         if (!mayChangeVoters() || voters.contains(newcomer)) {
             return;
         }
-        LogFollower f = newcomer.equals(followers.learner()) ? followers.get(newcomer) : null;
-        if (f == null) {
+        if (!newcomer.equals(followers.learner())) {
             followers.learn(newcomer, log.lastIndex(), now);
             sendToAll(now);
             return;
         }
-        InstanceId silent = followers.silentFor(now, SILENT_MILLIS);
-        if (silent != null && voters.all().size() >= usualVoters) {
-            nameVoters(now, voters.without(silent));
-            return;
-        }
-        boolean allAnswer = followers.silentFor(now, DOUBTFUL_MILLIS) == null;
-        if (voters.all().size() <= usualVoters && allAnswer && hasLearnt(newcomer, f)) {
-            nameVoters(now, voters.with(newcomer));
+        List<InstanceId> named = succession.replacing(now, newcomer, commit);
+        if (named != null) {
+            nameVoters(now, named);
         }
     }
 
-    private boolean hasLearnt(InstanceId newcomer, LogFollower f) {
-        boolean knowsItself = f.folder() != null && f.folder().admitted();
-        return knowsItself && admissions.isCommitted(newcomer, f.folder()) && f.match() >= commit;
-    }
-
     private void removeSurplus(long now) {
-        if (voters.all().size() <= usualVoters || !mayChangeVoters()) {
-            return;
-        }
-        InstanceId silent = followers.silentFor(now, SILENT_MILLIS);
-        if (silent != null) {
-            nameVoters(now, voters.without(silent));
+        List<InstanceId> named = mayChangeVoters() ? succession.withoutSurplus(now) : null;
+        if (named != null) {
+            nameVoters(now, named);
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -62,7 +62,7 @@
     private final Set<String> finished = new HashSet<>();
     private final Set<String> ended = new HashSet<>();
     private final Map<String, Long> closingSince = new HashMap<>();
-    private final Map<InstanceId, Long> warmEpochs = new HashMap<>();
+    private final SpareWarmUp warmUp = new SpareWarmUp(this::nextEpoch);
     private final Map<String, Integer> peaks = new HashMap<>();
     private final Map<InstanceId, Long> freeSince = new HashMap<>();
     private long counter;
@@ -93,7 +93,7 @@
         }
         leaveSilentHeads(engines);
         form(now, spec, engines);
-        warm(spec, engines);
+        free(engines).values().forEach(spares -> actions.addAll(warmUp.step(spec, spares, engines.values())));
         return actions;
     }
 
@@ -409,50 +409,8 @@
         }
     }
 
-    /**
-     * Lets spares load their host's model into the engine beforehand, by a group of which nobody else is told and that is
-     * never opened: an engine joins its next group of that model in a fraction of the time.
-     */
-    private void warm(EngineSpec spec, Map<InstanceId, Engine> engines) {
-        for (List<Engine> spares : free(engines).values()) {
-            for (Engine e : spares) {
-                EngineModel model = stagedModel(spec, e);
-                if (model != null && !model.name().equals(e.record().model()) && !isJoining(e)) {
-                    warmOne(e, model, engines.values());
-                }
-            }
-        }
-    }
-
-    private void warmOne(Engine e, EngineModel model, Collection<Engine> engines) {
-        List<InstanceId> members = new ArrayList<>();
-        members.add(e.id());
-        for (Engine other : engines) {
-            boolean near = e.record().fabricDomain().equals(other.record().fabricDomain());
-            if (near && !other.id().equals(e.id()) && members.size() < model.size()) {
-                members.add(other.id());
-            }
-        }
-        if (members.size() < model.size()) {
-            return;
-        }
-        long epoch = warmEpochs.computeIfAbsent(e.id(), id -> term * EPOCHS_A_TERM + ++counter);
-        TargetOrder join = new TargetOrder.Join("w" + epoch, epoch, model.name(), members);
-        actions.add(new GroupAction(e, join, "a spare gets its model ready"));
-    }
-
-    private static EngineModel stagedModel(EngineSpec spec, Engine e) {
-        for (EngineModel m : spec.models()) {
-            if (e.hasStaged(m.name())) {
-                return m;
-            }
-        }
-        return null;
-    }
-
-    private static boolean isJoining(Engine e) {
-        GroupMark m = e.record().group();
-        return m != null && m.state() == GroupState.JOINING;
+    private long nextEpoch() {
+        return term * EPOCHS_A_TERM + ++counter;
     }
 
     private static EngineModel formable(ModelNeed need, List<Engine> free) {
@@ -474,8 +432,8 @@
                 (Engine e) -> !model.name().equals(e.record().model())));
         List<Engine> chosen = staged.subList(0, model.size());
         left.removeAll(chosen);
-        chosen.forEach(e -> warmEpochs.remove(e.id()));
-        long epoch = term * EPOCHS_A_TERM + ++counter;
+        chosen.forEach(e -> warmUp.joined(e.id()));
+        long epoch = nextEpoch();
         List<InstanceId> members = chosen.stream().map(Engine::id).toList();
         PlannedGroup g = new PlannedGroup("g" + epoch, epoch, model.name(), domain, members, now);
         groups.put(g.name(), g);
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/group/SpareWarmUp.java
@@ -0,0 +1,95 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.serving.config.EngineModel;
+import org.hallwall.serving.config.EngineSpec;
+import org.hallwall.serving.target.GroupMark;
+import org.hallwall.serving.target.GroupState;
+
+/**
+ * Lets spares load their host's model into the engine beforehand, by a group of which nobody else is told and that is never
+ * opened: an engine joins its next group of that model in a fraction of the time.
+ */
+final class SpareWarmUp {
+
+    private final LongSupplier nextEpoch;
+    private final Map<InstanceId, Long> epochs = new HashMap<>();
+
+    SpareWarmUp(LongSupplier nextEpoch) {
+        this.nextEpoch = nextEpoch;
+    }
+
+    /** Gives the orders that the spares of one fabric domain should have. */
+    List<GroupAction> step(EngineSpec spec, List<Engine> spares, Collection<Engine> engines) {
+        List<GroupAction> out = new ArrayList<>();
+        for (Engine e : spares) {
+            EngineModel model = stagedModel(spec, e);
+            if (model == null || model.name().equals(e.record().model()) || isJoining(e)) {
+                continue;
+            }
+            List<InstanceId> members = members(e, model, engines);
+            if (members.size() == model.size()) {
+                long epoch = epochs.computeIfAbsent(e.id(), id -> nextEpoch.getAsLong());
+                TargetOrder join = new TargetOrder.Join("w" + epoch, epoch, model.name(), members);
+                out.add(new GroupAction(e, join, "a spare gets its model ready"));
+            }
+        }
+        return out;
+    }
+
+    /** Notes that an engine was given to a group; its next group of one needs a higher epoch. */
+    void joined(InstanceId engine) {
+        epochs.remove(engine);
+    }
+
+    private static List<InstanceId> members(Engine e, EngineModel model, Collection<Engine> engines) {
+        List<InstanceId> out = new ArrayList<>();
+        out.add(e.id());
+        for (Engine other : engines) {
+            boolean near = e.record().fabricDomain().equals(other.record().fabricDomain());
+            if (near && !other.id().equals(e.id()) && out.size() < model.size()) {
+                out.add(other.id());
+            }
+        }
+        return out;
+    }
+
+    private static EngineModel stagedModel(EngineSpec spec, Engine e) {
+        for (EngineModel m : spec.models()) {
+            if (e.hasStaged(m.name())) {
+                return m;
+            }
+        }
+        return null;
+    }
+
+    private static boolean isJoining(Engine e) {
+        GroupMark m = e.record().group();
+        return m != null && m.state() == GroupState.JOINING;
+    }
+}
