--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -179,7 +179,11 @@
         long now = ticker.millis();
         long earliest = now + settings.noticeMillis();
         long latest = now + settings.stopMillis();
-        while (ticker.millis() < latest && (ticker.millis() < earliest || server.inFlight() > 0)) {
+        while (ticker.millis() < earliest) {
+            pause();
+        }
+        server.stopTaking();
+        while (ticker.millis() < latest && server.inFlight() > 0) {
             pause();
         }
         LOG.infof("entry: %s ends, %d requests are cut off", settings.instance(), server.inFlight());
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -61,11 +61,14 @@
     private static final int MOST_HEAD_BYTES = 131_072;
 
     private static final long NOT_CONFIGURED_MILLIS = 500;
+    /** When a caller comes back whom another entry can serve at once, in milliseconds. */
+    private static final long ELSEWHERE_MILLIS = 20;
 
     private final RelayContext context;
     private final AtomicInteger inFlight = new AtomicInteger();
     private DisposableServer server;
     private volatile boolean stopping;
+    private volatile boolean takingNothing;
 
     /**
      * Creates the server; {@link #open} opens its port.
@@ -117,6 +120,11 @@
         stopping = true;
     }
 
+    /** From now on requests are refused as not run: they could not be finished before the process ends. */
+    public void stopTaking() {
+        takingNothing = true;
+    }
+
     @Override
     public void close() {
         if (server != null) {
@@ -139,6 +147,9 @@
     }
 
     private Mono<Void> accept(HttpServerRequest req, HttpServerResponse res) throws RelayRefusal {
+        if (takingNothing) {
+            throw RelayRefusal.notRun("this entry ends", ELSEWHERE_MILLIS);
+        }
         RouteTable routes = context.state().routes();
         if (routes.configuration().version() == 0) {
             throw RelayRefusal.notRun("no configuration is known yet", NOT_CONFIGURED_MILLIS);
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -134,6 +134,10 @@
         return standing;
     }
 
+    RelayServer server() {
+        return server;
+    }
+
     int inFlight() {
         return server.inFlight();
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayTest.java
@@ -252,6 +252,32 @@
         Awaitility.await().until(() -> relay.inFlight() == 0);
     }
 
+    /** What comes late on a kept connection could not be finished; what is in progress is. */
+    @Test
+    void aStoppingEntryFinishesWhatItHasAndRefusesTheRest() throws Exception {
+        java.util.concurrent.CountDownLatch go = new java.util.concurrent.CountDownLatch(1);
+        ScriptedTarget t = target("app", (r, c) -> {
+            try {
+                go.await(10, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            c.send(WHOLE);
+        });
+        java.util.concurrent.CompletableFuture<HttpResponse<String>> first =
+                client.sendAsync(request("/non_idempotent/x").build(), HttpResponse.BodyHandlers.ofString());
+        Awaitility.await().until(() -> !t.requests().isEmpty());
+        relay.server().beginStop();
+        relay.server().stopTaking();
+        HttpResponse<String> second = get("/non_idempotent/y");
+        Assertions.assertEquals(503, second.statusCode());
+        Assertions.assertEquals(
+                "close", second.headers().firstValue("Connection").orElse(""));
+        go.countDown();
+        Assertions.assertEquals("hello", first.get(10, TimeUnit.SECONDS).body());
+        Assertions.assertEquals(1, t.requests().size());
+    }
+
     @ParameterizedTest
     @CsvSource({"/nowhere/x, secret, 404", "/idempotent/x, wrong, 401", "/stream/x, secret, 503"})
     void whatIsNotAllowedOrCannotBeServedIsToldClearly(String path, String key, int status) throws Exception {
