Attempts that reach nobody cost no repeat; first events get more patience

Ruled out: dead heads unknown to control (the controller was not told of them). Change: an attempt that never left is sent elsewhere without the budget, its target is paused and its head reported; the first event may take 0.8 of the objective before another group is tried. The test failed first (503 instead of 200 with an empty budget).

--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -26,16 +26,41 @@
     private static final long serialVersionUID = 1L;
 
     private final Verdict verdict;
+    private final boolean reached;
 
     /**
-     * Creates a failure.
+     * Creates the failure of an attempt that reached no target.
+     *
+     * @param reason why
+     * @return the failure
+     */
+    public static AttemptFailure notSent(String reason) {
+        return new AttemptFailure(Verdict.NOT_RUN, reason, false);
+    }
+
+    /**
+     * Creates the failure of an attempt that reached its target.
      *
      * @param verdict whether the target may have run the request
      * @param reason why
      */
     public AttemptFailure(Verdict verdict, String reason) {
+        this(verdict, reason, true);
+    }
+
+    private AttemptFailure(Verdict verdict, String reason, boolean reached) {
         super(reason, null, false, false);
         this.verdict = verdict;
+        this.reached = reached;
+    }
+
+    /**
+     * Says whether the request reached the target; one that did not is not repeated by being sent elsewhere.
+     *
+     * @return true if it did
+     */
+    public boolean hasReached() {
+        return reached;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
@@ -111,6 +111,9 @@
         context.counters().attempt(f.verdict().name());
         if (f.verdict() == Verdict.NOT_RUN) {
             turnedAway++;
+            if (!f.hasReached()) {
+                state.failed(context.now());
+            }
         } else {
             ran++;
             state.failed(context.now());
@@ -126,7 +129,7 @@
         boolean allowed = f.verdict() == Verdict.NOT_RUN
                 ? turnedAway <= MOST_TURNED_AWAY
                 : request.route().mayRepeat() && ran < request.route().attempts();
-        if (!allowed || !context.budget().tryRepeat()) {
+        if (!allowed || (f.hasReached() && !context.budget().tryRepeat())) {
             return end(f.getMessage());
         }
         return Mono.defer(this::attempt);
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -48,7 +48,7 @@
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int MOST_TURNED_AWAY = 3;
     /** The part of the latency objective that a target may take to its first event before another is tried. */
-    private static final double FIRST_PATIENCE = 0.5;
+    private static final double FIRST_PATIENCE = 0.8;
     /** The part of the longest pause that a target may stand still before another is tried. */
     private static final double PAUSE_PATIENCE = 0.5;
     /** How many usual gaps between a target's events are waited for its first event of a stream, or for a later one. */
@@ -202,6 +202,10 @@
         context.counters().attempt(f.verdict().name());
         if (f.verdict() == Verdict.NOT_RUN) {
             turnedAway++;
+            if (!f.hasReached()) {
+                a.state.failed(now);
+                report(a.target);
+            }
         } else {
             ran++;
             a.state.failed(now);
@@ -219,7 +223,7 @@
         boolean allowed = f.verdict() == Verdict.NOT_RUN
                 ? turnedAway <= MOST_TURNED_AWAY
                 : request.route().mayRepeat() && ran < request.route().attempts();
-        if (allowed && (moving || context.budget().tryRepeat())) {
+        if (allowed && (moving || !f.hasReached() || context.budget().tryRepeat())) {
             moving = false;
             resumed += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
             attempt();
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -123,8 +123,8 @@
     }
 
     private static AttemptFailure failure(Throwable e, boolean sent) {
-        Verdict verdict = sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
-        return new AttemptFailure(verdict, e.getClass().getSimpleName() + ": " + e.getMessage());
+        String reason = e.getClass().getSimpleName() + ": " + e.getMessage();
+        return sent ? new AttemptFailure(Verdict.MAY_HAVE_RUN, reason) : AttemptFailure.notSent(reason);
     }
 
     /**
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -58,7 +58,11 @@
     private long sequence;
 
     RelayFixture() throws ProgramException {
-        RepeatBudget budget = new RepeatBudget(0.2, 100, 10_000, Ticker.SYSTEM);
+        this(100);
+    }
+
+    RelayFixture(double repeats) throws ProgramException {
+        RepeatBudget budget = new RepeatBudget(0, repeats, 10_000, Ticker.SYSTEM);
         server = new RelayServer(new RelayContext(
                 state,
                 new Balancer("a", Ticker.SYSTEM),
@@ -126,6 +130,12 @@
         state.judge();
     }
 
+    /** A target says that it ends. */
+    void remove(String id) {
+        directory.take(directory.find(new InstanceId(id)).with(++sequence, TargetRecord.Presence.GONE));
+        state.judge();
+    }
+
     int port() {
         return server.port();
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayTest.java
@@ -142,6 +142,30 @@
         }
     }
 
+    /** A target that is gone costs nothing of the budget for repeats, and its head is reported. */
+    @ParameterizedTest
+    @CsvSource({"non_idempotent, app, 0", "stream, llm, 1"})
+    void whatNeverLeftIsTriedElsewhereWithoutABound(String kind, String service, int reports) throws Exception {
+        relay.close();
+        relay = new RelayFixture(0);
+        target(service, (r, c) -> {
+            if (service.equals("app")) {
+                c.send(WHOLE);
+            } else {
+                c.send(EVENTS).chunk(event(1)).send(LAST_CHUNK);
+            }
+        });
+        for (int i = 0; i < 20; i++) {
+            // each request may choose a target that is gone, and that was not tried before
+            ScriptedTarget gone = new ScriptedTarget((r, c) -> {});
+            gone.close();
+            relay.add(service, "gone-" + i, gone.port());
+            Assertions.assertEquals(200, get("/" + kind + "/x").statusCode());
+            relay.remove("gone-" + i);
+        }
+        Assertions.assertTrue(relay.standing().size() >= reports);
+    }
+
     @Test
     void whatRanNowhereIsRefusedAsNotRunWithATimeToComeBack() throws Exception {
         target("app", (r, c) -> c.send(NOT_RUN));
