--- a/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
@@ -27,17 +27,17 @@
 final class AdmissionWindow {
 
     /** A first event later than this part of its objective shrinks the window. */
-    private static final double LATE = 0.9;
+    private static final double LATE = 2;
     /** A first event earlier than this part of its objective lets the window grow. */
-    private static final double EARLY = 0.6;
+    private static final double EARLY = 1;
 
-    private static final double SHRINK = 0.75;
+    private static final double SHRINK = 0.85;
     /** The shortest time between two shrinkings, in milliseconds: about the life of a request's first event. */
     private static final long SHRINK_MILLIS = 300;
     /** The window's bound, in shares of the groups' slots that are this entry's by number; balancers are uneven. */
-    private static final double MOST_SHARES = 2;
-    /** Below this part of its share an entry always admits: half of the slots would stand idle. */
-    private static final double LEAST_SHARES = 0.55;
+    private static final double MOST_SHARES = 4;
+    /** Up to this part of its share an entry always admits: failure domains have few or many entries for their callers. */
+    private static final double LEAST_SHARES = 1.2;
 
     private double window = Double.MAX_VALUE;
     private int inProgress;
