Need for groups follows the streams in progress

Change: entries tell their streams in progress by model with their polls; the need for groups is the mean of the declared part and that of the streams. Tests: what is asked for gets the new engines.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -58,15 +58,13 @@
 public final class ControlNode implements Closeable {
 
     private static final Logger LOG = Logger.getLogger(ControlNode.class);
-    /** How long an entry counts after its last poll, in milliseconds: several polls. */
-    private static final long ENTRY_MILLIS = 3_000;
 
     private final ControlNodeSettings settings;
     private final ConfigurationReader reader;
     private final Ticker ticker = Ticker.SYSTEM;
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
-    private final Map<InstanceId, Long> entries = new ConcurrentHashMap<>();
+    private final EntryReports entries;
     private final TargetFeed feed;
     private final TargetDirectory directory;
     private final ConfigurationMachine machine;
@@ -88,6 +86,7 @@
     public ControlNode(ControlNodeSettings settings, ConfigurationReader reader) {
         this.settings = settings;
         this.reader = reader;
+        this.entries = new EntryReports(ticker);
         this.feed = new TargetFeed(ticker);
         this.directory = new TargetDirectory(ticker);
         this.machine = new ConfigurationMachine(feed::wake);
@@ -127,7 +126,14 @@
                 new SecureRandom(),
                 () -> Runtime.getRuntime().halt(ExitCode.FAILURE.code()));
         groups = new GroupController(
-                voter, directory, this::configuration, gateway, feed::markLost, settings.timing(), ticker);
+                voter,
+                directory,
+                this::configuration,
+                entries::streams,
+                gateway,
+                feed::markLost,
+                settings.timing(),
+                ticker);
         service = new ConfigurationService(
                 settings.self().instance(),
                 voter,
@@ -262,7 +268,7 @@
 
     private void follow(InstanceId id) {
         followers.computeIfAbsent(id, i -> {
-            FeedFollower f = new FeedFollower(i.value(), linkTo(i), true, () -> Long.MAX_VALUE, this::take);
+            FeedFollower f = new FeedFollower(i.value(), linkTo(i), true, () -> Long.MAX_VALUE, Map::of, this::take);
             f.start();
             return f;
         });
@@ -322,7 +328,7 @@
 
     private Mono<FeedMessage.News> answer(InstanceId from, FeedMessage.Poll poll) {
         if (poll.heardAfter() < 0) {
-            entries.put(from, ticker.millis());
+            entries.take(from, poll.streams());
         }
         return feed.await(poll, machine.held().version()).map(news -> news(poll));
     }
@@ -330,8 +336,6 @@
     private FeedMessage.News news(FeedMessage.Poll poll) {
         ConfigurationMachine.Held held = machine.held();
         byte[] packed = held.version() > poll.configurationVersion() ? held.packed() : null;
-        long now = ticker.millis();
-        entries.values().removeIf(at -> now - at > ENTRY_MILLIS);
-        return feed.news(poll).with(held.version(), packed, members(), entries.size());
+        return feed.news(poll).with(held.version(), packed, members(), entries.count());
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -86,6 +86,7 @@
     private final LogVoter voter;
     private final TargetDirectory directory;
     private final Supplier<Configuration> configuration;
+    private final Supplier<Map<String, Integer>> streams;
     private final TargetGateway gateway;
     private final Consumer<Set<InstanceId>> lostListener;
     private final ControllerTiming timing;
@@ -109,6 +110,7 @@
      * @param voter tells whether this instance leads
      * @param directory all targets
      * @param configuration gives the configuration in force
+     * @param streams gives the streams in progress by model, of all entries
      * @param gateway speaks to targets
      * @param lostListener told which targets are held for dead
      * @param timing the limits
@@ -118,6 +120,7 @@
             LogVoter voter,
             TargetDirectory directory,
             Supplier<Configuration> configuration,
+            Supplier<Map<String, Integer>> streams,
             TargetGateway gateway,
             Consumer<Set<InstanceId>> lostListener,
             ControllerTiming timing,
@@ -125,6 +128,7 @@
         this.voter = voter;
         this.directory = directory;
         this.configuration = configuration;
+        this.streams = streams;
         this.gateway = gateway;
         this.lostListener = lostListener;
         this.timing = timing;
@@ -207,10 +211,10 @@
         EngineSpec spec = service.engine();
         GroupPlan plan = plans.computeIfAbsent(service.name(), n -> new GroupPlan(term));
         StagingPlan staging = stagings.computeIfAbsent(service.name(), n -> new StagingPlan());
-        for (GroupAction a : plan.step(now, spec, engines)) {
+        for (GroupAction a : plan.step(now, spec, streams.get(), engines)) {
             give(now, a);
         }
-        for (StageOrder o : staging.step(now, spec, plan.free(engines), engines)) {
+        for (StageOrder o : staging.step(now, spec, streams.get(), plan.free(engines), engines)) {
             load(now, spec, staging, o);
         }
         report(now, service.name(), plan, engines);
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -82,17 +82,19 @@
      *
      * @param now the clock in milliseconds
      * @param spec what is known of the service's engines
+     * @param streams the streams in progress by model
      * @param engines all engines of the service
      * @return the orders that engines should have
      */
-    public List<GroupAction> step(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
+    public List<GroupAction> step(
+            long now, EngineSpec spec, Map<String, Integer> streams, Map<InstanceId, Engine> engines) {
         actions = new ArrayList<>();
         adopt(now, spec, engines);
         for (PlannedGroup g : List.copyOf(groups.values())) {
             review(now, spec, g, engines);
         }
         leaveSilentHeads(engines);
-        form(now, spec, engines);
+        form(now, new ModelNeed(spec, streams), engines);
         free(engines).values().forEach(spares -> actions.addAll(warmUp.step(spec, spares, engines.values())));
         return actions;
     }
@@ -340,8 +342,7 @@
         return null;
     }
 
-    private void form(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
-        ModelNeed need = new ModelNeed(spec);
+    private void form(long now, ModelNeed need, Map<InstanceId, Engine> engines) {
         groups.values().forEach(g -> need.add(g.model(), 1));
         for (Map.Entry<String, List<Engine>> domain : free(engines).entrySet()) {
             List<Engine> left = new ArrayList<>(domain.getValue());
--- a/serving/src/main/java/org/hallwall/serving/group/ModelNeed.java
+++ b/serving/src/main/java/org/hallwall/serving/group/ModelNeed.java
@@ -30,20 +30,40 @@
     /** Keeps the need of a model without any group finite, and above that of all others. */
     private static final double NONE_YET = 0.25;
 
+    /** Below this many streams in progress what is asked for is not yet known. */
+    private static final int FEW_STREAMS = 12;
+
     private final EngineSpec spec;
+    private final Map<String, Integer> streams;
     private final Map<String, Integer> groups = new HashMap<>();
 
-    ModelNeed(EngineSpec spec) {
+    ModelNeed(EngineSpec spec, Map<String, Integer> streams) {
         this.spec = spec;
+        this.streams = streams;
     }
 
     void add(String model, int count) {
         groups.merge(model, count, Integer::sum);
     }
 
-    /** A model's part of the work, in engines, against the groups that it has. */
+    /** A model's part of the groups that are wanted, against the groups that it has. */
     double of(EngineModel m) {
-        return m.share() / m.size() / (groups.getOrDefault(m.name(), 0) + NONE_YET);
+        return wanted(m) / (groups.getOrDefault(m.name(), 0) + NONE_YET);
+    }
+
+    /** The mean of what is declared and what is asked for: streams in progress fill the slots of groups. */
+    private double wanted(EngineModel m) {
+        double allDeclared = 0;
+        int allStreams = 0;
+        for (EngineModel other : spec.models()) {
+            allDeclared += other.share() / other.size();
+            allStreams += streams.getOrDefault(other.name(), 0);
+        }
+        double declared = m.share() / m.size() / allDeclared;
+        if (allStreams < FEW_STREAMS) {
+            return declared;
+        }
+        return (declared + (double) streams.getOrDefault(m.name(), 0) / allStreams) / 2;
     }
 
     EngineSpec spec() {
--- a/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
@@ -51,16 +51,21 @@
      *
      * @param now the clock in milliseconds
      * @param spec what is known of the service's engines
+     * @param streams the streams in progress by model
      * @param free the free engines by fabric domain
      * @param engines all engines of the service
      * @return the engines whose hosts should load a model, the most useful first
      */
     public List<StageOrder> step(
-            long now, EngineSpec spec, Map<String, List<Engine>> free, Map<InstanceId, Engine> engines) {
+            long now,
+            EngineSpec spec,
+            Map<String, Integer> streams,
+            Map<String, List<Engine>> free,
+            Map<InstanceId, Engine> engines) {
         forget(now, free, engines);
         assigned.keySet().retainAll(begun);
         Map<String, Map<String, Integer>> held = held(spec, engines);
-        ModelNeed need = new ModelNeed(spec);
+        ModelNeed need = new ModelNeed(spec, streams);
         held.values().forEach(byModel -> {
             for (EngineModel m : spec.models()) {
                 need.add(m.name(), byModel.getOrDefault(m.name(), 0) / m.size());
--- a/serving/src/main/java/org/hallwall/serving/relay/Admission.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Admission.java
@@ -21,11 +21,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
-/** The admission windows of an entry, one for each service and model; used on the I/O thread only. */
+/** The admission windows of an entry, one for each model; places are taken on the I/O thread only. */
 public final class Admission {
 
-    private final Map<String, AdmissionWindow> windows = new HashMap<>();
+    private final Map<String, AdmissionWindow> windows = new ConcurrentHashMap<>();
     private volatile int entries = 1;
 
     /**
@@ -45,9 +46,19 @@
      * @return the window with the place taken, or null if the request is not admitted
      */
     AdmissionWindow enter(RelayRequest request, List<ServingTarget> targets) {
-        AdmissionWindow w =
-                windows.computeIfAbsent(request.service() + " " + request.model(), k -> new AdmissionWindow());
+        AdmissionWindow w = windows.computeIfAbsent(String.valueOf(request.model()), k -> new AdmissionWindow());
         int slots = targets.stream().mapToInt(ServingTarget::slots).sum();
         return w.tryEnter(slots, entries) ? w : null;
     }
+
+    /**
+     * Counts the streams in progress.
+     *
+     * @return how many by model
+     */
+    public Map<String, Integer> streams() {
+        Map<String, Integer> out = new HashMap<>();
+        windows.forEach((model, w) -> out.put(model, w.inProgress()));
+        return out;
+    }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
@@ -40,7 +40,7 @@
     private static final double LEAST_SHARES = 1.2;
 
     private double window = Double.MAX_VALUE;
-    private int inProgress;
+    private volatile int inProgress;
     private long shrunkAt = Long.MIN_VALUE / 2;
 
     /**
@@ -81,6 +81,10 @@
         }
     }
 
+    int inProgress() {
+        return inProgress;
+    }
+
     double window() {
         return window;
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -226,6 +226,7 @@
                         link,
                         false,
                         this::receivedVersion,
+                        admission::streams,
                         onDuty(news -> take(m.instance().value(), news)));
                 followers.put(m.instance(), f);
                 f.start();
--- a/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
@@ -20,9 +20,11 @@
 
 import java.io.Closeable;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.hallwall.wire.PeerLink;
 import org.jboss.logging.Logger;
@@ -44,6 +46,7 @@
     private final PeerLink link;
     private final boolean wantsHeartbeats;
     private final LongSupplier configurationVersion;
+    private final Supplier<Map<String, Integer>> streams;
     private final Consumer<FeedMessage.News> consumer;
     private String boot = "";
     private long after;
@@ -60,6 +63,7 @@
      * @param link the link to it
      * @param wantsHeartbeats whether heartbeats without changes are wanted
      * @param configurationVersion gives the version that is known already
+     * @param streams gives the streams in progress by model
      * @param consumer takes the news; called in order
      */
     public FeedFollower(
@@ -67,11 +71,13 @@
             PeerLink link,
             boolean wantsHeartbeats,
             LongSupplier configurationVersion,
+            Supplier<Map<String, Integer>> streams,
             Consumer<FeedMessage.News> consumer) {
         this.name = name;
         this.link = link;
         this.wantsHeartbeats = wantsHeartbeats;
         this.configurationVersion = configurationVersion;
+        this.streams = streams;
         this.consumer = consumer;
     }
 
@@ -112,7 +118,12 @@
             return;
         }
         FeedMessage.Poll poll = new FeedMessage.Poll(
-                boot, after, wantsHeartbeats ? heardAfter : -1, configurationVersion.getAsLong(), WAIT_MILLIS);
+                boot,
+                after,
+                wantsHeartbeats ? heardAfter : -1,
+                configurationVersion.getAsLong(),
+                WAIT_MILLIS,
+                streams.get());
         current = link.call(poll, ANSWER_TIMEOUT).cast(FeedMessage.News.class).subscribe(this::take, this::lost);
     }
 
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.target;
 
 import java.util.List;
+import java.util.Map;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
@@ -50,8 +51,15 @@
      * @param heardAfter the last heartbeat that the asker has; negative if it wants none
      * @param configurationVersion the version that the asker has
      * @param waitMillis the longest wait, in milliseconds
+     * @param streams the asker's streams in progress by model
      */
-    record Poll(String boot, long after, long heardAfter, long configurationVersion, long waitMillis)
+    record Poll(
+            String boot,
+            long after,
+            long heardAfter,
+            long configurationVersion,
+            long waitMillis,
+            Map<String, Integer> streams)
             implements FeedMessage {}
 
     /**
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -73,7 +73,7 @@
     }
 
     private List<GroupAction> step() {
-        return plan.step(now, SPEC, engines);
+        return plan.step(now, SPEC, Map.of(), engines);
     }
 
     private static <T> List<GroupAction> of(List<GroupAction> actions, Class<T> type) {
--- a/serving/src/test/java/org/hallwall/serving/group/StagingPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/StagingPlanTest.java
@@ -80,7 +80,7 @@
                 engine("d" + d, n, null);
             }
         }
-        List<StageOrder> actions = new StagingPlan().step(0, SPEC, free, engines);
+        List<StageOrder> actions = new StagingPlan().step(0, SPEC, Map.of(), free, engines);
         Map<String, Integer> counts = counts(actions);
         Assertions.assertEquals(54, actions.size());
         Assertions.assertTrue(counts.get("big") / 4 >= 6, counts.toString());
@@ -94,7 +94,7 @@
         List<StageOrder> actions = List.of();
         for (int n = 0; n < 9; n++) {
             engine("d0", n, null);
-            actions = plan.step(n, SPEC, free, engines);
+            actions = plan.step(n, SPEC, Map.of(), free, engines);
         }
         Map<String, Integer> counts = counts(actions);
         Assertions.assertEquals(9, actions.size());
@@ -109,8 +109,8 @@
         engine("d0", 2, "small");
         engine("d0", 3, "small");
         StagingPlan plan = new StagingPlan();
-        plan.step(0, SPEC, free, engines);
-        List<StageOrder> actions = plan.step(later, SPEC, free, engines);
+        plan.step(0, SPEC, Map.of(), free, engines);
+        List<StageOrder> actions = plan.step(later, SPEC, Map.of(), free, engines);
         Assertions.assertEquals(loads, counts(actions).getOrDefault("small", 0));
     }
 
@@ -122,7 +122,8 @@
             engine("d0", n, model);
         }
         engine("d0", 8, null);
-        StageOrder order = new StagingPlan().step(0, SPEC, free, engines).get(0);
+        StageOrder order =
+                new StagingPlan().step(0, SPEC, Map.of(), free, engines).get(0);
         Assertions.assertEquals(model, order.model());
         Assertions.assertEquals(1, order.missing());
     }
@@ -136,8 +137,21 @@
             engine("d1", n, "big");
         }
         engine("d1", 9, null);
-        List<StageOrder> orders = new StagingPlan().step(0, SPEC, free, engines);
+        List<StageOrder> orders = new StagingPlan().step(0, SPEC, Map.of(), free, engines);
         Assertions.assertEquals(new InstanceId("d19"), orders.get(0).target().id());
         Assertions.assertTrue(orders.get(1).isSpare());
     }
+
+    /** The model with more streams in progress for its groups gets the new engines. */
+    @ParameterizedTest
+    @CsvSource({"60, 20, big", "20, 60, small"})
+    void whatIsAskedForGetsTheNewEngines(int big, int small, String expected) {
+        for (int n = 0; n < 5; n++) {
+            engine("d0", n, null);
+        }
+        Map<String, Integer> streams = Map.of("big", big, "small", small);
+        Map<String, Integer> counts = counts(new StagingPlan().step(0, SPEC, streams, free, engines));
+        int least = expected.equals("big") ? 4 : 3;
+        Assertions.assertTrue(counts.getOrDefault(expected, 0) >= least, counts.toString());
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/target/TargetFeedTest.java
+++ b/serving/src/test/java/org/hallwall/serving/target/TargetFeedTest.java
@@ -50,7 +50,7 @@
     }
 
     private static FeedMessage.Poll poll(String boot, long after) {
-        return new FeedMessage.Poll(boot, after, 0, 0, 50);
+        return new FeedMessage.Poll(boot, after, 0, 0, 50, java.util.Map.of());
     }
 
     @ParameterizedTest
@@ -90,7 +90,8 @@
         waiting.subscribe();
         feed.announce(record(2, TargetRecord.Presence.SERVING));
         Assertions.assertEquals(Boolean.FALSE, waiting.block(Duration.ofSeconds(5)));
-        FeedMessage.News next = feed.news(new FeedMessage.Poll(first.boot(), first.next(), first.heardNext(), 0, 50));
+        FeedMessage.News next = feed.news(
+                new FeedMessage.Poll(first.boot(), first.next(), first.heardNext(), 0, 50, java.util.Map.of()));
         Assertions.assertTrue(next.records().isEmpty());
         Assertions.assertEquals(List.of(new InstanceId("i-1")), next.heard());
     }
