--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -38,6 +38,7 @@
 import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.config.ConfigurationReader;
+import org.hallwall.serving.group.ControllerView;
 import org.hallwall.serving.group.GroupController;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.target.FeedFollower;
@@ -125,15 +126,8 @@
                 ticker,
                 new SecureRandom(),
                 () -> Runtime.getRuntime().halt(ExitCode.FAILURE.code()));
-        groups = new GroupController(
-                voter,
-                directory,
-                this::configuration,
-                entries::streams,
-                gateway,
-                feed::markLost,
-                settings.timing(),
-                ticker);
+        ControllerView view = new ControllerView(directory, this::configuration, entries::streams);
+        groups = new GroupController(voter, view, gateway, feed::markLost, settings.timing(), ticker);
         service = new ConfigurationService(
                 settings.self().instance(),
                 voter,
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -28,17 +28,14 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 
 import org.hallwall.core.duty.DutyThread;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.log.LogVoter;
-import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.EngineSpec;
 import org.hallwall.serving.config.TargetService;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
-import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.serving.target.TargetDirectory.KnownTarget;
 import org.hallwall.serving.target.TargetRecord;
 import org.jboss.logging.Logger;
@@ -84,9 +81,7 @@
     private static final long REPORT_MILLIS = 2_000;
 
     private final LogVoter voter;
-    private final TargetDirectory directory;
-    private final Supplier<Configuration> configuration;
-    private final Supplier<Map<String, Integer>> streams;
+    private final ControllerView view;
     private final TargetGateway gateway;
     private final Consumer<Set<InstanceId>> lostListener;
     private final ControllerTiming timing;
@@ -108,9 +103,7 @@
      * Creates a controller; {@link #start()} starts it.
      *
      * @param voter tells whether this instance leads
-     * @param directory all targets
-     * @param configuration gives the configuration in force
-     * @param streams gives the streams in progress by model, of all entries
+     * @param view what it looks at
      * @param gateway speaks to targets
      * @param lostListener told which targets are held for dead
      * @param timing the limits
@@ -118,17 +111,13 @@
      */
     public GroupController(
             LogVoter voter,
-            TargetDirectory directory,
-            Supplier<Configuration> configuration,
-            Supplier<Map<String, Integer>> streams,
+            ControllerView view,
             TargetGateway gateway,
             Consumer<Set<InstanceId>> lostListener,
             ControllerTiming timing,
             Ticker ticker) {
         this.voter = voter;
-        this.directory = directory;
-        this.configuration = configuration;
-        this.streams = streams;
+        this.view = view;
         this.gateway = gateway;
         this.lostListener = lostListener;
         this.timing = timing;
@@ -194,9 +183,9 @@
         if (!settled || now - startedAt < timing.hearAllMillis()) {
             return;
         }
-        List<KnownTarget> all = new ArrayList<>(directory.list());
+        List<KnownTarget> all = new ArrayList<>(view.directory().list());
         markLost(now, all);
-        for (TargetService s : configuration.get().engineServices().values()) {
+        for (TargetService s : view.configuration().get().engineServices().values()) {
             stepService(now, s, all);
         }
     }
@@ -211,14 +200,14 @@
         EngineSpec spec = service.engine();
         GroupPlan plan = plans.computeIfAbsent(service.name(), n -> new GroupPlan(term));
         StagingPlan staging = stagings.computeIfAbsent(service.name(), n -> new StagingPlan());
-        for (GroupAction a : plan.step(now, spec, streams.get(), engines)) {
+        for (GroupAction a : plan.step(now, spec, view.streams().get(), engines)) {
             give(now, a);
         }
-        for (StageOrder o : staging.step(now, spec, streams.get(), plan.free(engines), engines)) {
+        for (StageOrder o : staging.step(now, spec, view.streams().get(), plan.free(engines), engines)) {
             load(now, spec, staging, o);
         }
         report(now, service.name(), plan, engines);
-        sent.keySet().removeIf(id -> directory.find(id) == null);
+        sent.keySet().removeIf(id -> view.directory().find(id) == null);
         endLoads(engines);
     }
 
@@ -346,7 +335,7 @@
     }
 
     private void probeOne(InstanceId id, String group) {
-        TargetRecord r = directory.find(id);
+        TargetRecord r = view.directory().find(id);
         if (r == null) {
             return;
         }
