--- a/log/src/test/java/org/hallwall/log/LogSimulation.java
+++ b/log/src/test/java/org/hallwall/log/LogSimulation.java
@@ -231,7 +231,7 @@
         return new ArrayList<>(voters.values()).get(random.nextInt(voters.size()));
     }
 
-    /** Without disturbance a leader must emerge, every folder be admitted, and all voters agree. */
+    /** Without faults a leader must emerge, every folder be admitted, and all voters agree. */
     private void settle() {
         calm = true;
         cutOff.clear();
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -60,6 +60,9 @@
     /** What the decoder takes of a request's head, in bytes; the configuration's lower limit is checked afterwards. */
     private static final int MOST_HEAD_BYTES = 131_072;
 
+    /** How long connections may take to close; what is in progress was finished before. */
+    private static final Duration CLOSE = Duration.ofMillis(200);
+    /** When a caller comes back whose entry has just started, in milliseconds. */
     private static final long NOT_CONFIGURED_MILLIS = 500;
     /** When a caller comes back whom another entry can serve at once, in milliseconds. */
     private static final long ELSEWHERE_MILLIS = 20;
@@ -128,7 +131,7 @@
     @Override
     public void close() {
         if (server != null) {
-            server.disposeNow(Duration.ofMillis(200));
+            server.disposeNow(CLOSE);
         }
     }
 
