Streams leave a standing head only when its group has lost a member

Of 120 failed attempts in the logs of two entries 108 were "it stands still", some 30 of them for groups that had really lost a member; the same heads are named again and again while they answer every probe. A pass of the head that reads prompts of 5,000 tokens takes 170 ms and more, the patience was 150. Each such move makes another head slower, takes from the repeat budget and pauses a sound head. Ruled out: late groups (from the loss of a member to the order to open 0.4 to 0.6 s with warm spares in the same logs). Change: an entry asks the group controller about a silent head earlier (0.33 of the longest pause instead of 0.5), the controller probes all members, and the stream leaves only if one does not answer, if nobody answers within 60 ms, or if even a working head is silent for one and a half of the longest pause. Questions within 50 ms share one round of probes (GroupProbes, taken out of GroupController).

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -315,7 +315,7 @@
         }
         if (message instanceof FeedMessage.StandingHead m && groups != null) {
             LOG.infof("groups: entry %s reports that head %s of %s stands still", from, m.head(), m.group());
-            groups.standing(m);
+            return groups.standing(m).map(found -> new FeedMessage.HeadFinding(m.group(), found));
         }
         return Mono.empty();
     }
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -36,9 +36,11 @@
 import org.hallwall.serving.config.EngineSpec;
 import org.hallwall.serving.config.TargetService;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.TargetDirectory.KnownTarget;
 import org.hallwall.serving.target.TargetRecord;
 import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
 
 /**
  * Controls the groups while this voter leads. The leader's term is the fencing token; a lease check goes before each round of
@@ -59,10 +61,6 @@
     private static final long LOAD_TAKEN_MILLIS = 45_000;
 
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(300);
-    /** How long an engine may take to answer a probe; several times a round trip and the time of its answer. */
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(250);
-
-    private static final long PROBE_AGAIN_MILLIS = 500;
     /** An engine that was silent for this many heartbeats gets no new work. */
     private static final double SILENT_HEARTBEATS = 2.5;
     /** An engine that was silent for this long is held for dead, in milliseconds; a cut one may still serve before. */
@@ -91,7 +89,7 @@
     private final Map<String, StagingPlan> stagings = new HashMap<>();
     private final Map<InstanceId, Sent> sent = new HashMap<>();
     private final Map<InstanceId, Long> unanswered = new HashMap<>();
-    private final Map<String, Long> probed = new HashMap<>();
+    private final GroupProbes probes;
     private final LoadPacer pacer = new LoadPacer();
     private final long startedAt;
     private long term = -1;
@@ -122,6 +120,7 @@
         this.lostListener = lostListener;
         this.timing = timing;
         this.ticker = ticker;
+        this.probes = new GroupProbes(gateway, view.directory(), this::noAnswer, ticker);
         this.startedAt = ticker.millis();
         this.duty = new DutyThread("groups", RING, TICK_MILLIS, this::tick);
     }
@@ -137,12 +136,18 @@
     }
 
     /**
-     * Takes a report of a head whose streams stand still.
+     * Finds out whether a head whose streams stand still has lost a member.
      *
      * @param report the report
+     * @return what was found; never an error
      */
-    public void standing(StandingHead report) {
-        duty.offer(() -> probe(report));
+    public Mono<GroupLiveness> standing(StandingHead report) {
+        return Mono.create(sink -> {
+            if (!duty.offer(() -> probe(report).subscribe(sink::success))) {
+                LOG.warnf("groups: too busy to ask the members of %s", report.group());
+                sink.success(GroupLiveness.UNKNOWN);
+            }
+        });
     }
 
     @Override
@@ -320,31 +325,23 @@
         }
     }
 
-    private void probe(StandingHead report) {
-        long now = ticker.millis();
-        if (!voter.holdsLease()
-                || now - probed.getOrDefault(report.group(), -PROBE_AGAIN_MILLIS) < PROBE_AGAIN_MILLIS) {
-            return;
+    private Mono<GroupLiveness> probe(StandingHead report) {
+        if (!voter.holdsLease()) {
+            return Mono.just(GroupLiveness.UNKNOWN);
         }
-        probed.put(report.group(), now);
         for (GroupPlan plan : plans.values()) {
-            for (InstanceId id : plan.members(report.group())) {
-                probeOne(id, report.group());
+            List<InstanceId> members = plan.members(report.group());
+            if (!members.isEmpty()) {
+                return probes.ask(report.group(), members);
             }
         }
+        return Mono.just(GroupLiveness.UNKNOWN);
     }
 
-    private void probeOne(InstanceId id, String group) {
-        TargetRecord r = view.directory().find(id);
-        if (r == null) {
-            return;
-        }
-        gateway.answers(r, PROBE_TIMEOUT).filter(ok -> !ok).subscribe(no -> {
-            LOG.warnf("groups: %s of group %s does not answer, it is held for dead", id, group);
-            duty.offer(() -> {
-                unanswered.put(id, ticker.millis());
-                tick();
-            });
+    private void noAnswer(InstanceId id) {
+        duty.offer(() -> {
+            unanswered.put(id, ticker.millis());
+            tick();
         });
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -20,6 +20,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -42,11 +43,16 @@
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
+import org.hallwall.serving.target.FeedMessage.HeadFinding;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.wire.PeerCodec;
+import org.hallwall.wire.PeerException;
 import org.hallwall.wire.PeerLink;
 import org.jboss.logging.Logger;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
 /** An entry: it follows all control instances and relays callers' requests. */
@@ -57,8 +63,8 @@
     private static final long TICK_MILLIS = 1_000;
     /** Links to control instances at most; more would only cost bytes. */
     private static final int MOST_LINKS = 8;
-    /** The shortest time between two reports of one group, in milliseconds: about a probe and its answer. */
-    private static final long REPORT_MILLIS = 300;
+    /** How long the group controller may take to answer about a head: its probes and the way there and back. */
+    private static final Duration FINDING_TIMEOUT = Duration.ofMillis(400);
     /** The pause between polls of the requests in progress while stopping, in milliseconds. */
     private static final long STOP_POLL_MILLIS = 50;
 
@@ -76,7 +82,6 @@
     private final RelayServer server;
     private final DutyThread duty;
     private final Map<String, String> boots = new HashMap<>();
-    private final Map<String, Long> reported = new HashMap<>();
     private final AtomicLong received = new AtomicLong();
     private volatile long heardSince = -1;
     private volatile boolean hadTargets;
@@ -103,7 +108,7 @@
                 budget,
                 new ForwardedHeaders(names),
                 names,
-                this::report,
+                new StandingHeads(this::ask, ticker),
                 admission,
                 new StreamWatch(),
                 new RelayCounts(registry),
@@ -286,16 +291,18 @@
         }
     }
 
-    /** Called on the I/O thread. */
-    private void report(StandingHead report) {
-        long now = ticker.millis();
-        if (now - reported.getOrDefault(report.group(), -REPORT_MILLIS) < REPORT_MILLIS) {
-            return;
-        }
-        reported.values().removeIf(at -> now - at > REPORT_MILLIS);
-        reported.put(report.group(), now);
-        LOG.infof("entry: head %s of %s stands still", report.head(), report.group());
-        links.values().forEach(l -> l.send(report));
+    /** Asks all control instances about a head; the one that controls the groups knows. */
+    private Mono<GroupLiveness> ask(StandingHead head) {
+        return Flux.fromIterable(List.copyOf(links.values()))
+                .flatMap(l -> l.call(head, FINDING_TIMEOUT).onErrorResume(PeerException.class, e -> {
+                    LOG.debugf("entry: no answer about %s, %s", head.group(), e.getMessage());
+                    return Mono.empty();
+                }))
+                .ofType(HeadFinding.class)
+                .map(HeadFinding::liveness)
+                .filter(found -> found != GroupLiveness.UNKNOWN)
+                .next()
+                .defaultIfEmpty(GroupLiveness.UNKNOWN);
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -18,10 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
-import java.util.function.Consumer;
-
 import org.hallwall.core.time.Ticker;
-import org.hallwall.serving.target.FeedMessage.StandingHead;
 
 /**
  * What the runs of requests share.
@@ -32,7 +29,7 @@
  * @param budget bounds repeats
  * @param headers copies headers
  * @param names the names of the headers
- * @param standing reports a head whose streams stand still
+ * @param standing judges heads whose streams stand still
  * @param admission bounds the streams in progress
  * @param watch looks at streams in progress
  * @param counters counts outcomes
@@ -45,7 +42,7 @@
         RepeatBudget budget,
         ForwardedHeaders headers,
         HeaderNames names,
-        Consumer<StandingHead> standing,
+        StandingHeads standing,
         Admission admission,
         StreamWatch watch,
         RelayCounts counters,
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/StandingHeads.java
@@ -0,0 +1,125 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.hallwall.core.time.Ticker;
+import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.GroupLiveness;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+
+/**
+ * Tells heads whose group has lost a member from heads that work long on what they were given. Both look alike to an entry, but
+ * a stream that leaves a working head costs its prompt a second time. Used on the I/O thread only.
+ */
+public final class StandingHeads {
+
+    private static final Logger LOG = Logger.getLogger(StandingHeads.class);
+    /**
+     * How long the controller's answer is awaited, in milliseconds: some 10 ms for three hops and two new connections, and the
+     * scheduling of a control instance that has less than half a core.
+     */
+    private static final long ANSWER_MILLIS = 60;
+    /** The shortest time between two reports of a group that nobody waits for, in milliseconds. */
+    private static final long REPORT_MILLIS = 300;
+    /** How long a question is remembered, in milliseconds; longer than any silence. */
+    private static final long FORGET_MILLIS = 10_000;
+
+    private final Function<StandingHead, Mono<GroupLiveness>> controller;
+    private final Ticker ticker;
+    private final Map<String, Question> questions = new HashMap<>();
+
+    /**
+     * Creates it.
+     *
+     * @param controller asks the group controller; never an error
+     * @param ticker the clock
+     */
+    public StandingHeads(Function<StandingHead, Mono<GroupLiveness>> controller, Ticker ticker) {
+        this.controller = controller;
+        this.ticker = ticker;
+    }
+
+    /**
+     * Says whether a stream should leave a silent head; the first call of a silence asks the controller.
+     *
+     * @param head the head
+     * @param silentSince when it was last heard
+     * @param mostMillis the silence after which even a head that works is left
+     * @return true if it lost a member, or if nobody knows
+     */
+    boolean shouldLeave(StandingHead head, long silentSince, long mostMillis) {
+        long now = ticker.millis();
+        Question q = questions.get(head.group());
+        if (q == null || q.askedAt <= silentSince) {
+            ask(head, now);
+            return false;
+        }
+        switch (q.answer) {
+            case WORKING:
+                return now - silentSince > mostMillis;
+            case LOST:
+                return true;
+            default:
+                return q.answered || now - q.askedAt >= ANSWER_MILLIS;
+        }
+    }
+
+    /**
+     * Reports a head that cannot be reached, and awaits no answer.
+     *
+     * @param head the head
+     */
+    void report(StandingHead head) {
+        long now = ticker.millis();
+        Question q = questions.get(head.group());
+        if (q == null || now - q.askedAt >= REPORT_MILLIS) {
+            ask(head, now);
+        }
+    }
+
+    private void ask(StandingHead head, long now) {
+        questions.values().removeIf(q -> now - q.askedAt > FORGET_MILLIS);
+        Question q = new Question(now);
+        questions.put(head.group(), q);
+        controller.apply(head).defaultIfEmpty(GroupLiveness.UNKNOWN).subscribe(answer -> {
+            LOG.infof(
+                    "head %s of %s stands still, the controller says %s after %d ms",
+                    head.head(), head.group(), answer, ticker.millis() - now);
+            q.answer = answer;
+            q.answered = true;
+        });
+    }
+
+    /** A question to the controller; the answer comes on another thread. */
+    private static final class Question {
+
+        private final long askedAt;
+        private volatile GroupLiveness answer = GroupLiveness.UNKNOWN;
+        private volatile boolean answered;
+
+        Question(long askedAt) {
+            this.askedAt = askedAt;
+        }
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -47,15 +47,19 @@
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int MOST_TURNED_AWAY = 3;
-    /** The part of the latency objective that a target may take to its first event before another is tried. */
-    private static final double FIRST_PATIENCE = 0.8;
-    /** The part of the longest pause that a target may stand still before another is tried. */
-    private static final double PAUSE_PATIENCE = 0.5;
+    /** The part of the latency objective that a target may take to its first event before its group is asked about. */
+    private static final double FIRST_PATIENCE = 0.4;
+    /** The part of the longest pause that a target may stand still before its group is asked about. */
+    private static final double PAUSE_PATIENCE = 0.33;
     /** How many usual gaps between a target's events are waited for its first event of a stream, or for a later one. */
-    private static final double FIRST_GAPS = 4;
+    private static final double FIRST_GAPS = 3;
 
-    private static final double PAUSE_GAPS = 3;
-    private static final long LEAST_PATIENCE_MILLIS = 80;
+    private static final double PAUSE_GAPS = 2;
+    private static final long LEAST_PATIENCE_MILLIS = 60;
+    /** How many times the patience a stream stays with a head that works: to one and a half of the longest pause. */
+    private static final double WORKING_PATIENCES = 4.5;
+    /** How many times the patience a stream stays with a target that is no group's head: nobody can be asked about it. */
+    private static final double ALONE_PATIENCES = 1.5;
 
     private final RelayContext context;
     private final RelayRequest request;
@@ -158,13 +162,20 @@
             return;
         }
         long seen = Math.max(progressAt, a.state.progressAt());
-        if (now - seen > patience(a) && canMove(a, now)) {
-            report(a.target);
+        if (now - seen > patience(a) && shouldLeave(a, seen, now) && canMove(a, now)) {
             moving = true;
             a.fail(new AttemptFailure(Verdict.MAY_HAVE_RUN, "it stands still for " + (now - seen) + " ms"));
         }
     }
 
+    private boolean shouldLeave(Attempt a, long seen, long now) {
+        StandingHead head = head(a.target);
+        if (head == null) {
+            return now - seen > patience(a) * ALONE_PATIENCES;
+        }
+        return context.standing().shouldLeave(head, seen, (long) (patience(a) * WORKING_PATIENCES));
+    }
+
     /** A standing stream is left only if the route, another target and the budget allow it; waiting costs nothing. */
     private boolean canMove(Attempt a, long now) {
         if (!request.route().mayRepeat() || ran + 1 >= request.route().attempts()) {
@@ -189,12 +200,10 @@
         return Math.max(LEAST_PATIENCE_MILLIS, (long) Math.max(most, usual));
     }
 
-    private void report(ServingTarget t) {
-        if (t.group() != null) {
-            context.standing()
-                    .accept(new StandingHead(
-                            t.instance(), t.group().name(), t.group().epoch()));
-        }
+    private static StandingHead head(ServingTarget t) {
+        return t.group() == null
+                ? null
+                : new StandingHead(t.instance(), t.group().name(), t.group().epoch());
     }
 
     private void failed(Attempt a, AttemptFailure f) {
@@ -204,7 +213,7 @@
             turnedAway++;
             if (!f.hasReached()) {
                 a.state.failed(now);
-                report(a.target);
+                reportUnreachable(a.target);
             }
         } else {
             ran++;
@@ -232,6 +241,13 @@
         }
     }
 
+    private void reportUnreachable(ServingTarget t) {
+        StandingHead head = head(t);
+        if (head != null) {
+            context.standing().report(head);
+        }
+    }
+
     private void giveUp(String reason) {
         if (done) {
             return;
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -40,7 +40,8 @@
                 .add(62, MembersQuestion.class)
                 .add(63, Members.class)
                 .add(64, StandingHead.class)
-                .add(65, JoinRequest.class);
+                .add(65, JoinRequest.class)
+                .add(66, HeadFinding.class);
     }
 
     /**
@@ -125,7 +126,7 @@
     record JoinRequest(InstanceId from) implements FeedMessage {}
 
     /**
-     * Reports a head whose streams stand still.
+     * Reports a head whose streams stand still and asks whether its group has lost a member.
      *
      * @param head the head
      * @param group the group's name
@@ -133,6 +134,14 @@
      */
     record StandingHead(InstanceId head, String group, long epoch) implements FeedMessage {}
 
+    /**
+     * Answers the report of a standing head.
+     *
+     * @param group the group's name
+     * @param liveness what the group controller found; unknown from an instance that does not control groups
+     */
+    record HeadFinding(String group, GroupLiveness liveness) implements FeedMessage {}
+
     /**
      * A control instance.
      *
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
@@ -0,0 +1,108 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.serving.target.GroupLiveness;
+import org.hallwall.serving.target.TargetDirectory;
+import org.hallwall.serving.target.TargetRecord;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import reactor.core.publisher.Mono;
+
+/** All members of a group are asked, each once for questions that come together. */
+class GroupProbesTest {
+
+    private static final List<InstanceId> MEMBERS =
+            List.of(new InstanceId("i-1"), new InstanceId("i-2"), new InstanceId("i-3"));
+
+    private final List<InstanceId> probed = new ArrayList<>();
+    private final List<InstanceId> dead = new ArrayList<>();
+    private final List<InstanceId> reported = new ArrayList<>();
+    private final TargetDirectory directory = new TargetDirectory(() -> now());
+    private long now = 1_000;
+
+    private final TargetGateway gateway = new TargetGateway() {
+        @Override
+        public Mono<OrderOutcome> order(TargetRecord target, TargetOrder order, long token, Duration timeout) {
+            return Mono.just(OrderOutcome.UNKNOWN);
+        }
+
+        @Override
+        public Mono<Boolean> answers(TargetRecord target, Duration timeout) {
+            probed.add(target.instance());
+            return Mono.just(!dead.contains(target.instance()));
+        }
+    };
+    private final GroupProbes probes = new GroupProbes(gateway, directory, reported::add, () -> now());
+
+    private long now() {
+        return now;
+    }
+
+    @BeforeEach
+    void announce() {
+        for (InstanceId id : MEMBERS) {
+            directory.take(new TargetRecord(
+                    id,
+                    1,
+                    "llm",
+                    new NetAddress("127.0.0.1", 1),
+                    "a",
+                    4,
+                    TargetRecord.Presence.SERVING,
+                    "d",
+                    "m",
+                    List.of("m"),
+                    null));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, WORKING", "1, LOST", "3, LOST"})
+    void allDeadMembersAreFound(int count, GroupLiveness found) {
+        dead.addAll(MEMBERS.subList(0, count));
+        Assertions.assertEquals(found, probes.ask("g", MEMBERS).block());
+        Assertions.assertEquals(dead, reported);
+        Assertions.assertEquals(MEMBERS, probed);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"10, 3", "200, 6"})
+    void questionsThatComeTogetherShareARound(long after, int asked) {
+        probes.ask("g", MEMBERS).block();
+        now += after;
+        probes.ask("g", MEMBERS).block();
+        Assertions.assertEquals(asked, probed.size());
+    }
+
+    @Test
+    void aMemberThatIsNoLongerKnownIsLost() {
+        List<InstanceId> members = List.of(MEMBERS.get(0), new InstanceId("i-gone"));
+        Assertions.assertEquals(GroupLiveness.LOST, probes.ask("g", members).block());
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -38,10 +38,12 @@
 import org.hallwall.serving.config.TargetService;
 import org.hallwall.serving.config.WorkspaceKeys;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.GroupMark;
 import org.hallwall.serving.target.GroupState;
 import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.serving.target.TargetRecord;
+import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
 /** A relay on loopback before stand-in targets. */
@@ -55,6 +57,7 @@
     private final EntryState state = new EntryState(directory);
     private final List<StandingHead> standing = new CopyOnWriteArrayList<>();
     private final RelayServer server;
+    private volatile GroupLiveness liveness = GroupLiveness.UNKNOWN;
     private long sequence;
 
     RelayFixture() throws ProgramException {
@@ -70,7 +73,7 @@
                 budget,
                 new ForwardedHeaders(NAMES),
                 NAMES,
-                standing::add,
+                new StandingHeads(this::judge, Ticker.SYSTEM),
                 new Admission(),
                 new StreamWatch(),
                 new RelayCounts(new PrometheusRegistry()),
@@ -136,6 +139,16 @@
         state.judge();
     }
 
+    /** From now on the controller says this of all groups. */
+    void say(GroupLiveness answer) {
+        liveness = answer;
+    }
+
+    private Mono<GroupLiveness> judge(StandingHead head) {
+        standing.add(head);
+        return Mono.just(liveness);
+    }
+
     int port() {
         return server.port();
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayTest.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.awaitility.Awaitility;
+import org.hallwall.serving.target.GroupLiveness;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
@@ -251,6 +252,30 @@
         Assertions.assertEquals(1, relay.standing().size());
     }
 
+    /** A head that reads long prompts is silent like one that has lost a member; it goes on once it was asked about. */
+    @ParameterizedTest
+    @CsvSource({"WORKING, 1", "LOST, 2", "UNKNOWN, 2"})
+    void aStandingStreamStaysWithAHeadThatWorks(GroupLiveness liveness, int runs) throws Exception {
+        relay.say(liveness);
+        ScriptedTarget.Script script = (r, c) -> {
+            c.send(EVENTS);
+            if (r.headers().get("last-event-id") == null) {
+                c.chunk(event(1));
+                if (liveness != GroupLiveness.WORKING) {
+                    c.awaitClose();
+                    return;
+                }
+                Awaitility.await().until(() -> !relay.standing().isEmpty());
+            }
+            c.chunk(event(2)).send(LAST_CHUNK);
+        };
+        target("llm", script);
+        target("llm", script);
+        Assertions.assertEquals(event(1) + event(2), get("/stream/x").body());
+        Assertions.assertEquals(runs, runs());
+        Assertions.assertEquals(1, relay.standing().size());
+    }
+
     @Test
     void aRunIsCancelledWhenItsCallerLeaves() throws Exception {
         ScriptedTarget t =
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/StandingHeadsTest.java
@@ -0,0 +1,90 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.GroupLiveness;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** A silent head is left only when its group has lost a member, or when nobody can tell. */
+class StandingHeadsTest {
+
+    private static final StandingHead HEAD = new StandingHead(new InstanceId("i-1"), "g1", 1);
+    private static final long MOST = 450;
+
+    private final List<Sinks.One<GroupLiveness>> asked = new ArrayList<>();
+    private long now = 1_000;
+    private final StandingHeads heads = new StandingHeads(h -> ask(), () -> now);
+
+    private Mono<GroupLiveness> ask() {
+        Sinks.One<GroupLiveness> sink = Sinks.one();
+        asked.add(sink);
+        return sink.asMono();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"WORKING, 1, false", "WORKING, 300, false", "WORKING, 600, true", "LOST, 1, true", "UNKNOWN, 1, true"})
+    void theAnswerDecides(GroupLiveness answer, long after, boolean leaves) {
+        long silentSince = now - 100;
+        Assertions.assertFalse(heads.shouldLeave(HEAD, silentSince, MOST));
+        asked.get(0).tryEmitValue(answer);
+        now += after;
+        Assertions.assertEquals(leaves, heads.shouldLeave(HEAD, silentSince, MOST));
+        Assertions.assertEquals(1, asked.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"30, false", "80, true"})
+    void withoutAnAnswerTheHeadIsLeftSoon(long after, boolean leaves) {
+        long silentSince = now - 100;
+        heads.shouldLeave(HEAD, silentSince, MOST);
+        now += after;
+        Assertions.assertEquals(leaves, heads.shouldLeave(HEAD, silentSince, MOST));
+    }
+
+    @Test
+    void aLaterSilenceIsAskedAboutAgain() {
+        heads.shouldLeave(HEAD, now - 100, MOST);
+        asked.get(0).tryEmitValue(GroupLiveness.WORKING);
+        now += 500;
+        Assertions.assertFalse(heads.shouldLeave(HEAD, now - 100, MOST));
+        asked.get(1).tryEmitValue(GroupLiveness.LOST);
+        Assertions.assertTrue(heads.shouldLeave(HEAD, now - 100, MOST));
+    }
+
+    @Test
+    void reportsOfAnUnreachableHeadAreFew() {
+        for (int i = 0; i < 10; i++) {
+            heads.report(HEAD);
+        }
+        Assertions.assertEquals(1, asked.size());
+        now += 400;
+        heads.report(HEAD);
+        Assertions.assertEquals(2, asked.size());
+    }
+}
