Entries know what all of them have in progress, and admit and balance by it

Each entry bounds its streams by a share of its own (1.2 of slots / entries at least, 4 at most), though failure domains have 2, 3 and 4 entries and unequal callers: the floors alone sum up to 1.2 times the slots, so heads queue and everyone is late, while a busy entry refuses what another could take. The balancer sees its own 2 streams a head of some 18 and weighs another failure domain with 1.5 of them. Change: every 200 ms an entry reports its requests in progress by target to the control instance that controls the groups, and gets the sums over all entries (LoadExchange, LoadLedger, FleetLoad). Streams are admitted while all entries together have less than 0.95 of the slots in progress, those that come back after a refusal up to 1.15. The balancer draws two targets and takes the one with less in progress over all entries: the sums are 200 ms old, and the least loaded one alone would be overrun. Without sums both work as before. EntryNode's links became a concurrent map: the I/O thread reads them while the duty thread changes them.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -66,6 +66,7 @@
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
     private final EntryReports entries;
+    private final LoadLedger loads;
     private final TargetFeed feed;
     private final TargetDirectory directory;
     private final ConfigurationMachine machine;
@@ -88,6 +89,7 @@
         this.settings = settings;
         this.reader = reader;
         this.entries = new EntryReports(ticker);
+        this.loads = new LoadLedger(ticker);
         this.feed = new TargetFeed(ticker);
         this.directory = new TargetDirectory(ticker);
         this.machine = new ConfigurationMachine(feed::wake);
@@ -313,6 +315,10 @@
             voter.consider(m.from());
             return Mono.empty();
         }
+        if (message instanceof FeedMessage.LoadReport m) {
+            boolean controls = voter != null && voter.holdsLease();
+            return Mono.just(new FeedMessage.LoadSums(controls, controls ? loads.take(from, m.running()) : Map.of()));
+        }
         if (message instanceof FeedMessage.StandingHead m && groups != null) {
             LOG.infof("groups: entry %s reports that head %s of %s stands still", from, m.head(), m.group());
             return groups.standing(m).map(found -> new FeedMessage.HeadFinding(m.group(), found));
--- a/serving/src/main/java/org/hallwall/serving/relay/Admission.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Admission.java
@@ -23,12 +23,36 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The admission windows of an entry, one for each model; places are taken on the I/O thread only. */
+/**
+ * Admits streams as long as their groups have room; used on the I/O thread only.
+ *
+ * <p>While the counts of all entries are known, the room is what all groups of the model have left. Requests that come back
+ * after a refusal are admitted a little longer than others: they are not refused twice for those that come first. Without the
+ * counts each entry has a window of its own for each model.
+ */
 public final class Admission {
 
+    /** The part of the slots up to which streams are admitted: above it the next ones would wait for a slot. */
+    private static final double ROOM = 0.95;
+    /** The same for streams that come back; they wait for a slot, but not past their time. */
+    private static final double ROOM_AGAIN = 1.15;
+
+    private final Balancer balancer;
+    private final FleetLoad fleet;
     private final Map<String, AdmissionWindow> windows = new ConcurrentHashMap<>();
     private volatile int entries = 1;
 
+    /**
+     * Creates it.
+     *
+     * @param balancer counts the requests in progress
+     * @param fleet says whether those of other entries are known
+     */
+    public Admission(Balancer balancer, FleetLoad fleet) {
+        this.balancer = balancer;
+        this.fleet = fleet;
+    }
+
     /**
      * Sets how many entries share the groups.
      *
@@ -47,10 +71,23 @@
      */
     AdmissionWindow enter(RelayRequest request, List<ServingTarget> targets) {
         AdmissionWindow w = windows.computeIfAbsent(String.valueOf(request.model()), k -> new AdmissionWindow());
+        if (fleet.isKnown() && !targets.isEmpty()) {
+            return hasRoom(request, targets) ? w.enter() : null;
+        }
         int slots = targets.stream().mapToInt(ServingTarget::slots).sum();
         return w.tryEnter(slots, entries) ? w : null;
     }
 
+    private boolean hasRoom(RelayRequest request, List<ServingTarget> targets) {
+        double slots = 0;
+        int running = 0;
+        for (ServingTarget t : targets) {
+            slots += t.slots() / t.slowness();
+            running += balancer.running(t);
+        }
+        return running < slots * (request.again() ? ROOM_AGAIN : ROOM);
+    }
+
     /**
      * Counts the streams in progress.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
@@ -61,6 +61,12 @@
         return true;
     }
 
+    /** Takes a place without asking. */
+    AdmissionWindow enter() {
+        inProgress++;
+        return this;
+    }
+
     /** Gives a place back. */
     void leave() {
         inProgress--;
--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,17 +28,21 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 
-/** Chooses targets by the least own outstanding work; used on the I/O thread only. */
+/**
+ * Chooses targets by the least outstanding work; used on the I/O thread only.
+ *
+ * <p>When the counts of all entries are known, it takes the better of two targets that it draws: the counts are some time old,
+ * and if all entries went to the least loaded one at once, they would overload it.
+ */
 public final class Balancer {
 
     /** What a target in another failure domain counts as, in requests; breaks ties in favour of the own one. */
     private static final double OTHER_DOMAIN = 1.5;
-    /** Added to a paused target's load: it is chosen only if there is no other. */
-    private static final double PAUSED = 1_000;
 
     private static final int FORGET_ABOVE = 2_000;
 
     private final String failureDomain;
+    private final FleetLoad fleet;
     private final Ticker ticker;
     private final Map<InstanceId, TargetState> states = new HashMap<>();
 
@@ -45,10 +50,12 @@
      * Creates a balancer.
      *
      * @param failureDomain the own failure domain
+     * @param fleet what other entries have in progress
      * @param ticker the clock
      */
-    public Balancer(String failureDomain, Ticker ticker) {
+    public Balancer(String failureDomain, FleetLoad fleet, Ticker ticker) {
         this.failureDomain = failureDomain;
+        this.fleet = fleet;
         this.ticker = ticker;
     }
 
@@ -60,14 +67,14 @@
      * @return the choice, or null if none is left
      */
     ServingTarget choose(List<ServingTarget> targets, Set<InstanceId> tried) {
-        long now = ticker.millis();
+        List<ServingTarget> left = untried(targets, tried);
+        if (fleet.isKnown() && left.size() > 2) {
+            left = drawTwo(left);
+        }
         ServingTarget best = null;
         double least = Double.MAX_VALUE;
-        for (ServingTarget t : targets) {
-            if (tried.contains(t.instance())) {
-                continue;
-            }
-            double load = load(t, now);
+        for (ServingTarget t : left) {
+            double load = load(t);
             if (load < least) {
                 least = load;
                 best = t;
@@ -76,6 +83,51 @@
         return best;
     }
 
+    /** Lists the targets that were not tried; paused ones only if there are no others. */
+    private List<ServingTarget> untried(List<ServingTarget> targets, Set<InstanceId> tried) {
+        long now = ticker.millis();
+        List<ServingTarget> sound = new ArrayList<>();
+        List<ServingTarget> paused = new ArrayList<>();
+        for (ServingTarget t : targets) {
+            if (!tried.contains(t.instance())) {
+                (state(t).isPaused(now) ? paused : sound).add(t);
+            }
+        }
+        return sound.isEmpty() ? paused : sound;
+    }
+
+    private static List<ServingTarget> drawTwo(List<ServingTarget> targets) {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        int first = random.nextInt(targets.size());
+        int second = (first + 1 + random.nextInt(targets.size() - 1)) % targets.size();
+        return List.of(targets.get(first), targets.get(second));
+    }
+
+    /**
+     * Counts the requests in progress at a target, those of other entries included as far as they are known.
+     *
+     * @param target the target
+     * @return how many
+     */
+    int running(ServingTarget target) {
+        return state(target).outstanding() + fleet.others(target.instance());
+    }
+
+    /**
+     * Counts this entry's own requests in progress.
+     *
+     * @return how many by target, where there are any
+     */
+    Map<String, Integer> running() {
+        Map<String, Integer> out = new HashMap<>();
+        states.forEach((id, s) -> {
+            if (s.outstanding() > 0) {
+                out.put(id.value(), s.outstanding());
+            }
+        });
+        return out;
+    }
+
     /**
      * Gives what this entry has seen of a target.
      *
@@ -89,13 +141,9 @@
         return states.computeIfAbsent(target.instance(), i -> new TargetState());
     }
 
-    private double load(ServingTarget t, long now) {
-        TargetState s = state(t);
-        double load = (s.outstanding() + 1) * t.slowness()
-                + ThreadLocalRandom.current().nextDouble();
-        if (!t.failureDomain().equals(failureDomain)) {
-            load += OTHER_DOMAIN;
-        }
-        return s.isPaused(now) ? load + PAUSED : load;
+    private double load(ServingTarget t) {
+        int running = state(t).outstanding() + (fleet.isKnown() ? fleet.others(t.instance()) : 0);
+        double load = (running + 1) * t.slowness() + ThreadLocalRandom.current().nextDouble();
+        return t.failureDomain().equals(failureDomain) ? load : load + OTHER_DOMAIN;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -24,12 +24,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
+import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.hallwall.core.duty.DutyThread;
 import org.hallwall.core.id.InstanceId;
@@ -74,10 +75,11 @@
     private final TargetDirectory directory = new TargetDirectory(ticker);
     private final EntryState state = new EntryState(directory);
     private final PeerCodec codec = new PeerCodec(ControlNode.kinds());
-    private final Map<InstanceId, PeerLink> links = new LinkedHashMap<>();
+    private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new HashMap<>();
     private final LoopResources loops = LoopResources.create("io", 1, true);
-    private final Admission admission = new Admission();
+    private final Admission admission;
+    private final LoadExchange exchange;
     private final RepeatBudget budget;
     private final RelayServer server;
     private final DutyThread duty;
@@ -101,9 +103,14 @@
         this.reader = reader;
         this.budget =
                 new RepeatBudget(settings.repeatRatio(), settings.repeatExtra(), settings.repeatWindowMillis(), ticker);
+        FleetLoad fleet = new FleetLoad(ticker);
+        Balancer balancer = new Balancer(settings.failureDomain(), fleet, ticker);
+        this.admission = new Admission(balancer, fleet);
+        EventLoop io = (EventLoop) loops.onServer(LoopResources.DEFAULT_NATIVE).next();
+        this.exchange = new LoadExchange(io, balancer, fleet, links::values);
         RelayContext context = new RelayContext(
                 state,
-                new Balancer(settings.failureDomain(), ticker),
+                balancer,
                 new TargetClient(loops, names),
                 budget,
                 new ForwardedHeaders(names),
@@ -129,6 +136,7 @@
             throw new IOException(e.getMessage(), e);
         }
         duty.start();
+        exchange.start();
         connect(settings.seeds());
         LOG.infof("entry: %s takes callers on port %d", settings.instance(), server.port());
     }
@@ -193,6 +201,7 @@
         }
         LOG.infof("entry: %s ends, %d requests are cut off", settings.instance(), server.inFlight());
         followers.values().forEach(FeedFollower::close);
+        exchange.close();
         duty.close();
         links.values().forEach(PeerLink::close);
         server.close();
@@ -271,6 +280,7 @@
         }
         budget.entries(news.entries());
         admission.entries(news.entries());
+        exchange.entries(news.entries());
         if (!news.members().isEmpty()) {
             disconnectFrom(news.members());
             connectNow(news.members());
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -34,6 +34,7 @@
  * @param service the service that the split has drawn
  * @param model the model that it names, or null
  * @param priority its rank; zero is the highest
+ * @param again whether it has likely been refused before
  * @param receivedAt the clock when it came, in milliseconds
  * @param deadlineAt the clock when it must have its answer, in milliseconds
  */
@@ -47,5 +48,6 @@
         String service,
         String model,
         int priority,
+        boolean again,
         long receivedAt,
         long deadlineAt) {}
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -69,6 +69,7 @@
 
     private final RelayContext context;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final ComeBacks comeBacks = new ComeBacks();
     private DisposableServer server;
     private volatile boolean stopping;
     private volatile boolean takingNothing;
@@ -172,7 +173,9 @@
             throw new RelayRefusal(400, Verdict.NOT_RUN, "the request names no attempt", 0);
         }
         long now = context.now();
-        long deadlineAt = now + Math.min(route.timeoutMillis(), callersTime(headers, route));
+        long callersTime = callersTime(headers, route);
+        boolean again = comeBacks.isBack(route, callersTime);
+        long deadlineAt = now + Math.min(route.timeoutMillis(), callersTime);
         int most = routes.configuration().limits().bodyBytes();
         context.budget().request();
         return read(req, most)
@@ -186,6 +189,7 @@
                         route.service(ThreadLocalRandom.current().nextDouble()),
                         headers.get(context.names().model()),
                         workspace == null || workspace.priority() == null ? route.priority() : workspace.priority(),
+                        again,
                         now,
                         deadlineAt))
                 .flatMap(r -> route.kind() == RequestKind.STREAM ? stream(req, res, r) : plain(req, res, r))
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -41,7 +41,9 @@
                 .add(63, Members.class)
                 .add(64, StandingHead.class)
                 .add(65, JoinRequest.class)
-                .add(66, HeadFinding.class);
+                .add(66, HeadFinding.class)
+                .add(67, LoadReport.class)
+                .add(68, LoadSums.class);
     }
 
     /**
@@ -142,6 +144,21 @@
      */
     record HeadFinding(String group, GroupLiveness liveness) implements FeedMessage {}
 
+    /**
+     * Reports an entry's requests in progress and asks for those of all entries.
+     *
+     * @param running how many by target
+     */
+    record LoadReport(Map<String, Integer> running) implements FeedMessage {}
+
+    /**
+     * Answers a load report.
+     *
+     * @param controls whether the answering instance controls the groups; only that one keeps sums
+     * @param running the requests in progress of all entries by target
+     */
+    record LoadSums(boolean controls, Map<String, Integer> running) implements FeedMessage {}
+
     /**
      * A control instance.
      *
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -39,8 +39,11 @@
 import org.hallwall.serving.group.OrderOutcome;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.group.TargetOrder;
+import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
 import org.hallwall.serving.target.TargetRecord;
+import org.hallwall.wire.PeerCodec;
+import org.hallwall.wire.PeerLink;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
@@ -225,6 +228,30 @@
         awaitReadBack("8 eight");
     }
 
+    @Test
+    void oneInstanceSumsTheLoadOfAllEntries() {
+        accept("7 seven");
+        Awaitility.await().atMost(WITHIN).until(() -> {
+            Map<String, Integer> sums = new HashMap<>();
+            for (int entry = 1; entry <= 2; entry++) {
+                for (int n = 1; n <= 3; n++) {
+                    sums.putAll(report("entry-" + entry, n, Map.of("head", entry)));
+                }
+            }
+            return sums.equals(Map.of("head", 3));
+        });
+    }
+
+    private Map<String, Integer> report(String entry, int n, Map<String, Integer> running) {
+        PeerCodec codec = new PeerCodec(ControlNode.kinds());
+        try (PeerLink link = new PeerLink(member(n).peer(), "test", new InstanceId(entry), codec)) {
+            Awaitility.await().atMost(WITHIN).until(link::isUp);
+            FeedMessage.LoadSums sums = (FeedMessage.LoadSums)
+                    link.call(new FeedMessage.LoadReport(running), WITHIN).block(WITHIN);
+            return sums.controls() ? sums.running() : Map.of();
+        }
+    }
+
     @Test
     void oneThatDoesNotCountAnswersNobody() throws IOException {
         accept("7 seven");
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
@@ -0,0 +1,96 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests go where the least is in progress, over all entries if that is known. */
+class BalancerTest {
+
+    private static final int CHOICES = 3_000;
+
+    private long now = 1_000;
+    private final FleetLoad fleet = new FleetLoad(() -> now);
+    private final Balancer balancer = new Balancer("a", fleet, () -> now);
+
+    private static List<ServingTarget> targets(int count) {
+        List<ServingTarget> out = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            out.add(new ServingTarget(new InstanceId("h" + i), new NetAddress("127.0.0.1", 1), "a", 18, "m", null, 1));
+        }
+        return out;
+    }
+
+    private Map<String, Integer> choices(List<ServingTarget> targets) {
+        Map<String, Integer> out = new HashMap<>();
+        for (int i = 0; i < CHOICES; i++) {
+            out.merge(balancer.choose(targets, Set.of()).instance().value(), 1, Integer::sum);
+        }
+        return out;
+    }
+
+    @Test
+    void theLeastLoadedOfAllEntriesGetsMostButNotAll() {
+        fleet.take(Map.of(), Map.of("h0", 1, "h1", 9, "h2", 9, "h3", 9, "h4", 9, "h5", 20));
+        Map<String, Integer> choices = choices(targets(6));
+        Assertions.assertTrue(choices.get("h0") > CHOICES / 4, choices.toString());
+        Assertions.assertTrue(choices.get("h0") < CHOICES / 2, choices.toString());
+        Assertions.assertFalse(choices.containsKey("h5"), choices.toString());
+    }
+
+    @Test
+    void withoutSumsTheOwnCountsDecide() {
+        fleet.take(Map.of(), Map.of("h0", 50));
+        now += 5_000;
+        List<ServingTarget> targets = targets(3);
+        balancer.state(targets.get(1)).begin();
+        balancer.state(targets.get(2)).begin();
+        Assertions.assertEquals(Map.of("h0", CHOICES), choices(targets));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 6})
+    void aPausedTargetIsChosenOnlyIfThereIsNoOther(int count) {
+        fleet.take(Map.of(), Map.of());
+        List<ServingTarget> targets = targets(count);
+        targets.subList(1, count).forEach(t -> balancer.state(t).failed(now));
+        Assertions.assertEquals(Map.of("h0", CHOICES), choices(targets));
+        Assertions.assertNotNull(balancer.choose(targets, Set.of(new InstanceId("h0"))));
+    }
+
+    @Test
+    void runningCountsOthersOnTopOfItsOwn() {
+        List<ServingTarget> targets = targets(1);
+        balancer.state(targets.get(0)).begin();
+        Assertions.assertEquals(Map.of("h0", 1), balancer.running());
+        fleet.take(Map.of("h0", 1), Map.of("h0", 8));
+        Assertions.assertEquals(8, balancer.running(targets.get(0)));
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -66,15 +66,17 @@
 
     RelayFixture(double repeats) throws ProgramException {
         RepeatBudget budget = new RepeatBudget(0, repeats, 10_000, Ticker.SYSTEM);
+        FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
+        Balancer balancer = new Balancer("a", fleet, Ticker.SYSTEM);
         server = new RelayServer(new RelayContext(
                 state,
-                new Balancer("a", Ticker.SYSTEM),
+                balancer,
                 new TargetClient(loops, NAMES),
                 budget,
                 new ForwardedHeaders(NAMES),
                 NAMES,
                 new StandingHeads(this::judge, Ticker.SYSTEM),
-                new Admission(),
+                new Admission(balancer, fleet),
                 new StreamWatch(),
                 new RelayCounts(new PrometheusRegistry()),
                 Ticker.SYSTEM));
