A silent head is asked about less often, and left later when nobody can tell

Change: a head that was found working within the last second is asked about after 1.6 patiences. A pending answer counts as a loss after 60 ms only while the controller answers load reports; without it, a stream stays for two patiences (0.8 of the objective, 0.66 of the pause), as it did before heads were asked about.

--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -106,7 +106,7 @@
         FleetLoad fleet = new FleetLoad(ticker);
         Balancer balancer = new Balancer(settings.failureDomain(), fleet, ticker);
         this.admission = new Admission(balancer, fleet);
-        EventLoop io = (EventLoop) loops.onServer(LoopResources.DEFAULT_NATIVE).next();
+        EventLoop io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.exchange = new LoadExchange(io, balancer, fleet, links::values);
         RelayContext context = new RelayContext(
                 state,
@@ -115,7 +115,7 @@
                 budget,
                 new ForwardedHeaders(names),
                 names,
-                new StandingHeads(this::ask, ticker),
+                new StandingHeads(this::ask, fleet::isInTouch, ticker),
                 admission,
                 new StreamWatch(),
                 new RelayCounts(registry),
--- a/serving/src/main/java/org/hallwall/serving/relay/FleetLoad.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/FleetLoad.java
@@ -30,6 +30,9 @@
     /** How long sums are used, in milliseconds; older ones say little, since a stream lives for about a second. */
     private static final long FRESH_MILLIS = 1_500;
 
+    /** After this long without sums the control instance counts as out of touch, in milliseconds: two reports. */
+    private static final long IN_TOUCH_MILLIS = 500;
+
     private final Ticker ticker;
     private Map<String, Integer> others = Map.of();
     private long takenAt = Long.MIN_VALUE / 2;
@@ -65,6 +68,15 @@
         return ticker.millis() - takenAt <= FRESH_MILLIS;
     }
 
+    /**
+     * Says whether the control instance that keeps the sums is in touch.
+     *
+     * @return true if it has answered one of the last reports
+     */
+    boolean isInTouch() {
+        return ticker.millis() - takenAt <= IN_TOUCH_MILLIS;
+    }
+
     /**
      * Counts the requests of other entries at a target.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/StandingHeads.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StandingHeads.java
@@ -20,6 +20,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import org.hallwall.core.time.Ticker;
@@ -40,12 +41,21 @@
      * scheduling of a control instance that has less than half a core.
      */
     private static final long ANSWER_MILLIS = 60;
+    /** How many patiences a stream stays with a head that works: to one and a half of the longest pause. */
+    private static final double WORKING_PATIENCES = 4.5;
+    /** How many patiences a stream stays with a head that nobody can be asked about. */
+    private static final double UNKNOWN_PATIENCES = 2;
+    /** How many patiences a head that has just been found working is silent before it is asked about again. */
+    private static final double AGAIN_PATIENCES = 1.6;
+    /** For how long a head counts as just found working, in milliseconds. */
+    private static final long JUST_MILLIS = 1_000;
     /** The shortest time between two reports of a group that nobody waits for, in milliseconds. */
     private static final long REPORT_MILLIS = 300;
     /** How long a question is remembered, in milliseconds; longer than any silence. */
     private static final long FORGET_MILLIS = 10_000;
 
     private final Function<StandingHead, Mono<GroupLiveness>> controller;
+    private final BooleanSupplier inTouch;
     private final Ticker ticker;
     private final Map<String, Question> questions = new HashMap<>();
 
@@ -53,10 +63,13 @@
      * Creates it.
      *
      * @param controller asks the group controller; never an error
+     * @param inTouch whether the group controller has answered anything lately
      * @param ticker the clock
      */
-    public StandingHeads(Function<StandingHead, Mono<GroupLiveness>> controller, Ticker ticker) {
+    public StandingHeads(
+            Function<StandingHead, Mono<GroupLiveness>> controller, BooleanSupplier inTouch, Ticker ticker) {
         this.controller = controller;
+        this.inTouch = inTouch;
         this.ticker = ticker;
     }
 
@@ -65,23 +78,28 @@
      *
      * @param head the head
      * @param silentSince when it was last heard
-     * @param mostMillis the silence after which even a head that works is left
-     * @return true if it lost a member, or if nobody knows
+     * @param patienceMillis the silence after which the controller is asked
+     * @return true if it lost a member, or if it is silent for long and nobody knows why
      */
-    boolean shouldLeave(StandingHead head, long silentSince, long mostMillis) {
+    boolean shouldLeave(StandingHead head, long silentSince, long patienceMillis) {
         long now = ticker.millis();
+        long silence = now - silentSince;
         Question q = questions.get(head.group());
         if (q == null || q.askedAt <= silentSince) {
-            ask(head, now);
+            boolean justWorked = q != null && q.answer == GroupLiveness.WORKING && now - q.askedAt < JUST_MILLIS;
+            if (silence > patienceMillis * (justWorked ? AGAIN_PATIENCES : 1)) {
+                ask(head, now);
+            }
             return false;
         }
         switch (q.answer) {
             case WORKING:
-                return now - silentSince > mostMillis;
+                return silence > patienceMillis * WORKING_PATIENCES;
             case LOST:
                 return true;
             default:
-                return q.answered || now - q.askedAt >= ANSWER_MILLIS;
+                boolean overdue = !q.answered && inTouch.getAsBoolean() && now - q.askedAt >= ANSWER_MILLIS;
+                return overdue || silence > patienceMillis * UNKNOWN_PATIENCES;
         }
     }
 
