First attempts are admitted before those that come back, and these come back later

Worked out: served in all are capacity / demand whichever goes first; first attempts first leaves the most of them in time. Change: streams that come back are admitted up to 0.85 of the slots, others up to 0.95; a refusal for full groups asks to come back after 1.2 s instead of 0.4 s, about a stream's life and the repair of a group.

--- a/serving/src/main/java/org/hallwall/serving/relay/Admission.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Admission.java
@@ -27,15 +27,16 @@
  * Admits streams as long as their groups have room; used on the I/O thread only.
  *
  * <p>While the counts of all entries are known, the room is what all groups of the model have left. Requests that come back
- * after a refusal are admitted a little longer than others: they are not refused twice for those that come first. Without the
- * counts each entry has a window of its own for each model.
+ * after a refusal are admitted after those that come first. Together no more are served either way, but if those that come back
+ * went first, they would fill the groups in a long overload, and everyone would be refused once and late. Without the counts each
+ * entry has a window of its own for each model.
  */
 public final class Admission {
 
     /** The part of the slots up to which streams are admitted: above it the next ones would wait for a slot. */
     private static final double ROOM = 0.95;
-    /** The same for streams that come back; they wait for a slot, but not past their time. */
-    private static final double ROOM_AGAIN = 1.15;
+    /** The same for streams that come back. */
+    private static final double ROOM_AGAIN = 0.85;
 
     private final Balancer balancer;
     private final FleetLoad fleet;
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -50,8 +50,11 @@
 
     /** When a caller comes back whose request found no target, in milliseconds: about the time in which a group is repaired. */
     static final long COME_BACK_MILLIS = 250;
-    /** When a caller comes back whose request found all groups full, in milliseconds: a good part of a stream's life. */
-    static final long FULL_COME_BACK_MILLIS = 400;
+    /**
+     * When a caller comes back whose request found all groups full, in milliseconds: a stream's life, and the time in which lost
+     * groups are formed again. Callers wait up to a third of the time they have left.
+     */
+    static final long FULL_COME_BACK_MILLIS = 1_200;
 
     /**
      * Gives the time.
