Slow groups over several fabric domains end when a domain can form one of its own

Change: when a domain has members of such a group and free engines enough for a group of its own, the group is closed (2 s for its streams, then they move) and its members go to the faster one. One at a time for each model. Test: GroupPlanTest.aSlowGroupEndsWhenADomainCanFormItsOwn; without the call it failed (expected 1, was 0).

--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -48,6 +48,8 @@
     private static final long JOIN_MARGIN_MILLIS = 4_000;
     /** How long a closing head may finish its work before it is told to leave; the platform's bound is 10 s. */
     private static final long CLOSE_MILLIS = 9_000;
+    /** The same for a group whose members are wanted for a better one, in milliseconds: most streams end, the rest move. */
+    private static final long RETIRE_MILLIS = 2_000;
     /** The part of a model's most groups below which slow groups over several domains are formed. */
     private static final double FEW_GROUPS = 0.7;
     /** How long engines stand idle before that, in milliseconds: longer than a repair within a domain. */
@@ -94,6 +96,7 @@
             review(now, spec, g, engines);
         }
         leaveSilentHeads(engines);
+        retireSlowGroups(spec, engines);
         form(now, new ModelNeed(spec, streams), engines);
         free(engines).values().forEach(spares -> actions.addAll(warmUp.step(spec, spares, engines.values())));
         return actions;
@@ -212,7 +215,9 @@
         if (hasLostMember(g, engines)) {
             breakUp(g, head, holds, "a member is lost");
         } else if (hasLeavingMember(g, engines)) {
-            finish(now, g, head, holds);
+            finish(now, g, head, holds, "a member leaves", CLOSE_MILLIS);
+        } else if (g.isRetiring()) {
+            finish(now, g, head, holds, "a domain can form a group of its own", RETIRE_MILLIS);
         } else if (!holds) {
             advance(now, spec, g, head, state, engines);
         }
@@ -228,17 +233,17 @@
         }
     }
 
-    private void finish(long now, PlannedGroup g, Engine head, boolean holds) {
+    private void finish(long now, PlannedGroup g, Engine head, boolean holds, String reason, long mostMillis) {
         if (!holds) {
-            breakUp(g, head, false, "a member leaves");
+            breakUp(g, head, false, reason);
             return;
         }
         long since = closingSince.computeIfAbsent(g.name(), n -> now);
         g.close();
-        if (now - since > CLOSE_MILLIS) {
-            breakUp(g, head, true, "a member leaves and the work does not end");
+        if (now - since > mostMillis) {
+            breakUp(g, head, true, reason + " and the work does not end");
         } else {
-            actions.add(new GroupAction(head, new TargetOrder.Close(g.name(), g.epoch()), "a member leaves"));
+            actions.add(new GroupAction(head, new TargetOrder.Close(g.name(), g.epoch()), reason));
         }
     }
 
@@ -382,6 +387,44 @@
         }
     }
 
+    /**
+     * Ends a group over several fabric domains when one of them could form a group from its members there and engines that are
+     * free beside them: that one is faster by a factor. One at a time for each model, so that little capacity is missing.
+     */
+    private void retireSlowGroups(EngineSpec spec, Map<InstanceId, Engine> engines) {
+        Map<String, List<Engine>> free = free(engines);
+        for (EngineModel m : spec.models()) {
+            boolean retires = groups.values().stream().anyMatch(g -> g.model().equals(m.name()) && g.isRetiring());
+            if (!retires) {
+                groups.values().stream()
+                        .filter(g -> g.model().equals(m.name()) && g.hasServed() && !g.isClosing())
+                        .filter(g -> couldBeFaster(m, g, free, engines))
+                        .findFirst()
+                        .ifPresent(PlannedGroup::retire);
+            }
+        }
+    }
+
+    private static boolean couldBeFaster(
+            EngineModel m, PlannedGroup g, Map<String, List<Engine>> free, Map<InstanceId, Engine> engines) {
+        Map<String, Integer> byDomain = new TreeMap<>();
+        for (InstanceId id : g.members()) {
+            byDomain.merge(engines.get(id).record().fabricDomain(), 1, Integer::sum);
+        }
+        if (byDomain.size() < 2) {
+            return false;
+        }
+        for (Map.Entry<String, Integer> d : byDomain.entrySet()) {
+            long beside = free.getOrDefault(d.getKey(), List.of()).stream()
+                    .filter(e -> e.hasStaged(m.name()))
+                    .count();
+            if (beside < m.size() && d.getValue() + beside >= m.size()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Lists the engines that have been free for a while, those of the emptiest domains last: they may still get company. */
     private List<Engine> idle(long now, Map<InstanceId, Engine> engines) {
         Map<InstanceId, Long> still = new HashMap<>();
--- a/serving/src/main/java/org/hallwall/serving/group/PlannedGroup.java
+++ b/serving/src/main/java/org/hallwall/serving/group/PlannedGroup.java
@@ -32,6 +32,7 @@
     private final List<InstanceId> members;
     private final long since;
     private boolean closing;
+    private boolean retiring;
     private boolean served;
     private boolean toldToOpen;
 
@@ -80,6 +81,15 @@
         closing = true;
     }
 
+    /** Whether its members are wanted for a better group. */
+    boolean isRetiring() {
+        return retiring;
+    }
+
+    void retire() {
+        retiring = true;
+    }
+
     boolean wasToldToOpen() {
         return toldToOpen;
     }
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -271,4 +271,54 @@
         step();
         Assertions.assertEquals(formed, plan.groups().size() - before);
     }
+
+    /** A group over several domains is slower by a factor; it ends when one of them has engines enough for its own. */
+    @ParameterizedTest
+    @CsvSource({"e1, 1", "e2, 0", "e3, 0"})
+    void aSlowGroupEndsWhenADomainCanFormItsOwn(String domain, int retired) {
+        PlannedGroup lost = open();
+        for (int n = 11; n <= 13; n++) {
+            engine(n, n == 13 ? "e2" : "e1", null, TargetRecord.Presence.SERVING, false);
+        }
+        step();
+        lost.members().forEach(engines::remove);
+        step();
+        now += 2_000;
+        step();
+        PlannedGroup slow = plan.groups().iterator().next();
+        markAcross(slow, GroupState.OPEN);
+        Assertions.assertTrue(step().isEmpty());
+        engine(14, domain, null, TargetRecord.Presence.SERVING, false);
+        step();
+        Assertions.assertEquals(retired, of(step(), TargetOrder.Close.class).size());
+        if (retired == 0) {
+            return;
+        }
+        markAcross(slow, GroupState.CLOSING);
+        now += 1_000;
+        Assertions.assertTrue(of(step(), TargetOrder.Leave.class).isEmpty());
+        now += 1_500;
+        Assertions.assertEquals(1, of(step(), TargetOrder.Leave.class).size());
+        slow.members().forEach(id -> engine(numberOf(id), domainOf(id), null, TargetRecord.Presence.SERVING, false));
+        step();
+        PlannedGroup near = plan.groups().iterator().next();
+        near.members().forEach(id -> Assertions.assertEquals("e1", domainOf(id)));
+    }
+
+    private static int numberOf(InstanceId id) {
+        return Integer.parseInt(id.value().substring(2));
+    }
+
+    private String domainOf(InstanceId id) {
+        return engines.get(id).record().fabricDomain();
+    }
+
+    private void markAcross(PlannedGroup g, GroupState head) {
+        for (int rank = 0; rank < 3; rank++) {
+            InstanceId id = g.members().get(rank);
+            GroupState state = rank == 0 ? head : GroupState.READY;
+            GroupMark mark = new GroupMark(g.name(), g.epoch(), rank, state);
+            engine(numberOf(id), domainOf(id), mark, TargetRecord.Presence.SERVING, false);
+        }
+    }
 }
