--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -50,10 +50,6 @@
     private static final long CLOSE_MILLIS = 9_000;
     /** The same for a group whose members are wanted for a better one, in milliseconds: most streams end, the rest move. */
     private static final long RETIRE_MILLIS = 2_000;
-    /** The part of a model's most groups below which slow groups over several domains are formed. */
-    private static final double FEW_GROUPS = 0.7;
-    /** How long engines stand idle before that, in milliseconds: longer than a repair within a domain. */
-    private static final long IDLE_MILLIS = 1_500;
     /** Stands for the fabric domain of a group over several. */
     private static final String ACROSS = "several";
     /** Room for the counter below the term in an epoch. */
@@ -64,9 +60,8 @@
     private final Set<String> finished = new HashSet<>();
     private final Set<String> ended = new HashSet<>();
     private final Map<String, Long> closingSince = new HashMap<>();
+    private final SlowGroups slow = new SlowGroups();
     private final SpareWarmUp warmUp = new SpareWarmUp(this::nextEpoch);
-    private final Map<String, Integer> peaks = new HashMap<>();
-    private final Map<InstanceId, Long> freeSince = new HashMap<>();
     private long counter;
     private List<GroupAction> actions = new ArrayList<>();
 
@@ -367,22 +362,15 @@
         }
     }
 
-    /**
-     * Forms slower groups over several fabric domains from engines that stand idle, but only of a model that has lost many of
-     * its groups: a slow group serves better than none, and spares are worth more where groups are many.
-     */
+    /** Forms slower groups over several fabric domains from engines that stand idle. */
     private void formAcross(long now, ModelNeed need, Map<InstanceId, Engine> engines) {
-        List<Engine> idle = idle(now, engines);
+        List<Engine> idle = slow.idle(now, free(engines));
         for (EngineModel m : need.spec().models()) {
             int count = (int) groups.values().stream()
                     .filter(g -> g.model().equals(m.name()))
                     .count();
-            int peak = peaks.merge(m.name(), count, Math::max);
-            long staged = idle.stream().filter(e -> e.hasStaged(m.name())).count();
-            while (count < peak * FEW_GROUPS && staged >= m.size()) {
+            for (int left = slow.wanted(m, count, idle); left > 0; left--) {
                 formOne(now, m, ACROSS, idle);
-                count++;
-                staged -= m.size();
             }
         }
     }
@@ -398,51 +386,13 @@
             if (!retires) {
                 groups.values().stream()
                         .filter(g -> g.model().equals(m.name()) && g.hasServed() && !g.isClosing())
-                        .filter(g -> couldBeFaster(m, g, free, engines))
+                        .filter(g -> SlowGroups.couldBeFaster(m, g.members(), free, engines))
                         .findFirst()
                         .ifPresent(PlannedGroup::retire);
             }
         }
     }
 
-    private static boolean couldBeFaster(
-            EngineModel m, PlannedGroup g, Map<String, List<Engine>> free, Map<InstanceId, Engine> engines) {
-        Map<String, Integer> byDomain = new TreeMap<>();
-        for (InstanceId id : g.members()) {
-            byDomain.merge(engines.get(id).record().fabricDomain(), 1, Integer::sum);
-        }
-        if (byDomain.size() < 2) {
-            return false;
-        }
-        for (Map.Entry<String, Integer> d : byDomain.entrySet()) {
-            long beside = free.getOrDefault(d.getKey(), List.of()).stream()
-                    .filter(e -> e.hasStaged(m.name()))
-                    .count();
-            if (beside < m.size() && d.getValue() + beside >= m.size()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Lists the engines that have been free for a while, those of the emptiest domains last: they may still get company. */
-    private List<Engine> idle(long now, Map<InstanceId, Engine> engines) {
-        Map<InstanceId, Long> still = new HashMap<>();
-        List<Engine> out = new ArrayList<>();
-        for (List<Engine> list : free(engines).values()) {
-            for (Engine e : list) {
-                long since = freeSince.getOrDefault(e.id(), now);
-                still.put(e.id(), since);
-                if (now - since >= IDLE_MILLIS) {
-                    out.add(e);
-                }
-            }
-        }
-        freeSince.clear();
-        freeSince.putAll(still);
-        return out;
-    }
-
     private void joinAll(PlannedGroup g, Map<InstanceId, Engine> engines) {
         TargetOrder join = new TargetOrder.Join(g.name(), g.epoch(), g.model(), g.members());
         for (InstanceId id : g.members()) {
