A controller that is slow itself holds nobody for dead

In both, the larger model went from 6 open groups to 1 or 2 within a second at 12 s, with 4 to 7 engines really lost. The log of the control instance that had come to lead at 10.76 s shows why: from 12.2 to 12.6 s it held some 30 sound engines for dead, because their answers to its probes did not come within 250 ms. It had just started to make calls, has 0.45 of a core, and nine entries asked about all groups at once; what it broke up made more heads stand still. Entries ask only the instance that controls the groups, once they know it; one log line a round instead of one a question and instance. Tests: GroupProbesTest, six new cases; with the rule and the bound taken out (scratch copy) four of them failed.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -320,7 +320,6 @@
             return Mono.just(new FeedMessage.LoadSums(controls, controls ? loads.take(from, m.running()) : Map.of()));
         }
         if (message instanceof FeedMessage.StandingHead m && groups != null) {
-            LOG.infof("groups: entry %s reports that head %s of %s stands still", from, m.head(), m.group());
             return groups.standing(m).map(found -> new FeedMessage.HeadFinding(m.group(), found));
         }
         return Mono.empty();
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -301,9 +301,9 @@
         }
     }
 
-    /** Asks all control instances about a head; the one that controls the groups knows. */
+    /** Asks about a head; the control instance that controls the groups knows. */
     private Mono<GroupLiveness> ask(StandingHead head) {
-        return Flux.fromIterable(List.copyOf(links.values()))
+        return Flux.fromIterable(exchange.controllers())
                 .flatMap(l -> l.call(head, FINDING_TIMEOUT).onErrorResume(PeerException.class, e -> {
                     LOG.debugf("entry: no answer about %s, %s", head.group(), e.getMessage());
                     return Mono.empty();
--- a/serving/src/main/java/org/hallwall/serving/relay/LoadExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/LoadExchange.java
@@ -81,11 +81,15 @@
         }
     }
 
+    /** Gives the link to the control instance that controls the groups, or those to all if it is not known. */
+    Collection<PeerLink> controllers() {
+        PeerLink known = controls;
+        return known == null ? List.copyOf(links.get()) : List.of(known);
+    }
+
     private void exchange() {
         Map<String, Integer> own = balancer.running();
-        PeerLink known = controls;
-        Collection<PeerLink> to = known == null ? List.copyOf(links.get()) : List.of(known);
-        Flux.fromIterable(to)
+        Flux.fromIterable(controllers())
                 .flatMap(l -> ask(l, own))
                 .next()
                 .subscribe(
--- a/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
@@ -40,11 +40,15 @@
     private static final List<InstanceId> MEMBERS =
             List.of(new InstanceId("i-1"), new InstanceId("i-2"), new InstanceId("i-3"));
 
+    private static final InstanceId WITNESS = new InstanceId("i-9");
+
     private final List<InstanceId> probed = new ArrayList<>();
     private final List<InstanceId> dead = new ArrayList<>();
     private final List<InstanceId> reported = new ArrayList<>();
     private final TargetDirectory directory = new TargetDirectory(() -> now());
     private long now = 1_000;
+    private long delay;
+    private boolean silence;
 
     private final TargetGateway gateway = new TargetGateway() {
         @Override
@@ -55,7 +59,12 @@
         @Override
         public Mono<Boolean> answers(TargetRecord target, Duration timeout) {
             probed.add(target.instance());
-            return Mono.just(!dead.contains(target.instance()));
+            return silence
+                    ? Mono.never()
+                    : Mono.fromSupplier(() -> {
+                        now += delay;
+                        return !dead.contains(target.instance());
+                    });
         }
     };
     private final GroupProbes probes = new GroupProbes(gateway, directory, reported::add, () -> now());
@@ -66,7 +75,9 @@
 
     @BeforeEach
     void announce() {
-        for (InstanceId id : MEMBERS) {
+        List<InstanceId> all = new ArrayList<>(MEMBERS);
+        all.add(WITNESS);
+        for (InstanceId id : all) {
             directory.take(new TargetRecord(
                     id,
                     1,
@@ -88,11 +99,45 @@
         dead.addAll(MEMBERS.subList(0, count));
         Assertions.assertEquals(found, probes.ask("g", MEMBERS).block());
         Assertions.assertEquals(dead, reported);
-        Assertions.assertEquals(MEMBERS, probed);
+        List<InstanceId> expected = new ArrayList<>(MEMBERS);
+        expected.add(WITNESS);
+        Assertions.assertEquals(expected, probed);
+    }
+
+    /** A controller that has just started, or is cut off, cannot tell who is dead. */
+    @ParameterizedTest
+    @CsvSource({
+        // time of each answer, silent members, whether the witness is silent, what is found
+        "0, 3, true, UNKNOWN",
+        "0, 3, false, LOST",
+        "0, 1, true, LOST",
+        "150, 1, false, UNKNOWN",
+        "150, 0, false, WORKING"
+    })
+    void nobodyIsHeldForDeadUnlessSomebodyAnswersQuickly(long each, int silent, boolean witness, GroupLiveness found) {
+        delay = each;
+        dead.addAll(MEMBERS.subList(0, silent));
+        if (witness) {
+            dead.add(WITNESS);
+        }
+        Assertions.assertEquals(found, probes.ask("g", MEMBERS).block());
+        Assertions.assertEquals(found == GroupLiveness.LOST ? silent : 0, reported.size());
+    }
+
+    /** Many heads stand still at once when the controller changes; it must not drown in probes. */
+    @Test
+    void fewRoundsRunAtOnce() {
+        silence = true;
+        for (int i = 0; i < 20; i++) {
+            probes.ask("g" + i, MEMBERS);
+        }
+        Assertions.assertEquals(6 * 4, probed.size());
+        Assertions.assertEquals(
+                GroupLiveness.UNKNOWN, probes.ask("g20", MEMBERS).block());
     }
 
     @ParameterizedTest
-    @CsvSource({"10, 3", "200, 6"})
+    @CsvSource({"10, 4", "200, 8"})
     void questionsThatComeTogetherShareARound(long after, int asked) {
         probes.ask("g", MEMBERS).block();
         now += after;
