hallwall explain: the story of a request over the logs of all processes

The command takes a request's id and the log files, and prints the request's own lines, those on the targets and groups that it was sent to, and what served then, by their clocks.

--- a/cli/src/main/java/org/hallwall/cli/CliCommand.java
+++ b/cli/src/main/java/org/hallwall/cli/CliCommand.java
@@ -65,6 +65,12 @@
             new CheckSettingsCommand(c).run();
         }
     },
+    EXPLAIN("explain REQUEST-ID FILE...", "print the story of a request from the logs of many processes") {
+        @Override
+        void run(CliContext c) throws ProgramException {
+            new ExplainCommand(c).run();
+        }
+    },
     VERSION("version", "print the version") {
         @Override
         void run(CliContext c) {
