A refusal for full groups names the counts it was decided by, and their age

Change: the requests in progress, the slots, the groups, the age of the sums, and whether the request comes again. Test: AdmissionTest.aRefusalNamesWhatItWasDecidedBy (new text).

--- a/serving/src/main/java/org/hallwall/serving/relay/Admission.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Admission.java
@@ -20,6 +20,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -79,14 +80,37 @@
         return w.tryEnter(slots, entries) ? w : null;
     }
 
-    private boolean hasRoom(RelayRequest request, List<ServingTarget> targets) {
-        double slots = 0;
-        int running = 0;
-        for (ServingTarget t : targets) {
-            slots += t.slots() / t.slowness();
-            running += balancer.running(t);
+    /**
+     * Says what a refusal was decided by, for logs and callers.
+     *
+     * @param request the request
+     * @param targets the groups that might have taken it
+     * @return the counts and their age
+     */
+    String describe(RelayRequest request, List<ServingTarget> targets) {
+        if (!fleet.isKnown()) {
+            return "its groups are full, as far as this entry knows";
         }
-        return running < slots * (request.again() ? ROOM_AGAIN : ROOM);
+        return String.format(
+                Locale.ROOT,
+                "its groups are full, %d in progress in %.0f slots of %d groups %d ms ago%s",
+                running(targets),
+                slots(targets),
+                targets.size(),
+                fleet.ageMillis(),
+                request.again() ? ", it comes again" : "");
+    }
+
+    private boolean hasRoom(RelayRequest request, List<ServingTarget> targets) {
+        return running(targets) < slots(targets) * (request.again() ? ROOM_AGAIN : ROOM);
+    }
+
+    private int running(List<ServingTarget> targets) {
+        return targets.stream().mapToInt(balancer::running).sum();
+    }
+
+    private static double slots(List<ServingTarget> targets) {
+        return targets.stream().mapToDouble(t -> t.slots() / t.slowness()).sum();
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/FleetLoad.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/FleetLoad.java
@@ -65,7 +65,7 @@
      * @return true if they came lately
      */
     boolean isKnown() {
-        return ticker.millis() - takenAt <= FRESH_MILLIS;
+        return ageMillis() <= FRESH_MILLIS;
     }
 
     /**
@@ -74,7 +74,16 @@
      * @return true if it has answered one of the last reports
      */
     boolean isInTouch() {
-        return ticker.millis() - takenAt <= IN_TOUCH_MILLIS;
+        return ageMillis() <= IN_TOUCH_MILLIS;
+    }
+
+    /**
+     * Gives the age of the sums.
+     *
+     * @return the time since they came, in milliseconds
+     */
+    long ageMillis() {
+        return ticker.millis() - takenAt;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -22,6 +22,7 @@
 import java.io.Closeable;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -245,10 +246,11 @@
 
     private Mono<Void> stream(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
         Channel channel = channel(req);
-        AdmissionWindow window =
-                context.admission().enter(r, context.state().targets().of(r.service(), r.model()));
+        List<ServingTarget> targets = context.state().targets().of(r.service(), r.model());
+        AdmissionWindow window = context.admission().enter(r, targets);
         if (window == null) {
-            return Mono.error(RelayRefusal.notRun("its groups are full", RelayContext.FULL_COME_BACK_MILLIS));
+            String reason = context.admission().describe(r, targets);
+            return Mono.error(RelayRefusal.notRun(reason, RelayContext.FULL_COME_BACK_MILLIS));
         }
         StreamRun run = new StreamRun(
                 context,
--- a/serving/src/test/java/org/hallwall/serving/relay/AdmissionTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/AdmissionTest.java
@@ -63,6 +63,15 @@
         Assertions.assertEquals(admitted, admission.enter(request(again), List.of(NEAR, FAR)) != null);
     }
 
+    @Test
+    void aRefusalNamesWhatItWasDecidedBy() {
+        fleet.take(Map.of(), Map.of("near", 20, "far", 10));
+        now += 120;
+        Assertions.assertEquals(
+                "its groups are full, 30 in progress in 30 slots of 2 groups 120 ms ago, it comes again",
+                admission.describe(request(true), List.of(NEAR, FAR)));
+    }
+
     @Test
     void withoutSumsTheOwnWindowDecides() {
         admission.entries(10);
