A witness is asked only when a round of probes could not be judged

Change: the first round asks the members only; a second one, with a witness, follows when nobody answered quickly.

--- a/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
@@ -39,9 +39,9 @@
 /**
  * Asks all members of a group whether they answer; questions that come close together share one round of probes.
  *
- * <p>A round also asks a witness, an engine outside the group. Members that do not answer are held for dead only if somebody in
- * the round answered quickly: a controller that has just started, or is slow or cut off itself, would otherwise hold sound
- * engines for dead.
+ * <p>Members that do not answer are held for dead only if somebody in the round answered quickly: a controller that has just
+ * started, or is slow or cut off itself, would otherwise hold sound engines for dead. A round that cannot be judged is repeated
+ * with a witness, an engine outside the group: all members may be dead.
  */
 final class GroupProbes {
 
@@ -116,7 +116,7 @@
         long begunAt = ticker.millis();
         List<InstanceId> asked = new ArrayList<>(members);
         InstanceId witness = witness(members);
-        if (witness != null) {
+        if (left < ATTEMPTS && witness != null) {
             asked.add(witness);
         }
         return Flux.fromIterable(asked)
