Groups whose head is heard again after a cut are adopted again

Cause: a head that did not answer the controller's probes was held for dead, and its group was marked finished. Ruled out: adopting groups by the announcements of their members alone (members may have left); a time after which "finished" is forgotten (a broken head may announce its old group for as long as it likes). Change: losing sight of a head no longer marks its group finished. A head that is held for dead is not adopted; one that is heard again is, with all its members, or is told to leave if some have left. Tests: two cases in GroupPlanTest, both failed on the old code.

--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -156,12 +156,13 @@
         return out;
     }
 
-    // --- groups that another controller has formed
+    // --- groups that another controller has formed, or whose head is heard again
 
     private void adopt(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
         for (Engine e : engines.values()) {
             GroupMark m = e.record().group();
-            if (m == null || m.rank() != 0 || groups.containsKey(m.name()) || finished.contains(m.name())) {
+            boolean isHead = m != null && m.rank() == 0 && !e.lost();
+            if (!isHead || groups.containsKey(m.name()) || finished.contains(m.name())) {
                 continue;
             }
             List<InstanceId> members = membersOf(m, engines.values());
@@ -171,7 +172,7 @@
                 PlannedGroup g = new PlannedGroup(
                         m.name(), m.epoch(), model.name(), e.record().fabricDomain(), members, now);
                 groups.put(g.name(), g);
-            } else if (m.state().holdsMembers() && !e.lost()) {
+            } else if (m.state().holdsMembers()) {
                 actions.add(
                         new GroupAction(e, new TargetOrder.Leave(m.name(), m.epoch()), "a group of unknown members"));
             }
@@ -193,8 +194,9 @@
     private void review(long now, EngineSpec spec, PlannedGroup g, Map<InstanceId, Engine> engines) {
         Engine head = engines.get(g.head());
         if (head == null || head.lost()) {
+            // not finished: a head that was only cut off may be heard again, still serving with its members
             groups.remove(g.name());
-            finished.add(g.name());
+            closingSince.remove(g.name());
             return;
         }
         GroupMark mark = head.isIn(g.name(), g.epoch()) ? head.record().group() : null;
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -168,6 +168,33 @@
         Assertions.assertEquals(3, of(step(), TargetOrder.Join.class).size());
     }
 
+    /** A head that was cut off from the controller may have served all the while: its group is the controller's again. */
+    @Test
+    void aGroupWhoseHeadIsHeardAgainIsAdoptedAgain() {
+        PlannedGroup g = open();
+        GroupMark mark = new GroupMark(g.name(), g.epoch(), 0, GroupState.OPEN);
+        engine(headNumber(g), mark, TargetRecord.Presence.SERVING, true);
+        step();
+        Assertions.assertTrue(plan.groups().isEmpty());
+        engine(headNumber(g), mark);
+        Assertions.assertTrue(step().isEmpty());
+        Assertions.assertEquals(g.members(), plan.members(g.name()));
+        engine(memberNumber(g), null);
+        Assertions.assertEquals(g.head(), of(step(), TargetOrder.Leave.class).get(0).target().id());
+    }
+
+    /** Its members may have left it meanwhile: then it must not go on counting on them. */
+    @Test
+    void aHeadThatIsHeardAgainWithoutItsMembersLeaves() {
+        PlannedGroup g = open();
+        GroupMark mark = new GroupMark(g.name(), g.epoch(), 0, GroupState.OPEN);
+        engine(headNumber(g), mark, TargetRecord.Presence.SERVING, true);
+        step();
+        engine(memberNumber(g), null);
+        engine(headNumber(g), mark);
+        Assertions.assertEquals(g.head(), of(step(), TargetOrder.Leave.class).get(0).target().id());
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = TargetRecord.Presence.class,
