Every control instance becomes a voter, and one that was replaced knows soon

Cause: the log's voters were as many as there are seeds, three. Where six control instances must bear the loss of two disks at once, two of three voters could be lost with all that was accepted, and the other three refused targets and operators for good. Ruled out: exactly 2T + 1 voters (the others would still be of no use), a vote count in the settings (there is none to fill in). Change: a new setting `disksLost`; every instance that asks is added, up to nine; below 2T + 1 also while a voter is silent. A newcomer that answers keeps its turn. An instance without a leader asks at each look whether it still counts (after 4 s before), is answered only by one that knows a leader, and takes no announcements once it was told that it was replaced. Tests: ControlNodeTest, two new cases (two disks of six blank and all others restarted; one that was replaced while away); both failed on the old code. The first was changed once after it was written: it opened the blank instances first, in one thread, and those now wait for one that knows a leader.

--- a/log/src/main/java/org/hallwall/log/LogFollowers.java
+++ b/log/src/main/java/org/hallwall/log/LogFollowers.java
@@ -29,6 +29,8 @@
 final class LogFollowers {
 
     private static final LogFolder UNKNOWN = new LogFolder("", false);
+    /** After this silence a newcomer makes room for the next one, in milliseconds: a few of its requests. */
+    private static final long LEARNER_MILLIS = 1_500;
 
     private final LogVoters voters;
     private final Map<InstanceId, LogFollower> followers = new HashMap<>();
@@ -67,6 +69,11 @@
         return learner;
     }
 
+    /** Says whether there is a newcomer that answers: others wait until it counts, or several would displace each other. */
+    boolean isLearning(long now) {
+        return learner != null && now - followers.get(learner).heardSentAt() < LEARNER_MILLIS;
+    }
+
     private void add(InstanceId id, long lastIndex, long now) {
         followers.computeIfAbsent(id, i -> {
             LogFollower f = new LogFollower(lastIndex + 1);
--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -84,7 +84,7 @@
         this.voters = new LogVoters(self, seat.voters(), log);
         this.voters.restore(snapshot.voters());
         this.followers = new LogFollowers(voters);
-        this.succession = new LogSuccession(seat.voters().size(), voters, followers, admissions);
+        this.succession = new LogSuccession(seat.disksLost(), voters, followers, admissions);
         this.leaderHeardAt = now;
         this.role = restingRole();
         resetElection(now);
@@ -486,8 +486,10 @@
             return;
         }
         if (!newcomer.equals(followers.learner())) {
-            followers.learn(newcomer, log.lastIndex(), now);
-            sendToAll(now);
+            if (!followers.isLearning(now)) {
+                followers.learn(newcomer, log.lastIndex(), now);
+                sendToAll(now);
+            }
             return;
         }
         List<InstanceId> named = succession.replacing(now, newcomer, commit);
--- a/log/src/main/java/org/hallwall/log/LogSeat.java
+++ b/log/src/main/java/org/hallwall/log/LogSeat.java
@@ -27,6 +27,19 @@
  *
  * @param self this voter
  * @param voters all voters, this one included
+ * @param disksLost how many disks may be lost at once with all that was accepted kept
  * @param timing the time limits
  */
-public record LogSeat(InstanceId self, List<InstanceId> voters, LogTiming timing) {}
+public record LogSeat(InstanceId self, List<InstanceId> voters, int disksLost, LogTiming timing) {
+
+    /**
+     * Creates a seat among a fixed set of voters, which survives the loss of fewer than half of them.
+     *
+     * @param self this voter
+     * @param voters all voters, this one included
+     * @param timing the time limits
+     */
+    public LogSeat(InstanceId self, List<InstanceId> voters, LogTiming timing) {
+        this(self, voters, (voters.size() - 1) / 2, timing);
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/control/ControlMembership.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlMembership.java
@@ -50,8 +50,8 @@
 
     private static final Logger LOG = Logger.getLogger(ControlMembership.class);
     private static final long LOOK_MILLIS = 400;
-    /** Without a leader for this long, the others are asked, in milliseconds: several elections. */
-    private static final long LEADERLESS_MILLIS = 4_000;
+    /** Without a leader for this long, the others are asked at each look, in milliseconds: longer than most elections. */
+    private static final long LEADERLESS_MILLIS = 800;
 
     private static final Duration ASK_TIMEOUT = Duration.ofMillis(400);
 
@@ -81,6 +81,11 @@
         looking = Schedulers.parallel().schedulePeriodically(this::look, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Says whether others have told that this instance no longer counts. */
+    boolean wasReplaced() {
+        return replaced;
+    }
+
     @Override
     public void close() {
         if (looking != null) {
@@ -102,7 +107,6 @@
         if (!state.voters().contains(self) || replaced) {
             others.forEach(o -> links.apply(o).send(new JoinRequest(self)));
         } else if (now - leaderAt > LEADERLESS_MILLIS) {
-            leaderAt = now;
             askWhetherReplaced(self, others);
         }
     }
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -121,7 +121,7 @@
         LOG.infof("control: %s starts, members %s", settings.self().instance(), known);
         store = LogStore.open(settings.dataFolder());
         voter = new LogVoter(
-                new LogSeat(settings.self().instance(), known, LogTiming.DEFAULT),
+                new LogSeat(settings.self().instance(), known, settings.disksLost(), LogTiming.DEFAULT),
                 store,
                 machine,
                 (to, message) -> linkTo(to).send(message),
@@ -182,11 +182,13 @@
     /**
      * Says whether this instance counts: what is announced to one that does not count would reach nobody.
      *
-     * @return true if the log names it among the voters
+     * @return true if the log names it among the voters, as far as it knows
      */
     public boolean isMember() {
         LogVoter v = voter;
-        return v != null && v.state().voters().contains(settings.self().instance());
+        return v != null
+                && !membership.wasReplaced()
+                && v.state().voters().contains(settings.self().instance());
     }
 
     /**
@@ -309,7 +311,9 @@
             return answer(from, m);
         }
         if (message instanceof FeedMessage.MembersQuestion) {
-            return Mono.just(new FeedMessage.Members(members()));
+            // without a leader its list may be old
+            boolean knows = voter != null && voter.state().leader() != null;
+            return Mono.just(new FeedMessage.Members(knows ? members() : List.of()));
         }
         if (message instanceof FeedMessage.JoinRequest m && voter != null) {
             voter.consider(m.from());
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNodeSettings.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNodeSettings.java
@@ -35,6 +35,7 @@
  * @param dataFolder its data folder
  * @param firstStart whether the whole system starts for the first time
  * @param seeds some control instances
+ * @param disksLost how many disks of control instances may be lost at once with all that was accepted kept
  * @param timing the limits of the group controller
  */
 public record ControlNodeSettings(
@@ -44,6 +45,7 @@
         Path dataFolder,
         boolean firstStart,
         List<ControlMember> seeds,
+        int disksLost,
         ControllerTiming timing) {
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -62,8 +62,8 @@
     private static final Logger LOG = Logger.getLogger(EntryNode.class);
     private static final int RING = 1_024;
     private static final long TICK_MILLIS = 1_000;
-    /** Links to control instances at most; more would only cost bytes. */
-    private static final int MOST_LINKS = 8;
+    /** Links to control instances at most: one to each voter that there can be. */
+    private static final int MOST_LINKS = 9;
     /** How long the group controller may take to answer about a head: its probes and the way there and back. */
     private static final Duration FINDING_TIMEOUT = Duration.ofMillis(400);
     /** The pause between polls of the requests in progress while stopping, in milliseconds. */
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -57,6 +57,9 @@
 class ControlNodeTest {
 
     private static final Duration WITHIN = Duration.ofSeconds(30);
+    /** Shorter than the time after which a restarted instance is held to the rules of a sound one. */
+    private static final Duration SOON = Duration.ofMillis(2_500);
+
     private static final TargetGateway NOBODY = new TargetGateway() {
         @Override
         public Mono<OrderOutcome> order(TargetRecord t, TargetOrder o, long token, Duration timeout) {
@@ -73,6 +76,7 @@
     private Path folder;
 
     private final Map<Integer, ControlNode> nodes = new HashMap<>();
+    private int disksLost = 1;
     private int peerPort;
     private int apiPort;
 
@@ -109,6 +113,7 @@
                 folder.resolve(n + disk),
                 firstStart,
                 List.of(member(1), member(2), member(3)),
+                disksLost,
                 new ControllerTiming(1_000, 1_000, firstStart, 0));
         ControlNode node = new ControlNode(settings, ControlNodeTest::read);
         node.start(NOBODY);
@@ -228,6 +233,48 @@
         awaitReadBack("8 eight");
     }
 
+    /** Three seeds are all that anyone knows at first; two disks of six may be lost in the same moment as all power. */
+    @Test
+    void withTwoDisksToLoseAllInstancesBecomeVoters() throws IOException {
+        disksLost = 2;
+        for (int n = 1; n <= 3; n++) {
+            close(n);
+            open(n, "two", true);
+        }
+        for (int n = 4; n <= 6; n++) {
+            open(n, "two", true);
+        }
+        Awaitility.await().atMost(WITHIN).until(() -> nodes.values().stream().allMatch(ControlNode::isMember));
+        accept("7 seven");
+        for (int n = 1; n <= 6; n++) {
+            close(n);
+        }
+        for (int n = 6; n >= 1; n--) {
+            open(n, n <= 2 ? "blank" : "two", false);
+        }
+        awaitReadBack("7 seven");
+        accept("8 eight");
+    }
+
+    /** It was away for so long that its place was taken: what is announced to it until it counts again would reach nobody. */
+    @Test
+    void oneThatWasReplacedWhileItWasAwayKnowsSoon() throws IOException {
+        accept("7 seven");
+        close(1);
+        open(4, "disk", false);
+        Awaitility.await().atMost(WITHIN).until(nodes.get(4)::isMember);
+        Awaitility.await()
+                .atMost(WITHIN)
+                .until(() -> !nodes.get(2)
+                        .voter()
+                        .state()
+                        .voters()
+                        .contains(member(1).instance()));
+        open(1, "disk", false);
+        Awaitility.await().atMost(SOON).until(() -> !nodes.get(1).isMember());
+        Awaitility.await().atMost(WITHIN).until(nodes.get(1)::isMember);
+    }
+
     @Test
     void oneInstanceSumsTheLoadOfAllEntries() {
         accept("7 seven");
