A load that was not answered keeps no place, and its target is probed

Cause: an order to load that got no answer kept its place among those that run at full speed for 40 s, and was given again only if there was a place. Ruled out: a shorter time for lost loads (a load lasts 16 s and more). Change: an order that is not answered frees its place (its begin still counts towards the store's rate), and the controller probes the target with a witness; one that does not answer is held for dead and gets no more orders.

--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -312,16 +312,24 @@
         long token = term;
         gateway.order(a.target().record(), a.order(), token, ORDER_TIMEOUT).subscribe(outcome -> {
             LOG.infof("groups: order %s to %s in term %d: %s (%s)", a.order(), id, token, outcome, a.reason());
-            duty.offer(() -> taken(s, outcome));
+            duty.offer(() -> answered(id, s, outcome));
         });
     }
 
-    private void taken(Sent s, OrderOutcome outcome) {
-        boolean loads = s.order instanceof TargetOrder.Stage && outcome == OrderOutcome.CONFLICT;
+    private void answered(InstanceId id, Sent s, OrderOutcome outcome) {
+        boolean load = s.order instanceof TargetOrder.Stage;
+        boolean loads = load && outcome == OrderOutcome.CONFLICT;
         if (outcome == OrderOutcome.TAKEN || loads) {
-            long wait = s.order instanceof TargetOrder.Stage ? LOAD_TAKEN_MILLIS : TAKEN_MILLIS;
-            s.againAt = ticker.millis() + wait;
+            s.againAt = ticker.millis() + (load ? LOAD_TAKEN_MILLIS : TAKEN_MILLIS);
             tick();
+            return;
+        }
+        if (load) {
+            // it may not run, so it must not keep the place of another; its begin still counts towards the store's rate
+            pacer.ended(id);
+        }
+        if (outcome == OrderOutcome.UNKNOWN) {
+            probes.ask(id.value(), List.of(id)).subscribe();
         }
     }
 
