A large group that lacks one engine gets one lent

Ruled out: taking a small group apart at once (its engines would stand idle for the 16 s of the load). Change: the host of a spare, or of an engine in a group of at most half the size, loads the large model while it goes on serving (StagingPlan); when it holds it, its group closes within 2 s and the large one forms (GroupPlan).

--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -92,6 +92,7 @@
         }
         leaveSilentHeads(engines);
         retireSlowGroups(spec, engines);
+        retireLenders(spec, engines);
         form(now, new ModelNeed(spec, streams), engines);
         free(engines).values().forEach(spares -> actions.addAll(warmUp.step(spec, spares, engines.values())));
         return actions;
@@ -214,7 +215,7 @@
         } else if (hasLeavingMember(g, engines)) {
             finish(now, g, head, holds, "a member leaves", CLOSE_MILLIS);
         } else if (g.isRetiring()) {
-            finish(now, g, head, holds, "a domain can form a group of its own", RETIRE_MILLIS);
+            finish(now, g, head, holds, "its members are wanted for a better group", RETIRE_MILLIS);
         } else if (!holds) {
             advance(now, spec, g, head, state, engines);
         }
@@ -395,6 +396,34 @@
         }
     }
 
+    /** Ends a group when one of its hosts has come to hold the model of a larger one that lacks just this engine. */
+    private void retireLenders(EngineSpec spec, Map<InstanceId, Engine> engines) {
+        Map<String, List<Engine>> free = free(engines);
+        for (PlannedGroup g : groups.values()) {
+            if (!g.hasServed() || g.isClosing() || g.isRetiring()) {
+                continue;
+            }
+            for (InstanceId id : g.members()) {
+                if (completesAnother(spec, g, engines.get(id), free)) {
+                    g.retire();
+                }
+            }
+        }
+    }
+
+    private static boolean completesAnother(
+            EngineSpec spec, PlannedGroup g, Engine member, Map<String, List<Engine>> free) {
+        List<Engine> beside = free.getOrDefault(member.record().fabricDomain(), List.of());
+        for (EngineModel m : spec.models()) {
+            long waiting = beside.stream().filter(e -> e.hasStaged(m.name())).count();
+            boolean other = !m.name().equals(g.model()) && member.hasStaged(m.name());
+            if (other && waiting == m.size() - 1) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void joinAll(PlannedGroup g, Map<InstanceId, Engine> engines) {
         TargetOrder join = new TargetOrder.Join(g.name(), g.epoch(), g.model(), g.members());
         for (InstanceId id : g.members()) {
--- a/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
@@ -24,6 +24,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.hallwall.core.id.InstanceId;
@@ -41,9 +42,15 @@
     /** Idle engines load another model only if no more than this many loads make a group of them. */
     private static final int MOST_RELOADS = 2;
 
+    /** After this time free engines are not about to form a group by a repair within their domain, in milliseconds. */
+    private static final long REPAIR_MILLIS = 1_500;
+    /** How many times larger a group must be than the one that lends it an engine, which ends. */
+    private static final int LARGER = 2;
+
     private final Map<InstanceId, String> assigned = new HashMap<>();
     private final Map<InstanceId, Integer> missingAt = new HashMap<>();
     private final Set<InstanceId> begun = new HashSet<>();
+    private final Set<InstanceId> lent = new HashSet<>();
     private final Map<InstanceId, Long> freeSince = new HashMap<>();
 
     /**
@@ -64,6 +71,7 @@
             Map<InstanceId, Engine> engines) {
         forget(now, free, engines);
         assigned.keySet().retainAll(begun);
+        lent.retainAll(begun);
         Map<String, Map<String, Integer>> held = held(spec, engines);
         ModelNeed need = new ModelNeed(spec, streams);
         held.values().forEach(byModel -> {
@@ -76,17 +84,22 @@
             Map<String, Integer> all = held.computeIfAbsent(domain.getKey(), d -> new HashMap<>());
             assign(need, idleByModel(spec, domain.getValue()), all, unassigned(domain.getValue()));
             reassignIdle(now, spec, domain.getValue());
-            for (Engine e : domain.getValue()) {
-                String model = assigned.get(e.id());
-                if (model != null && !e.hasStaged(model)) {
-                    out.add(new StageOrder(e, model, missingAt.getOrDefault(e.id(), StageOrder.SPARE)));
-                }
-            }
+            lend(now, spec, domain.getKey(), domain.getValue(), engines);
+            domain.getValue().forEach(e -> addOrder(out, e));
         }
+        lent.forEach(id -> addOrder(out, engines.get(id)));
         out.sort(Comparator.comparingInt(StageOrder::missing));
         return out;
     }
 
+    private void addOrder(List<StageOrder> out, Engine e) {
+        String model = assigned.get(e.id());
+        boolean known = out.stream().anyMatch(o -> o.target() == e);
+        if (model != null && !e.hasStaged(model) && !known) {
+            out.add(new StageOrder(e, model, missingAt.getOrDefault(e.id(), StageOrder.SPARE)));
+        }
+    }
+
     /**
      * Notes that a load has begun; until then an assignment is made anew at each step, as more engines become known.
      *
@@ -249,6 +262,56 @@
         }
     }
 
+    /**
+     * Lets a host load the model of a large group that lacks a single engine: that of a spare, or of an engine in a much smaller
+     * group. The small group serves meanwhile; when the load has ended, {@link GroupPlan} takes it apart.
+     */
+    private void lend(long now, EngineSpec spec, String domain, List<Engine> free, Map<InstanceId, Engine> engines) {
+        for (EngineModel m : spec.models()) {
+            long waiting = free.stream()
+                    .filter(e -> e.hasStaged(m.name()) && now - freeSince.get(e.id()) > REPAIR_MILLIS)
+                    .count();
+            if (waiting == m.size() - 1 && !isComing(m, domain, free, engines)) {
+                lender(spec, m, domain, free, engines).ifPresent(e -> {
+                    assigned.put(e.id(), m.name());
+                    missingAt.put(e.id(), 1);
+                    lent.add(e.id());
+                });
+            }
+        }
+    }
+
+    /** Says whether a host of the domain, besides those of free engines, holds the model or will, though its engine has another. */
+    private boolean isComing(EngineModel m, String domain, List<Engine> free, Map<InstanceId, Engine> engines) {
+        for (Engine e : engines.values()) {
+            boolean near = e.isUsable() && domain.equals(e.record().fabricDomain());
+            boolean loads = m.name().equals(assigned.get(e.id())) && !e.hasStaged(m.name());
+            boolean holds = e.hasStaged(m.name()) && !m.name().equals(e.record().model()) && !free.contains(e);
+            if (near && (loads || holds)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Finds a host that holds the model of a much smaller group: a spare's, or else that of an engine in such a group. */
+    private Optional<Engine> lender(
+            EngineSpec spec, EngineModel large, String domain, List<Engine> free, Map<InstanceId, Engine> engines) {
+        return engines.values().stream()
+                .filter(e -> e.isUsable() && domain.equals(e.record().fabricDomain()))
+                .filter(e -> !assigned.containsKey(e.id()) && holdsMuchSmaller(spec, large, e))
+                .min(Comparator.comparing((Engine e) -> !free.contains(e)).thenComparing(Engine::id));
+    }
+
+    private static boolean holdsMuchSmaller(EngineSpec spec, EngineModel large, Engine e) {
+        for (EngineModel m : spec.models()) {
+            if (e.hasStaged(m.name())) {
+                return m.size() * LARGER <= large.size();
+            }
+        }
+        return false;
+    }
+
     private boolean isLoading(Engine e) {
         String model = assigned.get(e.id());
         return model != null && !e.hasStaged(model);
