--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/group/EngineFixture.java
@@ -0,0 +1,83 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.group;
+
+import java.util.List;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
+import org.hallwall.serving.target.GroupMark;
+import org.hallwall.serving.target.TargetRecord;
+
+/** Makes engines for the tests of the planners. */
+final class EngineFixture {
+
+    private static final int SLOTS = 18;
+
+    private EngineFixture() {}
+
+    /**
+     * Makes an engine that has announced itself once.
+     *
+     * @param id its name
+     * @param domain its fabric domain
+     * @param model the model in the engine, or null
+     * @param staged the model that its host holds, or null
+     * @param mark the group that it is in, or null
+     * @return the engine, which serves
+     */
+    static Engine engine(String id, String domain, String model, String staged, GroupMark mark) {
+        return engine(id, domain, model, staged, mark, TargetRecord.Presence.SERVING, false);
+    }
+
+    /**
+     * Makes an engine that may leave or be lost.
+     *
+     * @param id its name
+     * @param domain its fabric domain
+     * @param model the model in the engine, or null
+     * @param staged the model that its host holds, or null
+     * @param mark the group that it is in, or null
+     * @param presence whether it serves, leaves or is gone
+     * @param lost whether it is held for dead
+     * @return the engine
+     */
+    static Engine engine(
+            String id,
+            String domain,
+            String model,
+            String staged,
+            GroupMark mark,
+            TargetRecord.Presence presence,
+            boolean lost) {
+        TargetRecord r = new TargetRecord(
+                new InstanceId(id),
+                1,
+                "llm",
+                new NetAddress("10.0.0.1", 80),
+                "a",
+                SLOTS,
+                presence,
+                domain,
+                model,
+                staged == null ? List.of() : List.of(staged),
+                mark);
+        return new Engine(r, lost, false);
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -24,7 +24,6 @@
 import java.util.Map;
 
 import org.hallwall.core.id.InstanceId;
-import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.config.EngineModel;
 import org.hallwall.serving.config.EngineSpec;
 import org.hallwall.serving.target.GroupMark;
@@ -52,20 +51,9 @@
     }
 
     private void engine(int n, String domain, GroupMark mark, TargetRecord.Presence presence, boolean lost) {
-        InstanceId id = new InstanceId("i-" + n);
-        TargetRecord r = new TargetRecord(
-                id,
-                1,
-                "llm",
-                new NetAddress("10.0.0." + n, 80),
-                "a",
-                18,
-                presence,
-                domain,
-                mark == null ? null : "m",
-                List.of("m"),
-                mark);
-        engines.put(id, new Engine(r, lost, false));
+        String model = mark == null ? null : "m";
+        Engine e = EngineFixture.engine("i-" + n, domain, model, "m", mark, presence, lost);
+        engines.put(e.id(), e);
     }
 
     private void engine(int n, GroupMark mark) {
--- a/serving/src/test/java/org/hallwall/serving/group/LentEngineTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/LentEngineTest.java
@@ -23,12 +23,10 @@
 import java.util.Map;
 
 import org.hallwall.core.id.InstanceId;
-import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.config.EngineModel;
 import org.hallwall.serving.config.EngineSpec;
 import org.hallwall.serving.target.GroupMark;
 import org.hallwall.serving.target.GroupState;
-import org.hallwall.serving.target.TargetRecord;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -46,20 +44,9 @@
     private final StagingPlan staging = new StagingPlan();
 
     private void engine(int n, String staged, GroupMark mark) {
-        InstanceId id = new InstanceId("i-" + n);
-        TargetRecord r = new TargetRecord(
-                id,
-                1,
-                "llm",
-                new NetAddress("10.0.0." + n, 80),
-                "a",
-                18,
-                TargetRecord.Presence.SERVING,
-                "d0",
-                mark == null ? null : "small",
-                List.of(staged),
-                mark);
-        engines.put(id, new Engine(r, false, false));
+        String model = mark == null ? null : "small";
+        Engine e = EngineFixture.engine("i-" + n, "d0", model, staged, mark);
+        engines.put(e.id(), e);
     }
 
     /** Five idle engines of the big model, and a small group of engines 11 to 13 that serves. */
--- a/serving/src/test/java/org/hallwall/serving/group/StagingPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/StagingPlanTest.java
@@ -25,10 +25,8 @@
 import java.util.Map;
 
 import org.hallwall.core.id.InstanceId;
-import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.config.EngineModel;
 import org.hallwall.serving.config.EngineSpec;
-import org.hallwall.serving.target.TargetRecord;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,21 +47,8 @@
     private final Map<String, List<Engine>> free = new LinkedHashMap<>();
 
     private void engine(String domain, int n, String staged) {
-        InstanceId id = new InstanceId(domain + n);
-        TargetRecord r = new TargetRecord(
-                id,
-                1,
-                "llm",
-                new NetAddress("10.0.0." + n, 80),
-                "a",
-                18,
-                TargetRecord.Presence.SERVING,
-                domain,
-                null,
-                staged == null ? List.of() : List.of(staged),
-                null);
-        Engine e = new Engine(r, false, false);
-        engines.put(id, e);
+        Engine e = EngineFixture.engine(domain + n, domain, null, staged, null);
+        engines.put(e.id(), e);
         free.computeIfAbsent(domain, d -> new ArrayList<>()).add(e);
     }
 
