Sight: what became of a failed attempt, what the retry budget held, figures by service; no change of logic

Cause for it: the logs could not tell the hypotheses of the incident apart. Each line of a failed attempt now says whether the request is sent again, with or without a charge, and what the account held: repeats, allowance, requests, entries. New counters: sends by service and turn, resends by service and decision. The attempts of plain requests and of streams are kept by one class, Attempts, in place of two copies of the same steps.

--- a/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
@@ -19,20 +19,13 @@
 package org.hallwall.serving.relay;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 
-import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.verdict.Verdict;
-import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 
 /** Runs one request whose answer is sent only once it is whole. */
 final class PlainRun {
 
-    private static final Logger LOG = Logger.getLogger(PlainRun.class);
-    /** Attempts that targets have turned away before a request is given up; they have not run. */
-    private static final int MOST_TURNED_AWAY = 3;
     /** The part of the latency objective after which a repeatable request is tried elsewhere. */
     private static final double PATIENCE = 0.8;
 
@@ -40,15 +33,13 @@
 
     private final RelayContext context;
     private final RelayRequest request;
-    private final Set<InstanceId> tried = new HashSet<>();
-    private Verdict verdict = Verdict.NOT_RUN;
-    private int ran;
-    private int turnedAway;
+    private final Attempts attempts;
     private WholeAnswer failed;
 
     PlainRun(RelayContext context, RelayRequest request) {
         this.context = context;
         this.request = request;
+        this.attempts = new Attempts(context, request);
     }
 
     /** Gives the answer or a {@link RelayRefusal}. */
@@ -59,12 +50,13 @@
     private Mono<WholeAnswer> attempt() {
         long now = context.now();
         long left = request.deadlineAt() - now;
-        ServingTarget target =
-                context.balancer().choose(context.state().targets().of(request.service(), request.model()), tried);
-        if (target == null || left <= 0) {
-            return end(target == null ? "no target serves" : "its time is over");
+        if (left <= 0) {
+            return end("its time is over");
+        }
+        ServingTarget target = attempts.next();
+        if (target == null) {
+            return end("no target serves");
         }
-        tried.add(target.instance());
         TargetState state = context.balancer().state(target);
         state.begin();
         return context.client()
@@ -84,20 +76,20 @@
                 .onErrorMap(e ->
                         e instanceof AttemptFailure ? e : new AttemptFailure(Verdict.MAY_HAVE_RUN, "no answer in time"))
                 .doFinally(s -> state.end())
-                .flatMap(a -> judge(target, state, a))
-                .onErrorResume(AttemptFailure.class, f -> again(target, state, f));
+                .flatMap(a -> judge(state, a))
+                .onErrorResume(AttemptFailure.class, f -> again(target, f));
     }
 
     /** A request that may be repeated is not left with a target that does not answer. */
     private long patience(long left) {
-        if (!request.route().mayRepeat() || ran + 1 >= request.route().attempts()) {
+        if (!attempts.mayRunAgain()) {
             return left;
         }
         long patience = (long) (request.route().objectiveMillis() * PATIENCE);
         return Math.min(left, Math.max(LEAST_PATIENCE_MILLIS, patience));
     }
 
-    private Mono<WholeAnswer> judge(ServingTarget target, TargetState state, WholeAnswer answer) {
+    private Mono<WholeAnswer> judge(TargetState state, WholeAnswer answer) {
         if (!answer.isFailure()) {
             state.succeeded();
             context.counters().attempt("answered");
@@ -107,38 +99,15 @@
         return Mono.error(new AttemptFailure(Verdict.RAN, "the target failed with " + answer.status()));
     }
 
-    private Mono<WholeAnswer> again(ServingTarget target, TargetState state, AttemptFailure f) {
-        context.counters().attempt(f.verdict().name());
-        if (f.verdict() == Verdict.NOT_RUN) {
-            turnedAway++;
-            if (!f.hasReached()) {
-                state.failed(context.now());
-            }
-        } else {
-            ran++;
-            state.failed(context.now());
-        }
-        verdict = verdict.and(f.verdict());
-        LOG.infof(
-                "request %s: attempt at %s failed after %d ms, %s: %s",
-                request.attemptId(),
-                target.instance(),
-                context.now() - request.receivedAt(),
-                f.verdict(),
-                f.getMessage());
-        boolean allowed = f.verdict() == Verdict.NOT_RUN
-                ? turnedAway <= MOST_TURNED_AWAY
-                : request.route().mayRepeat() && ran < request.route().attempts();
-        if (!allowed || (f.hasReached() && !context.budget().tryRepeat())) {
-            return end(f.getMessage());
-        }
-        return Mono.defer(this::attempt);
+    private Mono<WholeAnswer> again(ServingTarget target, AttemptFailure f) {
+        return attempts.failed(target, f, 0, false).isSent() ? Mono.defer(this::attempt) : end(f.getMessage());
     }
 
     private Mono<WholeAnswer> end(String reason) {
         if (failed != null) {
             return Mono.just(failed);
         }
+        Verdict verdict = attempts.verdict();
         if (verdict != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
             return Mono.error(new RelayRefusal(504, verdict, reason, 0));
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayCounts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayCounts.java
@@ -30,6 +30,8 @@
     private final Counter answers;
     private final Counter attempts;
     private final Counter refusals;
+    private final Counter sends;
+    private final Counter resends;
     private final Histogram firstByte;
 
     /**
@@ -53,6 +55,16 @@
                 .help("Requests that got no whole answer, by status")
                 .labelNames("status")
                 .register(registry);
+        sends = Counter.builder()
+                .name("hallwall_relay_sends")
+                .help("Requests sent to targets, by service and by whether they were sent before")
+                .labelNames("service", "turn")
+                .register(registry);
+        resends = Counter.builder()
+                .name("hallwall_relay_resends")
+                .help("Failed attempts, by service and by what became of the request")
+                .labelNames("service", "decision")
+                .register(registry);
         firstByte = Histogram.builder()
                 .name("hallwall_relay_first_seconds")
                 .help("Time to the first byte of an answer")
@@ -68,6 +80,14 @@
         attempts.labelValues(outcome).inc();
     }
 
+    void send(String service, boolean repeat) {
+        sends.labelValues(service, repeat ? "repeat" : "first").inc();
+    }
+
+    void resend(String service, Resend decision) {
+        resends.labelValues(service, decision.label()).inc();
+    }
+
     void refusal(int status) {
         refusals.labelValues(Integer.toString(status)).inc();
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/RepeatBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RepeatBudget.java
@@ -18,6 +18,8 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.Locale;
+
 import org.hallwall.core.time.Ticker;
 
 /**
@@ -84,6 +86,19 @@
         return true;
     }
 
+    /** Tells the account, for logs: what was spent, what is allowed, and what that was worked out from. */
+    String describe() {
+        long requested = sum(requests);
+        double allowed = (ratio * requested + extra / entries) * SPENT_PART;
+        return String.format(
+                Locale.ROOT,
+                "%d repeats of %.1f in the window, %d requests, one of %d entries",
+                sum(repeats),
+                allowed,
+                requested,
+                entries);
+    }
+
     private int bucket() {
         long stamp = ticker.millis() / bucketMillis;
         int b = (int) Math.floorMod(stamp, (long) BUCKETS);
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -18,15 +18,11 @@
  */
 package org.hallwall.serving.relay;
 
-import java.util.HashSet;
-import java.util.Set;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
 import org.jboss.logging.Logger;
@@ -46,7 +42,6 @@
 
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
     private static final String EVENT_STREAM = "text/event-stream";
-    private static final int MOST_TURNED_AWAY = 3;
     /** The part of the latency objective that a target may take to its first event before its group is asked about. */
     private static final double FIRST_PATIENCE = 0.4;
     /** The part of the longest pause that a target may stand still before its group is asked about. */
@@ -65,7 +60,7 @@
     private final EventLoop loop;
     private final Sinks.One<Head> head = Sinks.one();
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
-    private final Set<InstanceId> tried = new HashSet<>();
+    private final Attempts attempts;
     private final Runnable look = this::look;
     private Attempt current;
     private boolean headGiven;
@@ -74,9 +69,6 @@
     private String lastEventId;
     private long lastId = EventCutter.Event.NO_ID;
     private long progressAt;
-    private Verdict verdict = Verdict.NOT_RUN;
-    private int ran;
-    private int turnedAway;
     private int resumed;
     private long eventCount;
     private long longestPause;
@@ -86,6 +78,7 @@
         this.window = window;
         this.context = context;
         this.request = request;
+        this.attempts = new Attempts(context, request);
         this.loop = loop;
         this.lastEventId = lastEventId;
         if (lastEventId != null) {
@@ -126,13 +119,15 @@
         }
         long now = context.now();
         long left = request.deadlineAt() - now;
-        ServingTarget target =
-                context.balancer().choose(context.state().targets().of(request.service(), request.model()), tried);
-        if (target == null || left <= 0) {
-            giveUp(target == null ? "no group serves" : "its time is over");
+        if (left <= 0) {
+            giveUp("its time is over");
+            return;
+        }
+        ServingTarget target = attempts.next();
+        if (target == null) {
+            giveUp("no group serves");
             return;
         }
-        tried.add(target.instance());
         Attempt a = new Attempt(target, now);
         current = a;
         progressAt = now;
@@ -150,7 +145,7 @@
         long now = context.now();
         if (now >= request.deadlineAt()) {
             current.drop();
-            verdict = verdict.and(Verdict.MAY_HAVE_RUN);
+            attempts.abandon();
             giveUp("its time is over");
             return;
         }
@@ -176,20 +171,15 @@
 
     /** A standing stream is left only if the route, another target and the budget allow it; waiting costs nothing. */
     private boolean canMove(Attempt a, long now) {
-        if (!request.route().mayRepeat() || ran + 1 >= request.route().attempts()) {
+        if (!attempts.mayRunAgain()) {
             return false;
         }
-        ServingTarget other =
-                context.balancer().choose(context.state().targets().of(request.service(), request.model()), tried);
+        ServingTarget other = attempts.other();
         return other != null
                 && !context.balancer().state(other).isPaused(now)
                 && context.budget().tryRepeat();
     }
 
-    private boolean mayGoOn() {
-        return request.route().mayRepeat() && ran + 1 < request.route().attempts();
-    }
-
     private long patience(Attempt a) {
         long pause = request.route().pauseMillis();
         boolean first = eventCount == 0 || pause <= 0;
@@ -205,32 +195,10 @@
     }
 
     private void failed(Attempt a, AttemptFailure f) {
-        long now = context.now();
-        context.counters().attempt(f.verdict().name());
-        if (f.verdict() == Verdict.NOT_RUN) {
-            turnedAway++;
-            if (!f.hasReached()) {
-                a.state.failed(now);
-                reportUnreachable(a.target);
-            }
-        } else {
-            ran++;
-            a.state.failed(now);
+        if (!f.hasReached()) {
+            reportUnreachable(a.target);
         }
-        verdict = verdict.and(f.verdict());
-        LOG.infof(
-                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s",
-                request.attemptId(),
-                a.target.instance(),
-                a.target.group() == null ? "-" : a.target.group().name(),
-                now - request.receivedAt(),
-                eventCount,
-                f.verdict(),
-                f.getMessage());
-        boolean allowed = f.verdict() == Verdict.NOT_RUN
-                ? turnedAway <= MOST_TURNED_AWAY
-                : request.route().mayRepeat() && ran < request.route().attempts();
-        if (allowed && (moving || !f.hasReached() || context.budget().tryRepeat())) {
+        if (attempts.failed(a.target, f, eventCount, moving).isSent()) {
             moving = false;
             resumed += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
             attempt();
@@ -257,10 +225,10 @@
                     request.attemptId(), eventCount, context.now() - request.receivedAt(), reason);
             context.counters().refusal(0);
             events.tryEmitError(new RelayRefusal(502, Verdict.RAN, reason, 0));
-        } else if (verdict != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
-            head.tryEmitError(new RelayRefusal(504, verdict, reason, 0));
+        } else if (attempts.verdict() != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
+            head.tryEmitError(new RelayRefusal(504, attempts.verdict(), reason, 0));
         } else {
-            head.tryEmitError(RelayRefusal.after(verdict, reason, RelayContext.COME_BACK_MILLIS));
+            head.tryEmitError(RelayRefusal.after(attempts.verdict(), reason, RelayContext.COME_BACK_MILLIS));
         }
     }
 
@@ -286,7 +254,7 @@
                 firstAfter,
                 longestPause,
                 resumed,
-                turnedAway);
+                attempts.turnedAway());
         events.tryEmitComplete();
     }
 
@@ -295,7 +263,7 @@
         if (eventCount == 0) {
             firstAfter = now - request.receivedAt();
             context.counters().first(firstAfter);
-            if (ran == 0) {
+            if (attempts.ran() == 0) {
                 window.first((double) firstAfter / request.route().objectiveMillis(), now);
             }
         } else {
@@ -392,7 +360,7 @@
 
         /** An answer that is no stream is the target's own failure, or the answer of a kind that has no events. */
         private void takeWhole(byte[] body) {
-            if (status >= 500 && mayGoOn()) {
+            if (status >= 500 && attempts.mayRunAgain()) {
                 fail(new AttemptFailure(Verdict.RAN, "the target failed with " + status));
                 return;
             }
