--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -66,7 +66,11 @@
     }
 
     RelayFixture(double repeats) throws ProgramException {
-        RepeatBudget budget = new RepeatBudget(0, repeats, 10_000, Ticker.SYSTEM);
+        this(0, repeats);
+    }
+
+    RelayFixture(double ratio, double repeats) throws ProgramException {
+        RepeatBudget budget = new RepeatBudget(ratio, repeats, 10_000, Ticker.SYSTEM);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
         Balancer balancer = new Balancer("a", fleet, Mechanisms.ALL, Ticker.SYSTEM);
         server = new RelayServer(new RelayContext(
