--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -108,7 +108,7 @@
         Resend decision = decide(f, charged);
         context.counters().resend(request.service(), decision);
         LOG.infof(
-                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; it %s (%s: %s)",
+                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; it %s (%s)",
                 request.attemptId(),
                 target.instance(),
                 target.group() == null ? "-" : target.group().name(),
@@ -117,8 +117,7 @@
                 f.verdict(),
                 f.getMessage(),
                 decision,
-                request.service(),
-                context.budget().describe());
+                context.budget().describe(request.service()));
         return decision;
     }
 
@@ -135,6 +134,6 @@
         if (!f.hasReached()) {
             return Resend.UNCHARGED;
         }
-        return context.budget().tryRepeat() ? Resend.GRANTED : Resend.REFUSED;
+        return context.budget().tryRetry(request.service()) ? Resend.GRANTED : Resend.REFUSED;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -84,7 +84,7 @@
     private final LoopResources loops = LoopResources.create("io", 1, true);
     private final Admission admission;
     private final LoadExchange exchange;
-    private final RepeatBudget budget;
+    private final RetryBudget budget;
     private final RelayServer server;
     private final DutyThread duty;
     private final Map<String, String> boots = new HashMap<>();
@@ -107,7 +107,7 @@
         this.settings = settings;
         this.reader = reader;
         this.budget =
-                new RepeatBudget(settings.repeatRatio(), settings.repeatExtra(), settings.repeatWindowMillis(), ticker);
+                new RetryBudget(settings.repeatRatio(), settings.repeatExtra(), settings.repeatWindowMillis(), ticker);
         FleetLoad fleet = new FleetLoad(ticker);
         Balancer balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), ticker);
         this.admission = new Admission(balancer, fleet, settings.mechanisms(), ticker);
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -39,7 +39,7 @@
         EntryState state,
         Balancer balancer,
         TargetClient client,
-        RepeatBudget budget,
+        RetryBudget budget,
         ForwardedHeaders headers,
         HeaderNames names,
         StandingHeads standing,
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -179,7 +179,8 @@
         boolean again = comeBacks.isBack(route, callersTime);
         long deadlineAt = now + Math.min(route.timeoutMillis(), callersTime);
         int most = routes.configuration().limits().bodyBytes();
-        context.budget().request();
+        String service = route.service(ThreadLocalRandom.current().nextDouble());
+        context.budget().request(service);
         return read(req, most)
                 .map(body -> new RelayRequest(
                         attemptId,
@@ -188,7 +189,7 @@
                         context.headers().request(headers, workspace == null ? null : workspace.name()),
                         body,
                         route,
-                        route.service(ThreadLocalRandom.current().nextDouble()),
+                        service,
                         headers.get(context.names().model()),
                         workspace == null || workspace.priority() == null ? route.priority() : workspace.priority(),
                         again,
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -177,7 +177,7 @@
         ServingTarget other = attempts.other();
         return other != null
                 && !context.balancer().state(other).isPaused(now)
-                && context.budget().tryRepeat();
+                && context.budget().tryRetry(request.service());
     }
 
     private long patience(Attempt a) {
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -70,7 +70,7 @@
     }
 
     RelayFixture(double ratio, double repeats) throws ProgramException {
-        RepeatBudget budget = new RepeatBudget(ratio, repeats, 10_000, Ticker.SYSTEM);
+        RetryBudget budget = new RetryBudget(ratio, repeats, 10_000, Ticker.SYSTEM);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
         Balancer balancer = new Balancer("a", fleet, Mechanisms.ALL, Ticker.SYSTEM);
         server = new RelayServer(new RelayContext(
--- a/serving/src/test/java/org/hallwall/serving/relay/RepeatBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Repeats of all entries together stay below the bound. */
-class RepeatBudgetTest {
+class RetryBudgetTest {
 
     private static final long WINDOW = 10_000;
 
@@ -37,12 +37,12 @@
         int spent = 0;
         int requests = 0;
         for (int e = 0; e < entries; e++) {
-            RepeatBudget budget = new RepeatBudget(0.2, 100, WINDOW, now::get);
+            RetryBudget budget = new RetryBudget(0.2, 100, WINDOW, now::get);
             budget.entries(entries);
             for (int i = 0; i < 50; i++) {
-                budget.request();
+                budget.request("s");
                 requests++;
-                spent += budget.tryRepeat() ? 1 : 0;
+                spent += budget.tryRetry("s") ? 1 : 0;
             }
         }
         Assertions.assertTrue(spent <= requests * 0.2 + 100, spent + " of " + requests);
@@ -51,15 +51,15 @@
     @Test
     void theWindowSlides() {
         AtomicLong now = new AtomicLong();
-        RepeatBudget budget = new RepeatBudget(0, 10, WINDOW, now::get);
+        RetryBudget budget = new RetryBudget(0, 10, WINDOW, now::get);
         int first = 0;
-        while (budget.tryRepeat()) {
+        while (budget.tryRetry("s")) {
             first++;
         }
         Assertions.assertTrue(first > 0 && first <= 10);
         now.set(WINDOW / 2);
-        Assertions.assertFalse(budget.tryRepeat());
+        Assertions.assertFalse(budget.tryRetry("s"));
         now.set(WINDOW + 1_000);
-        Assertions.assertTrue(budget.tryRepeat());
+        Assertions.assertTrue(budget.tryRetry("s"));
     }
 }
