A target in whose place another answers is left alone until it announces something new

Cause of most retries in the incident: targets that died without a word stay known, new ones take their addresses and answer 421 to what names the old ones, and a 421 did not speak against a target. Ruled out: waiting for heartbeats to run out (a target that is only cut off from control still serves), and believing the newcomer's announcement (an announcement of the dead one may come late).

Change: an attempt that another target answered marks the named one as displaced; the balancer passes it over until it announces something new, or for 30 s, since one spoilt answer must not cost a target for good.

--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -27,6 +27,7 @@
 
     private final Verdict verdict;
     private final boolean reached;
+    private final boolean misdirected;
 
     /**
      * Creates the failure of an attempt that reached no target.
@@ -35,7 +36,17 @@
      * @return the failure
      */
     public static AttemptFailure notSent(String reason) {
-        return new AttemptFailure(Verdict.NOT_RUN, reason, false);
+        return new AttemptFailure(Verdict.NOT_RUN, reason, false, false);
+    }
+
+    /**
+     * Creates the failure of an attempt that another target than the named one answered.
+     *
+     * @param reason why
+     * @return the failure
+     */
+    public static AttemptFailure misdirected(String reason) {
+        return new AttemptFailure(Verdict.NOT_RUN, reason, true, true);
     }
 
     /**
@@ -45,13 +56,14 @@
      * @param reason why
      */
     public AttemptFailure(Verdict verdict, String reason) {
-        this(verdict, reason, true);
+        this(verdict, reason, true, false);
     }
 
-    private AttemptFailure(Verdict verdict, String reason, boolean reached) {
+    private AttemptFailure(Verdict verdict, String reason, boolean reached, boolean misdirected) {
         super(reason, null, false, false);
         this.verdict = verdict;
         this.reached = reached;
+        this.misdirected = misdirected;
     }
 
     /**
@@ -63,6 +75,15 @@
         return reached;
     }
 
+    /**
+     * Says whether another target than the named one answered: the named one is not at its address any more.
+     *
+     * @return true if so
+     */
+    public boolean isMisdirected() {
+        return misdirected;
+    }
+
     /**
      * Gives the verdict.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -101,9 +101,7 @@
         } else {
             ran++;
         }
-        if (f.verdict() != Verdict.NOT_RUN || !f.hasReached()) {
-            context.balancer().state(target).failed(context.now());
-        }
+        noteTarget(context.balancer().state(target), target, f);
         verdict = verdict.and(f.verdict());
         Resend decision = decide(f, charged);
         context.counters().resend(request.service(), decision);
@@ -121,6 +119,14 @@
         return decision;
     }
 
+    private void noteTarget(TargetState state, ServingTarget target, AttemptFailure f) {
+        if (f.isMisdirected()) {
+            state.displaced(target, context.now());
+        } else if (f.verdict() != Verdict.NOT_RUN || !f.hasReached()) {
+            state.failed(context.now());
+        }
+    }
+
     private Resend decide(AttemptFailure f, boolean charged) {
         boolean allowed = f.verdict() == Verdict.NOT_RUN
                 ? turnedAway <= MOST_TURNED_AWAY
--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -115,13 +115,13 @@
         return best != null && running(best) * best.slowness() < best.slots() * NEAR_ROOM ? best : null;
     }
 
-    /** Lists the targets that were not tried; paused ones only if there are no others. */
+    /** Lists the targets that were not tried and are where they say; paused ones only if there are no others. */
     private List<ServingTarget> untried(List<ServingTarget> targets, Set<InstanceId> tried) {
         long now = ticker.millis();
         List<ServingTarget> sound = new ArrayList<>();
         List<ServingTarget> paused = new ArrayList<>();
         for (ServingTarget t : targets) {
-            if (!tried.contains(t.instance())) {
+            if (!tried.contains(t.instance()) && !state(t).isDisplaced(t, now)) {
                 (state(t).isPaused(now) ? paused : sound).add(t);
             }
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/ServingTarget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ServingTarget.java
@@ -26,6 +26,7 @@
  * A target that requests may go to: a plain one, or the head of a complete group.
  *
  * @param instance the target
+ * @param announcement the number of the announcement that this was read from; a later one is higher
  * @param address where it takes requests
  * @param failureDomain its failure domain
  * @param slots how many requests it runs at once
@@ -35,6 +36,7 @@
  */
 public record ServingTarget(
         InstanceId instance,
+        long announcement,
         NetAddress address,
         String failureDomain,
         int slots,
--- a/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
@@ -127,7 +127,8 @@
         }
         EngineSpec spec = service.engine();
         if (spec == null) {
-            return new ServingTarget(r.instance(), r.address(), r.failureDomain(), r.slots(), null, null, 1);
+            return new ServingTarget(
+                    r.instance(), r.sequence(), r.address(), r.failureDomain(), r.slots(), null, null, 1);
         }
         GroupMark m = r.group();
         EngineModel model = r.model() == null ? null : spec.model(r.model());
@@ -138,7 +139,8 @@
             return null;
         }
         double slowness = domains.get(key(m)).size() > 1 ? spec.farFactor() : 1;
-        return new ServingTarget(r.instance(), r.address(), r.failureDomain(), spec.slots(), model.name(), m, slowness);
+        return new ServingTarget(
+                r.instance(), r.sequence(), r.address(), r.failureDomain(), spec.slots(), model.name(), m, slowness);
     }
 
     private static String key(GroupMark m) {
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -46,6 +46,9 @@
     /** The largest head of an answer, in bytes. */
     private static final int MOST_HEAD_BYTES = 65_536;
 
+    /** The status by which a target says that it is not the one that the request names. */
+    private static final int MISDIRECTED = 421;
+
     private final HttpClient client;
     private final HeaderNames names;
 
@@ -113,7 +116,10 @@
             return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "an answer to another request came"));
         }
         int status = head.status().code();
-        if (head.responseHeaders().contains(names.notRun()) || status == 421) {
+        if (status == MISDIRECTED) {
+            return Flux.error(AttemptFailure.misdirected("another target answered, status " + status));
+        }
+        if (head.responseHeaders().contains(names.notRun())) {
             return Flux.error(new AttemptFailure(Verdict.NOT_RUN, "the target did not run it, status " + status));
         }
         if (echoed == null) {
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -26,6 +26,12 @@
 
     private static final long MOST_PAUSE_MILLIS = 3_000;
 
+    /**
+     * How long a target is left alone for whose address another one answers, in milliseconds, unless it announces something new. Most
+     * such targets are gone for good; one that is not, because its answer was spoilt, is lost to this entry for so long.
+     */
+    private static final long DISPLACED_MILLIS = 30_000;
+
     /** The weight of the latest gap in the running mean. */
     private static final double GAP_WEIGHT = 0.1;
 
@@ -35,6 +41,8 @@
     private int outstanding;
     private int failures;
     private long pausedUntil;
+    private long displacedAnnouncement = -1;
+    private long displacedUntil;
     private long progressAt;
     private double usualGap;
     private double gapDeviation;
@@ -84,6 +92,17 @@
         pausedUntil = now + pause;
     }
 
+    /** Notes that another target answered in place of this one. */
+    void displaced(ServingTarget target, long now) {
+        displacedAnnouncement = target.announcement();
+        displacedUntil = now + DISPLACED_MILLIS;
+    }
+
+    /** Says whether another target answers at the address that this one announced. */
+    boolean isDisplaced(ServingTarget target, long now) {
+        return target.announcement() <= displacedAnnouncement && now < displacedUntil;
+    }
+
     boolean isPaused(long now) {
         return now < pausedUntil;
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/AdmissionTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/AdmissionTest.java
@@ -43,7 +43,7 @@
     private final Admission admission = new Admission(balancer, fleet, Mechanisms.ALL, () -> now);
 
     private static ServingTarget target(String id, double slowness) {
-        return new ServingTarget(new InstanceId(id), new NetAddress("127.0.0.1", 1), "a", 20, "m", null, slowness);
+        return new ServingTarget(new InstanceId(id), 1, new NetAddress("127.0.0.1", 1), "a", 20, "m", null, slowness);
     }
 
     private static RelayRequest request(boolean again) {
--- a/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
@@ -47,7 +47,8 @@
     private static List<ServingTarget> targets(int count) {
         List<ServingTarget> out = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            out.add(new ServingTarget(new InstanceId("h" + i), new NetAddress("127.0.0.1", 1), "a", 18, "m", null, 1));
+            out.add(new ServingTarget(
+                    new InstanceId("h" + i), 1, new NetAddress("127.0.0.1", 1), "a", 18, "m", null, 1));
         }
         return out;
     }
@@ -79,7 +80,7 @@
             String domain = i < 2 ? "a" : "b";
             GroupMark mark = new GroupMark("g" + i, 1, 0, GroupState.OPEN);
             targets.add(new ServingTarget(
-                    new InstanceId("h" + i), new NetAddress("127.0.0.1", 1), domain, 18, "m", mark, 1));
+                    new InstanceId("h" + i), 1, new NetAddress("127.0.0.1", 1), domain, 18, "m", mark, 1));
             sums.put("h" + i, i < 2 ? running : 0);
         }
         fleet.take(Map.of(), sums);
@@ -108,6 +109,19 @@
         Assertions.assertNotNull(balancer.choose(targets, Set.of(new InstanceId("h0"))));
     }
 
+    @Test
+    void aTargetInWhosePlaceAnotherAnswersIsLeftAloneUntilItAnnouncesAnew() {
+        ServingTarget gone =
+                new ServingTarget(new InstanceId("gone"), 7, new NetAddress("127.0.0.1", 1), "a", 18, null, null, 1);
+        ServingTarget anew =
+                new ServingTarget(new InstanceId("gone"), 8, new NetAddress("127.0.0.1", 2), "a", 18, null, null, 1);
+        balancer.state(gone).displaced(gone, now);
+        Assertions.assertNull(balancer.choose(List.of(gone), Set.of()));
+        Assertions.assertEquals(anew, balancer.choose(List.of(anew), Set.of()));
+        now += 60_000;
+        Assertions.assertEquals(gone, balancer.choose(List.of(gone), Set.of()), "it may have been a spoilt answer");
+    }
+
     @Test
     void runningCountsOthersOnTopOfItsOwn() {
         List<ServingTarget> targets = targets(1);
