--- a/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
+++ b/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
@@ -24,8 +24,8 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 
-/** What entries tell with their polls: that they are there, and their streams in progress. */
-final class EntryReports {
+/** What entries tell one control instance with their polls: that they are there, and their streams in progress. */
+public final class EntryReports {
 
     /** How long an entry counts after its last poll, in milliseconds: several polls. */
     private static final long ENTRY_MILLIS = 3_000;
@@ -33,15 +33,31 @@
     private final Ticker ticker;
     private final Map<InstanceId, Report> reports = new HashMap<>();
 
-    EntryReports(Ticker ticker) {
+    /**
+     * Creates it; no entry is known.
+     *
+     * @param ticker the clock
+     */
+    public EntryReports(Ticker ticker) {
         this.ticker = ticker;
     }
 
-    synchronized void take(InstanceId entry, Map<String, Integer> streams) {
+    /**
+     * Notes a poll.
+     *
+     * @param entry who polls
+     * @param streams its streams in progress by model
+     */
+    public synchronized void take(InstanceId entry, Map<String, Integer> streams) {
         reports.put(entry, new Report(ticker.millis(), streams == null ? Map.of() : streams));
     }
 
-    synchronized int count() {
+    /**
+     * Counts the entries that have polled lately.
+     *
+     * @return how many
+     */
+    public synchronized int count() {
         forget();
         return reports.size();
     }
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetSimulationTest.java
@@ -0,0 +1,84 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Retries of all entries together stay within the bound of each service in every window, whatever becomes of entries and of those who
+ * count them: a share that is taken twice, by one that has started again, or by two halves that do not see each other, breaks it.
+ */
+class RetryBudgetSimulationTest {
+
+    private static final Map<String, Consumer<SimulatedEntries>> EVENTS = Map.of(
+            "calm", s -> {},
+            "shift", SimulatedEntries::shiftCallers,
+            "crowd", s -> s.crowd(5),
+            "rolling", s -> s.restart(0.2),
+            "herd", s -> s.restart(0.7),
+            "all-power",
+                    s -> {
+                        s.restart(1);
+                        s.restartControl();
+                    },
+            "control", SimulatedEntries::restartControl,
+            "cut", s -> s.cut(true),
+            "come", s -> s.join(2),
+            "go", s -> s.leave(2));
+
+    @ParameterizedTest
+    @CsvSource({
+        "8, 150, calm",
+        "8, 150, shift",
+        "8, 150, crowd",
+        "8, 150, rolling",
+        "8, 150, herd",
+        "8, 150, all-power",
+        "8, 150, control",
+        "8, 150, cut",
+        "8, 150, come",
+        "8, 150, go",
+        "82, 900, rolling",
+        "82, 900, herd",
+        "82, 900, cut",
+        "82, 900, all-power"
+    })
+    void retriesStayWithinTheBound(int entries, double requestsASecond, String event) {
+        for (long seed = 1; seed <= 5; seed++) {
+            SimulatedEntries s = new SimulatedEntries(entries, requestsASecond, seed);
+            s.run(15_000, false);
+            s.run(12_000, true);
+            for (int i = 0; i < 4; i++) {
+                EVENTS.get(event).accept(s);
+                s.run(2_500, true);
+            }
+            s.cut(false);
+            s.run(10_000, true);
+            for (String service : new String[] {SimulatedEntries.BUSY, SimulatedEntries.IDLE}) {
+                double worst = s.worst(service);
+                Assertions.assertTrue(worst <= 1, event + ", seed " + seed + ", " + service + ": " + worst);
+            }
+        }
+    }
+}
