Shares of the retry budget add up to no more than the whole, whatever starts, leaves or is cut off

Cause: an entry believed to be alone until it heard otherwise, took its whole share again when it had started again, and divided by what the last answer of any control instance said, be it one that had just started or that was cut off with a few entries.

Change: control instances tell the most entries that polled them in the last hour, or that they don't know yet (3 s after a start); an entry divides by the highest it heard in an hour, has no share until it heard one, and none for one window after a start, when it doesn't know what it spent before.

Not covered: a control instance and all entries of a failure domain start again while it is cut off; then either side counts itself alone for as long as the cut lasts, and shares add up to two wholes.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -88,7 +88,7 @@
     public ControlNode(ControlNodeSettings settings, ConfigurationReader reader) {
         this.settings = settings;
         this.reader = reader;
-        this.entries = new EntryReports(ticker);
+        this.entries = new EntryReports(settings.firstStart(), ticker);
         this.loads = new LoadLedger(ticker);
         this.feed = new TargetFeed(ticker);
         this.directory = new TargetDirectory(ticker);
@@ -343,6 +343,6 @@
     private FeedMessage.News news(FeedMessage.Poll poll) {
         ConfigurationMachine.Held held = machine.held();
         byte[] packed = held.version() > poll.configurationVersion() ? held.packed() : null;
-        return feed.news(poll).with(held.version(), packed, members(), entries.count());
+        return feed.news(poll).with(held.version(), packed, members(), entries.count(), entries.most());
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
+++ b/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 
 import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.time.RecentPeak;
 import org.hallwall.core.time.Ticker;
 
 /** What entries tell one control instance with their polls: that they are there, and their streams in progress. */
@@ -30,16 +31,27 @@
     /** How long an entry counts after its last poll, in milliseconds: several polls. */
     private static final long ENTRY_MILLIS = 3_000;
 
+    /**
+     * How long the highest count is remembered, in milliseconds: longer than a failure domain usually stays cut off. Meanwhile either
+     * side counts the other, and entries that have left for good leave a part of what is shared unused.
+     */
+    private static final long PEAK_MILLIS = 3_600_000;
+
     private final Ticker ticker;
+    private final long knowsFrom;
+    private final RecentPeak peak;
     private final Map<InstanceId, Report> reports = new HashMap<>();
 
     /**
      * Creates it; no entry is known.
      *
+     * @param firstStart whether the whole system starts for the first time, so that no entry serves that has not polled yet
      * @param ticker the clock
      */
-    public EntryReports(Ticker ticker) {
+    public EntryReports(boolean firstStart, Ticker ticker) {
         this.ticker = ticker;
+        this.knowsFrom = ticker.millis() + (firstStart ? 0 : ENTRY_MILLIS);
+        this.peak = new RecentPeak(PEAK_MILLIS, ticker);
     }
 
     /**
@@ -50,6 +62,7 @@
      */
     public synchronized void take(InstanceId entry, Map<String, Integer> streams) {
         reports.put(entry, new Report(ticker.millis(), streams == null ? Map.of() : streams));
+        peak.note(count());
     }
 
     /**
@@ -62,6 +75,15 @@
         return reports.size();
     }
 
+    /**
+     * Tells by how many entries at most a bound of the whole system is shared.
+     *
+     * @return the highest count lately; zero as long as not every entry has had the time to poll since the start
+     */
+    public synchronized int most() {
+        return ticker.millis() < knowsFrom ? 0 : peak.highest();
+    }
+
     /** Sums the streams in progress of all entries by model. */
     synchronized Map<String, Integer> streams() {
         forget();
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -106,8 +106,12 @@
             EntryNodeSettings settings, HeaderNames names, ConfigurationReader reader, PrometheusRegistry registry) {
         this.settings = settings;
         this.reader = reader;
-        this.budget =
-                new RetryBudget(settings.repeatRatio(), settings.repeatExtra(), settings.repeatWindowMillis(), ticker);
+        this.budget = new RetryBudget(
+                settings.repeatRatio(),
+                settings.repeatExtra(),
+                settings.repeatWindowMillis(),
+                settings.firstStart(),
+                ticker);
         FleetLoad fleet = new FleetLoad(ticker);
         Balancer balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), ticker);
         this.admission = new Admission(balancer, fleet, settings.mechanisms(), ticker);
@@ -285,7 +289,7 @@
         if (!news.records().isEmpty() || news.lost() != null) {
             state.judge();
         }
-        budget.entries(news.entries());
+        budget.entries(news.mostEntries());
         admission.entries(news.entries());
         exchange.entries(news.entries());
         if (!news.members().isEmpty()) {
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
@@ -33,6 +33,7 @@
  * @param failureDomain its failure domain
  * @param listen where callers connect
  * @param seeds some control instances
+ * @param firstStart whether the whole system starts for the first time
  * @param repeatRatio repeats allowed for each request
  * @param repeatExtra repeats allowed besides, over the whole system
  * @param repeatWindowMillis the window of both, in milliseconds
@@ -46,6 +47,7 @@
         String failureDomain,
         NetAddress listen,
         List<ControlMember> seeds,
+        boolean firstStart,
         double repeatRatio,
         double repeatExtra,
         long repeatWindowMillis,
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryAccount.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryAccount.java
@@ -48,6 +48,11 @@
         this.partMillis = Math.max(1, windowMillis / PARTS);
     }
 
+    /** Gives the time by which a retry may reach its target after it was granted, in milliseconds. */
+    static long lateMillis(long windowMillis) {
+        return windowMillis / PARTS * LATE_PARTS;
+    }
+
     void request(long now) {
         requests[index(advance(now))]++;
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -22,6 +22,7 @@
 import java.util.Locale;
 import java.util.Map;
 
+import org.hallwall.core.time.RecentPeak;
 import org.hallwall.core.time.Ticker;
 
 /**
@@ -38,35 +39,47 @@
      */
     private static final double SPENT_PART = 0.9;
 
+    /**
+     * How long the highest number of entries is remembered, in milliseconds. It outlasts a cut in which an entry hears only a control
+     * instance that counts fewer, and a wave of restarts; entries that have left for good leave their share unused meanwhile.
+     */
+    private static final long PEAK_MILLIS = 3_600_000;
+
     private final double ratio;
     private final double extra;
     private final long windowMillis;
     private final Ticker ticker;
     private final Map<String, RetryAccount> accounts = new HashMap<>();
-    private volatile int entries = 1;
+    private final RecentPeak entries;
+    private final long sharesFrom;
 
     /**
-     * Creates a budget.
+     * Creates a budget; until the number of entries is known, it allows no more than what requests pay for.
      *
      * @param ratio retries allowed for each request of a service
      * @param extra retries allowed besides for each service, over the whole system
      * @param windowMillis the window, in milliseconds
+     * @param firstStart whether no entry ran before, so that nothing can have been spent
      * @param ticker the clock
      */
-    public RetryBudget(double ratio, double extra, long windowMillis, Ticker ticker) {
+    public RetryBudget(double ratio, double extra, long windowMillis, boolean firstStart, Ticker ticker) {
         this.ratio = ratio;
         this.extra = extra;
         this.windowMillis = windowMillis;
         this.ticker = ticker;
+        this.entries = new RecentPeak(PEAK_MILLIS, ticker);
+        // an entry that starts again doesn't know what it spent before; its share comes back when no window holds that
+        // any more
+        this.sharesFrom = ticker.millis() + (firstStart ? 0 : windowMillis + RetryAccount.lateMillis(windowMillis));
     }
 
     /**
-     * Sets how many entries share the budget.
+     * Tells how many entries share the budget.
      *
-     * @param count how many
+     * @param most the most that there were lately, as a control instance knows; zero if it does not
      */
-    public void entries(int count) {
-        entries = Math.max(1, count);
+    public void entries(int most) {
+        entries.note(most);
     }
 
     /**
@@ -107,7 +120,8 @@
     }
 
     private double share() {
-        return extra / entries * SPENT_PART;
+        int count = entries.highest();
+        return count == 0 || ticker.millis() < sharesFrom ? 0 : extra / count * SPENT_PART;
     }
 
     private RetryAccount account(String service) {
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -79,6 +79,7 @@
      * @param configuration the compressed configuration if the asker has an older one, or null
      * @param members the control instances
      * @param entries how many entries have asked lately
+     * @param mostEntries the most entries that there were lately; zero if this instance cannot know yet
      */
     record News(
             String boot,
@@ -90,7 +91,8 @@
             long configurationVersion,
             byte[] configuration,
             List<ControlMember> members,
-            int entries)
+            int entries,
+            int mostEntries)
             implements FeedMessage {
 
         /**
@@ -100,10 +102,11 @@
          * @param packed the compressed configuration, or null
          * @param all the control instances
          * @param asking how many entries have asked lately
+         * @param most the most entries that there were lately, or zero
          * @return the whole answer
          */
-        public News with(long version, byte[] packed, List<ControlMember> all, int asking) {
-            return new News(boot, next, records, lost, heardNext, heard, version, packed, all, asking);
+        public News with(long version, byte[] packed, List<ControlMember> all, int asking, int most) {
+            return new News(boot, next, records, lost, heardNext, heard, version, packed, all, asking, most);
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
@@ -167,7 +167,7 @@
             }
         }
         List<InstanceId> dead = lostChange > after ? List.copyOf(lost) : null;
-        return new FeedMessage.News(boot, changes, records, dead, heartbeats, heard, 0, null, List.of(), 0);
+        return new FeedMessage.News(boot, changes, records, dead, heartbeats, heard, 0, null, List.of(), 0, 0);
     }
 
     private synchronized boolean register(FeedMessage.Poll poll, long version, MonoSink<Boolean> sink) {
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -70,7 +70,8 @@
     }
 
     RelayFixture(double ratio, double repeats) throws ProgramException {
-        RetryBudget budget = new RetryBudget(ratio, repeats, 10_000, Ticker.SYSTEM);
+        RetryBudget budget = new RetryBudget(ratio, repeats, 10_000, true, Ticker.SYSTEM);
+        budget.entries(1);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
         Balancer balancer = new Balancer("a", fleet, Mechanisms.ALL, Ticker.SYSTEM);
         server = new RelayServer(new RelayContext(
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetSimulationTest.java
@@ -18,10 +18,15 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
+import org.approvaltests.Approvals;
 import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -66,19 +71,50 @@
     })
     void retriesStayWithinTheBound(int entries, double requestsASecond, String event) {
         for (long seed = 1; seed <= 5; seed++) {
-            SimulatedEntries s = new SimulatedEntries(entries, requestsASecond, seed);
-            s.run(15_000, false);
-            s.run(12_000, true);
-            for (int i = 0; i < 4; i++) {
-                EVENTS.get(event).accept(s);
-                s.run(2_500, true);
-            }
-            s.cut(false);
-            s.run(10_000, true);
+            SimulatedEntries s = play(entries, requestsASecond, event, seed);
             for (String service : new String[] {SimulatedEntries.BUSY, SimulatedEntries.IDLE}) {
                 double worst = s.worst(service);
                 Assertions.assertTrue(worst <= 1, event + ", seed " + seed + ", " + service + ": " + worst);
             }
         }
     }
+
+    /** The figures that docs/CAPACITY.md gives: what the worst window and all windows hold of what is allowed. */
+    @Test
+    void figuresAreThePublishedOnes() {
+        StringBuilder out =
+                new StringBuilder("entries, requests a second, event: worst window, used; busy then idle service\n");
+        for (int entries : new int[] {9, 82, 350}) {
+            double requestsASecond = entries * 12.0;
+            boolean large = entries > 100;
+            for (String event :
+                    large ? List.of("all-power", "calm", "cut") : List.copyOf(new TreeSet<>(EVENTS.keySet()))) {
+                SimulatedEntries s = play(entries, requestsASecond, event, 1);
+                out.append(String.format(
+                        Locale.ROOT,
+                        "%d, %.0f, %s: %.2f %.2f, %.2f %.2f\n",
+                        entries,
+                        requestsASecond,
+                        event,
+                        s.worst(SimulatedEntries.BUSY),
+                        s.used(SimulatedEntries.BUSY),
+                        s.worst(SimulatedEntries.IDLE),
+                        s.used(SimulatedEntries.IDLE)));
+            }
+        }
+        Approvals.verify(out.toString());
+    }
+
+    private static SimulatedEntries play(int entries, double requestsASecond, String event, long seed) {
+        SimulatedEntries s = new SimulatedEntries(entries, requestsASecond, seed);
+        s.run(15_000, false);
+        s.run(12_000, true);
+        for (int i = 0; i < 4; i++) {
+            EVENTS.get(event).accept(s);
+            s.run(2_500, true);
+        }
+        s.cut(false);
+        s.run(10_000, true);
+        return s;
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -37,7 +37,7 @@
         int spent = 0;
         int requests = 0;
         for (int e = 0; e < entries; e++) {
-            RetryBudget budget = new RetryBudget(0.2, 100, WINDOW, now::get);
+            RetryBudget budget = new RetryBudget(0.2, 100, WINDOW, true, now::get);
             budget.entries(entries);
             for (int i = 0; i < 50; i++) {
                 budget.request("s");
@@ -51,7 +51,8 @@
     @Test
     void theWindowSlides() {
         AtomicLong now = new AtomicLong();
-        RetryBudget budget = new RetryBudget(0, 10, WINDOW, now::get);
+        RetryBudget budget = new RetryBudget(0, 10, WINDOW, true, now::get);
+        budget.entries(1);
         int first = 0;
         while (budget.tryRetry("s")) {
             first++;
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
@@ -59,7 +59,7 @@
         this.random = new Random(seed);
         this.requestsASecond = requestsASecond;
         for (int i = 0; i < CONTROLS; i++) {
-            controls[i] = new EntryReports(() -> now);
+            controls[i] = new EntryReports(true, () -> now);
         }
         for (int i = 0; i < count; i++) {
             entries.add(new SimulatedEntry(true));
@@ -98,7 +98,7 @@
 
     void restartControl() {
         for (int i = 0; i < CONTROLS; i++) {
-            controls[i] = new EntryReports(() -> now);
+            controls[i] = new EntryReports(false, () -> now);
         }
     }
 
@@ -197,7 +197,7 @@
         }
 
         private void start(boolean first) {
-            budget = new RetryBudget(RATIO, EXTRA, WINDOW, () -> now);
+            budget = new RetryBudget(RATIO, EXTRA, WINDOW, first, () -> now);
         }
 
         void poll() {
@@ -205,7 +205,7 @@
                 boolean apart = cutOff[0] && (c == 0) != (home == 0);
                 if (!apart) {
                     controls[c].take(id, Map.of());
-                    budget.entries(controls[c].count());
+                    budget.entries(controls[c].most());
                 }
             }
         }
