--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -44,6 +44,7 @@
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
+import org.hallwall.serving.target.StartedTarget;
 import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.serving.target.TargetFeed;
 import org.hallwall.serving.target.TargetRecord;
@@ -160,11 +161,12 @@
     /**
      * Takes a target's word that it ends.
      *
-     * @param instance the target
+     * @param name the target's name
      */
-    public void leave(InstanceId instance) {
-        TargetRecord known = directory.find(instance);
-        LOG.infof("targets: %s ends, known as %s", instance, known);
+    public void leave(String name) {
+        TargetRecord known = directory.findNamed(name);
+        InstanceId instance = known == null ? StartedTarget.id(name, 0) : known.instance();
+        LOG.infof("targets: %s ends, known as %s", name, known);
         feed.leave(instance, known);
         if (known != null) {
             directory.take(known.with(Long.MAX_VALUE, TargetRecord.Presence.GONE));
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -285,8 +285,9 @@
 
     private boolean isLost(long now, KnownTarget t) {
         Long failedAt = unanswered.get(t.record().instance());
+        boolean replaced = t.record().presence() == TargetRecord.Presence.REPLACED;
         boolean failed = failedAt != null && failedAt > t.heardAt();
-        return failed || now - t.heardAt() > LOST_MILLIS;
+        return replaced || failed || now - t.heardAt() > LOST_MILLIS;
     }
 
     private Engine view(long now, KnownTarget t) {
--- a/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
@@ -69,7 +69,7 @@
                 present.merge(key(m), 1, Integer::sum);
                 domains.computeIfAbsent(key(m), k -> new HashSet<>()).add(r.fabricDomain());
             }
-            if (m.rank() == 0 && m.state().holdsMembers() && r.presence() != TargetRecord.Presence.GONE) {
+            if (m.rank() == 0 && m.state().holdsMembers() && !r.isOver()) {
                 heads.put(r.instance(), m);
             }
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -25,6 +25,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.serving.target.StartedTarget;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -93,7 +94,7 @@
         AtomicBoolean sent = new AtomicBoolean();
         HttpClient c = client.headers(h -> {
                     h.set(request.headers());
-                    h.set(names.expectedTarget(), target.instance().value());
+                    h.set(names.expectedTarget(), StartedTarget.name(target.instance()));
                     h.set(names.deadlineMillis(), Math.max(1, remainingMillis));
                     h.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
                     if (lastEventId != null) {
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/target/LatestStarts.java
@@ -0,0 +1,51 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.target;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.hallwall.core.id.InstanceId;
+
+/** The latest start of each target that was heard of, by its name. */
+final class LatestStarts {
+
+    private final Map<String, InstanceId> latest = new HashMap<>();
+
+    /** Says whether a later start of the same target is known. */
+    boolean isPast(InstanceId id) {
+        InstanceId known = latest.get(StartedTarget.name(id));
+        return known != null && StartedTarget.start(known) > StartedTarget.start(id);
+    }
+
+    /** Notes a start that is not past, and gives the one that it replaces, or null. */
+    InstanceId note(InstanceId id) {
+        InstanceId before = latest.put(StartedTarget.name(id), id);
+        return id.equals(before) ? null : before;
+    }
+
+    /** Gives the latest start of a target, or null. */
+    InstanceId of(String name) {
+        return latest.get(name);
+    }
+
+    void forget(InstanceId id) {
+        latest.remove(StartedTarget.name(id), id);
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/target/TargetDirectory.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetDirectory.java
@@ -39,6 +39,7 @@
 
     private final Ticker ticker;
     private final Map<InstanceId, KnownTarget> targets = new HashMap<>();
+    private final LatestStarts starts = new LatestStarts();
     private volatile Consumer<TargetRecord> listener = r -> {};
 
     /**
@@ -67,9 +68,11 @@
     public void take(TargetRecord record) {
         synchronized (this) {
             KnownTarget known = targets.get(record.instance());
-            if (known != null && record.sequence() <= known.record().sequence()) {
+            boolean late = known != null && record.sequence() <= known.record().sequence();
+            if (late || starts.isPast(record.instance())) {
                 return;
             }
+            replace(starts.note(record.instance()));
             String last = known == null ? null : known.lastModel();
             targets.put(
                     record.instance(),
@@ -78,6 +81,24 @@
         listener.accept(record);
     }
 
+    private void replace(InstanceId earlier) {
+        KnownTarget known = earlier == null ? null : targets.get(earlier);
+        if (known != null) {
+            targets.put(earlier, new KnownTarget(known.record().replaced(), known.lastModel(), ticker.millis()));
+        }
+    }
+
+    /**
+     * Finds the latest start of a target.
+     *
+     * @param name the target's name
+     * @return its last record, or null
+     */
+    public synchronized TargetRecord findNamed(String name) {
+        InstanceId id = starts.of(name);
+        return id == null ? null : find(id);
+    }
+
     /**
      * Notes that a target was heard.
      *
@@ -108,7 +129,13 @@
      */
     public synchronized Collection<KnownTarget> list() {
         long now = ticker.millis();
-        targets.values().removeIf(k -> now - k.heardAt() > (k.record().isServing() ? SILENT_MILLIS : FORGET_MILLIS));
+        targets.values().removeIf(k -> {
+            boolean forgotten = now - k.heardAt() > (k.record().isServing() ? SILENT_MILLIS : FORGET_MILLIS);
+            if (forgotten) {
+                starts.forget(k.record().instance());
+            }
+            return forgotten;
+        });
         List<KnownTarget> out = new ArrayList<>(targets.values());
         return out;
     }
--- a/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
@@ -45,6 +45,7 @@
     private final Ticker ticker;
     private final String boot = Long.toHexString(ThreadLocalRandom.current().nextLong() | 1L);
     private final Map<InstanceId, Place> places = new HashMap<>();
+    private final LatestStarts starts = new LatestStarts();
     private final List<MonoSink<Boolean>> waiting = new ArrayList<>();
     private Set<InstanceId> lost = Set.of();
     private long lostChange;
@@ -70,9 +71,11 @@
         List<MonoSink<Boolean>> woken;
         synchronized (this) {
             Place p = places.get(record.instance());
-            if (p != null && (record.sequence() <= p.record.sequence() || p.isGone())) {
+            if (p != null && (record.sequence() <= p.record.sequence() || p.isGone())
+                    || starts.isPast(record.instance())) {
                 return false;
             }
+            replace(starts.note(record.instance()));
             Place fresh = new Place(record, p == null ? 0 : p.change, ++heartbeats, ticker.millis());
             places.put(record.instance(), fresh);
             if (p != null && record.tellsTheSame(p.record)) {
@@ -86,6 +89,14 @@
         return true;
     }
 
+    /** What was heard of an earlier start is over, and followers are told so. */
+    private void replace(InstanceId earlier) {
+        Place p = earlier == null ? null : places.get(earlier);
+        if (p != null && !p.isGone()) {
+            places.put(earlier, new Place(p.record.replaced(), ++changes, ++heartbeats, ticker.millis()));
+        }
+    }
+
     /**
      * Takes a target's word that it ends.
      *
@@ -197,6 +208,7 @@
             Place p = all.next();
             if (now - p.heardAt > KEEP_GONE_MILLIS) {
                 all.remove();
+                starts.forget(p.record.instance());
             }
         }
     }
@@ -217,7 +229,7 @@
         }
 
         boolean isGone() {
-            return record.presence() == TargetRecord.Presence.GONE;
+            return record.isOver();
         }
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/target/TargetRecord.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetRecord.java
@@ -26,7 +26,7 @@
 /**
  * What a target has announced last.
  *
- * @param instance the target; a new one at each start
+ * @param instance the target and its start, see {@link StartedTarget}
  * @param sequence the number of the announcement; a later one is higher
  * @param service its service
  * @param address where it takes requests and orders
@@ -58,7 +58,14 @@
         /** It finishes what it has. */
         LEAVING,
         /** It has said that it ends. */
-        GONE
+        GONE,
+        /** It has started again under its name; of this start nothing is left. */
+        REPLACED;
+
+        /** Says whether nothing is heard of it any more. */
+        boolean isOver() {
+            return this == GONE || this == REPLACED;
+        }
     }
 
     /**
@@ -70,6 +77,15 @@
         return presence == Presence.SERVING;
     }
 
+    /**
+     * Says whether the target has ended, or has started again since.
+     *
+     * @return true if it holds nothing any more
+     */
+    public boolean isOver() {
+        return presence.isOver();
+    }
+
     /**
      * Copies the record with another presence.
      *
@@ -82,6 +98,15 @@
                 instance, later, service, address, failureDomain, slots, changed, fabricDomain, model, staged, group);
     }
 
+    /**
+     * Copies the record as that of a start that a later one has replaced.
+     *
+     * @return the copy, which nothing follows
+     */
+    TargetRecord replaced() {
+        return with(Long.MAX_VALUE, Presence.REPLACED);
+    }
+
     /**
      * Says whether another record tells the same, whatever its sequence.
      *
