A controller that takes over leaves room for loads that the one before may have begun

Change: for one window after it took over a controller uses a fifth of the rate, so that both stay a tenth above it; not in the lead time of the first start.

--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -221,6 +221,9 @@
             plans.clear();
             stagings.clear();
             sent.clear();
+            if (!timing.firstStart() || now - startedAt > QUICK_MILLIS + QUICK_END_MILLIS) {
+                pacer.takeOver(now);
+            }
         }
         boolean settled = timing.firstStart() || now - leadsSince >= SETTLE_MILLIS;
         if (!settled || now - startedAt < timing.hearAllMillis()) {
--- a/serving/src/main/java/org/hallwall/serving/group/LoadPacer.java
+++ b/serving/src/main/java/org/hallwall/serving/group/LoadPacer.java
@@ -35,11 +35,27 @@
     /** The part of the rate that is used; the rest is for loads that another controller has begun. */
     private static final double SHARE = 0.9;
 
+    /**
+     * The part of the rate that is used for one window after this controller took over from another, which may have used
+     * {@link #SHARE} of it in the same window: together no more than a tenth above the rate.
+     */
+    private static final double SHARE_AFTER_ANOTHER = 0.2;
+
     /** How many loads of spares run at once at most: they go on for a dozen seconds, and slow down those that groups wait for. */
     private static final int MOST_SPARES = 2;
 
     private final Deque<Long> begun = new ArrayDeque<>();
     private final Map<InstanceId, Load> running = new HashMap<>();
+    private long tookOverAt = Long.MIN_VALUE / 2;
+
+    /**
+     * Notes that another controller may have begun loads up to now.
+     *
+     * @param now the clock in milliseconds
+     */
+    public void takeOver(long now) {
+        tookOverAt = now;
+    }
 
     /**
      * Takes a place for a load if there is one.
@@ -56,7 +72,8 @@
             begun.removeFirst();
         }
         running.values().removeIf(l -> now - l.begunAt() > LOST_MILLIS);
-        double most = loadsPerSecond * SHARE * WINDOW_MILLIS / 1_000;
+        double share = now - tookOverAt <= WINDOW_MILLIS ? SHARE_AFTER_ANOTHER : SHARE;
+        double most = loadsPerSecond * share * WINDOW_MILLIS / 1_000;
         if (running.size() - spares() >= atOnce || begun.size() + 1 > most) {
             return false;
         }
--- a/serving/src/test/java/org/hallwall/serving/group/LoadPacerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/LoadPacerTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Loads stay below the store's rate in every window and below the number that run at full speed. */
 class LoadPacerTest {
@@ -58,4 +59,29 @@
         }
         Assertions.assertFalse(begun.isEmpty());
     }
+
+    /** A controller that takes over doesn't know what the one before has begun; both together stay within the store's rate. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 4.5, 20})
+    void aControllerThatTakesOverLeavesRoomForLoadsItDoesNotKnow(double rate) {
+        LoadPacer before = new LoadPacer();
+        LoadPacer after = new LoadPacer();
+        List<Long> begun = new ArrayList<>();
+        for (long now = 0; now < 20_000; now += 50) {
+            if (now == 10_000) {
+                after.takeOver(now);
+            }
+            LoadPacer pacer = now < 10_000 ? before : after;
+            while (pacer.tryBegin(new InstanceId("e" + begun.size()), "m", rate, 1_000, now)) {
+                begun.add(now);
+            }
+        }
+        for (long from : begun) {
+            long inWindow =
+                    begun.stream().filter(b -> b >= from && b <= from + 5_000).count();
+            Assertions.assertTrue(inWindow <= rate * 5 * 1.1 + 3, inWindow + " loads in 5 s from " + from);
+        }
+        long late = begun.stream().filter(b -> b > 15_000).count();
+        Assertions.assertTrue(late >= Math.floor(rate * 5 * 0.8), "the whole rate is used once one window has passed");
+    }
 }
