--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -90,7 +90,7 @@
     private final DutyThread duty;
     private final Map<String, GroupPlan> plans = new HashMap<>();
     private final Map<String, StagingPlan> stagings = new HashMap<>();
-    private final Map<InstanceId, Sent> sent = new HashMap<>();
+    private final GivenOrders given = new GivenOrders();
     private final Map<InstanceId, Long> unanswered = new HashMap<>();
     private final Suspects suspects = new Suspects();
     private final GroupProbes probes;
@@ -220,7 +220,7 @@
             leadsSince = now;
             plans.clear();
             stagings.clear();
-            sent.clear();
+            given.clear();
             if (!timing.firstStart() || now - startedAt > QUICK_MILLIS + QUICK_END_MILLIS) {
                 pacer.takeOver(now);
             }
@@ -253,7 +253,7 @@
             load(now, spec, staging, o);
         }
         report(now, service.name(), plan, engines);
-        sent.keySet().removeIf(id -> view.directory().find(id) == null);
+        given.forget(id -> view.directory().find(id) == null);
         endLoads(engines);
     }
 
@@ -319,7 +319,7 @@
         double rate = spec.loadsPerSecond() * more;
         InstanceId id = order.target().id();
         boolean spare = order.isSpare() && more == 1;
-        boolean begins = isDue(now, a)
+        boolean begins = given.isDue(a, now)
                 && (spare
                         ? pacer.tryBeginSpare(id, order.model(), rate, atOnce, now)
                         : pacer.tryBegin(id, order.model(), rate, atOnce, now));
@@ -342,32 +342,26 @@
     }
 
     private void give(long now, GroupAction a) {
-        if (isDue(now, a)) {
+        if (given.isDue(a, now)) {
             send(now, a);
         }
     }
 
-    private boolean isDue(long now, GroupAction a) {
-        Sent s = sent.get(a.target().id());
-        return s == null || !s.order.equals(a.order()) || now >= s.againAt;
-    }
-
     private void send(long now, GroupAction a) {
         InstanceId id = a.target().id();
-        Sent s = new Sent(a.order(), now + RESEND_MILLIS);
-        sent.put(id, s);
+        GivenOrders.GivenOrder order = given.give(a, now + RESEND_MILLIS);
         long token = term;
         gateway.order(a.target().record(), a.order(), token, ORDER_TIMEOUT).subscribe(outcome -> {
             LOG.infof("groups: order %s to %s in term %d: %s (%s)", a.order(), id, token, outcome, a.reason());
-            duty.offer(() -> answered(id, s, outcome));
+            duty.offer(() -> answered(id, order, outcome));
         });
     }
 
-    private void answered(InstanceId id, Sent s, OrderOutcome outcome) {
-        boolean load = s.order instanceof TargetOrder.Stage;
+    private void answered(InstanceId id, GivenOrders.GivenOrder order, OrderOutcome outcome) {
+        boolean load = order.isLoad();
         boolean loads = load && outcome == OrderOutcome.CONFLICT;
         if (outcome == OrderOutcome.TAKEN || loads) {
-            s.againAt = ticker.millis() + (load ? LOAD_TAKEN_MILLIS : TAKEN_MILLIS);
+            order.again(ticker.millis() + (load ? LOAD_TAKEN_MILLIS : TAKEN_MILLIS));
             tick();
             return;
         }
@@ -418,16 +412,4 @@
             }
         });
     }
-
-    /** An order that was given and when it may be given again. */
-    private static final class Sent {
-
-        private final TargetOrder order;
-        private long againAt;
-
-        Sent(TargetOrder order, long againAt) {
-            this.order = order;
-            this.againAt = againAt;
-        }
-    }
 }
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -58,6 +58,9 @@
     private final Set<String> finished = new HashSet<>();
     private final Set<String> ended = new HashSet<>();
     private final Map<String, Long> closingSince = new HashMap<>();
+    /** Groups whose heads were told to open; one that still announces that it is ready may be open already. */
+    private final Set<String> toldToOpen = new HashSet<>();
+
     private final SpareWarmUp warmUp = new SpareWarmUp(this::nextEpoch);
     private final GroupFormation formation;
     private long counter;
@@ -189,7 +192,11 @@
                 PlannedGroup g = new PlannedGroup(
                         m.name(), m.epoch(), model.name(), e.record().fabricDomain(), members, now);
                 groups.put(g.name(), g);
-            } else if (m.state().holdsMembers()) {
+                if (m.state() == GroupState.READY) {
+                    // the controller before may have told it to open a moment ago
+                    toldToOpen.add(g.name());
+                }
+            } else if (holdsMembers(m)) {
                 actions.add(
                         new GroupAction(e, new TargetOrder.Leave(m.name(), m.epoch()), "a group of unknown members"));
             }
@@ -239,7 +246,7 @@
 
     /** A head that was told to open may do so late; it leaves before its members are let go. */
     private void breakUp(PlannedGroup g, Engine head, boolean holds, String reason) {
-        boolean mayOpen = g.wasToldToOpen() && head.isIn(g.name(), g.epoch());
+        boolean mayOpen = toldToOpen.contains(g.name()) && head.isIn(g.name(), g.epoch());
         if (holds || mayOpen) {
             actions.add(new GroupAction(head, new TargetOrder.Leave(g.name(), g.epoch()), reason));
         } else {
@@ -274,7 +281,7 @@
             all &= m != null && m.state().hasJoined();
         }
         if (all && state == GroupState.READY && !g.isClosing()) {
-            g.tellToOpen();
+            toldToOpen.add(g.name());
             actions.add(new GroupAction(head, new TargetOrder.Open(g.name(), g.epoch()), "all members are ready"));
         } else if (now - g.since() > joinLimit(spec, g)) {
             breakUp(g, head, false, "its members do not get ready");
@@ -313,10 +320,16 @@
     private void drop(PlannedGroup g) {
         groups.remove(g.name());
         closingSince.remove(g.name());
+        toldToOpen.remove(g.name());
         finished.add(g.name());
         ended.add(g.name());
     }
 
+    /** Says whether a head may count on its members, by what it announces and what it was told since. */
+    private boolean holdsMembers(GroupMark head) {
+        return head.state().holdsMembers() || head.state() == GroupState.READY && toldToOpen.contains(head.name());
+    }
+
     // --- free engines
 
     private boolean isReleased(Engine e, Map<InstanceId, Engine> engines) {
@@ -325,11 +338,11 @@
             return true;
         }
         if (m.rank() == 0) {
-            return !m.state().holdsMembers();
+            return !holdsMembers(m);
         }
         Engine head = headOf(m, engines.values());
         if (head != null && !head.lost()) {
-            return !head.record().group().state().holdsMembers();
+            return !holdsMembers(head.record().group());
         }
         return head == null && ended.contains(m.name());
     }
--- a/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
@@ -20,6 +20,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,7 +42,7 @@
  *
  * <p>Members that do not answer are held for dead only if somebody in the round answered quickly: a controller that has just
  * started, or is slow or cut off itself, would otherwise hold sound engines for dead. A round that cannot be judged is repeated
- * with a witness, an engine outside the group: all members may be dead.
+ * with witnesses, engines outside the group: all members may be dead.
  */
 final class GroupProbes {
 
@@ -57,6 +58,9 @@
     /** Rounds for one question: a second one if the first could not be judged. */
     private static final int ATTEMPTS = 2;
 
+    /** Engines outside the group that are asked too; one of them may be dead itself, and then nobody could be judged. */
+    private static final int WITNESSES = 2;
+
     private final TargetGateway gateway;
     private final TargetDirectory directory;
     private final Consumer<InstanceId> noAnswer;
@@ -115,9 +119,8 @@
     private Mono<GroupLiveness> attempt(String group, List<InstanceId> members, int left) {
         long begunAt = ticker.millis();
         List<InstanceId> asked = new ArrayList<>(members);
-        InstanceId witness = witness(members);
-        if (left < ATTEMPTS && witness != null) {
-            asked.add(witness);
+        if (left < ATTEMPTS) {
+            asked.addAll(witnesses(members));
         }
         return Flux.fromIterable(asked)
                 .flatMap(id -> askOne(id, begunAt))
@@ -159,8 +162,8 @@
         return GroupLiveness.LOST;
     }
 
-    /** Draws an engine outside the group that takes requests. */
-    private InstanceId witness(List<InstanceId> members) {
+    /** Draws engines outside the group that take requests. */
+    private List<InstanceId> witnesses(List<InstanceId> members) {
         List<InstanceId> others = new ArrayList<>();
         for (KnownTarget t : directory.list()) {
             TargetRecord r = t.record();
@@ -168,7 +171,8 @@
                 others.add(r.instance());
             }
         }
-        return others.isEmpty() ? null : others.get(ThreadLocalRandom.current().nextInt(others.size()));
+        Collections.shuffle(others, ThreadLocalRandom.current());
+        return others.subList(0, Math.min(WITNESSES, others.size()));
     }
 
     /** What a probe brought. */
--- a/serving/src/main/java/org/hallwall/serving/group/PlannedGroup.java
+++ b/serving/src/main/java/org/hallwall/serving/group/PlannedGroup.java
@@ -34,7 +34,6 @@
     private boolean closing;
     private boolean retiring;
     private boolean served;
-    private boolean toldToOpen;
 
     PlannedGroup(String name, long epoch, String model, String fabricDomain, List<InstanceId> members, long since) {
         this.name = name;
@@ -95,14 +94,6 @@
         retiring = true;
     }
 
-    boolean wasToldToOpen() {
-        return toldToOpen;
-    }
-
-    void tellToOpen() {
-        toldToOpen = true;
-    }
-
     boolean hasServed() {
         return served;
     }
--- a/serving/src/test/java/org/hallwall/serving/control/UnansweredOrderTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/UnansweredOrderTest.java
@@ -19,30 +19,19 @@
 package org.hallwall.serving.control;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import org.awaitility.Awaitility;
 import org.hallwall.core.id.InstanceId;
-import org.hallwall.core.settings.NetAddress;
-import org.hallwall.serving.config.CallerLimits;
-import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.EngineModel;
-import org.hallwall.serving.config.EngineSpec;
-import org.hallwall.serving.config.TargetService;
-import org.hallwall.serving.decision.Mechanisms;
-import org.hallwall.serving.group.ControllerTiming;
 import org.hallwall.serving.group.OrderOutcome;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.group.TargetOrder;
-import org.hallwall.serving.target.FeedMessage.ControlMember;
 import org.hallwall.serving.target.TargetRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
@@ -54,9 +43,7 @@
 /** Targets that are dead, and not known to be, neither keep the places of loads nor get orders for long. */
 class UnansweredOrderTest {
 
-    private static final Duration WITHIN = Duration.ofSeconds(10);
-    /** Longer than the test: no target is taken for silent. */
-    private static final long HEARTBEAT_MILLIS = 60_000;
+    private static final Duration WITHIN = ControlFixture.WITHIN;
 
     private static final Set<InstanceId> DEAD = Set.of(new InstanceId("i-1"), new InstanceId("i-2"));
 
@@ -78,59 +65,20 @@
             return Mono.just(!DEAD.contains(t.instance()));
         }
     };
-    private ControlNode node;
+    private ControlFixture control;
 
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
-
-    /** One control instance, a store that serves two loads at once, and four engines of which two are dead. */
+    /** Four engines, of which two are dead. */
     @BeforeEach
     void start() throws IOException {
-        ControlMember self = new ControlMember(
-                new InstanceId("127.0.0.1"),
-                new NetAddress("127.0.0.1", freePort()),
-                new NetAddress("127.0.0.1", freePort()));
-        EngineSpec spec = new EngineSpec(18, List.of(new EngineModel("big", 4, 1, 1, 16, 1.6)), 50, 2, 2.5, 300);
-        Configuration configuration = new Configuration(
-                1, List.of(), Map.of("llm", new TargetService("llm", 100, spec)), List.of(), CallerLimits.DEFAULT);
-        node = new ControlNode(
-                new ControlNodeSettings(
-                        "test",
-                        self,
-                        self.peer(),
-                        folder,
-                        true,
-                        List.of(self),
-                        0,
-                        new ControllerTiming(HEARTBEAT_MILLIS, 1_000, false, 0),
-                        Mechanisms.ALL),
-                bytes -> configuration);
-        node.start(gateway);
-        Awaitility.await()
-                .atMost(WITHIN)
-                .until(() -> node.service().put(new byte[] {1}).block(WITHIN) instanceof ConfigurationReply.Accepted);
+        control = new ControlFixture(folder, List.of(new EngineModel("big", 4, 1, 1, 16, 1.6)), gateway);
         for (int n = 1; n <= 4; n++) {
-            node.announce(new TargetRecord(
-                    new InstanceId("i-" + n),
-                    1,
-                    "llm",
-                    new NetAddress("127.0.0.1", 1),
-                    "a",
-                    18,
-                    TargetRecord.Presence.SERVING,
-                    "d0",
-                    null,
-                    List.of(),
-                    null));
+            control.announce(n, 1, null, List.of(), null);
         }
     }
 
     @AfterEach
     void stop() {
-        node.close();
+        control.close();
     }
 
     @Test
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -173,6 +173,34 @@
                 g.head(), of(step(), TargetOrder.Leave.class).get(0).target().id());
     }
 
+    /**
+     * A head was told to open, was held for dead by mistake before it announced that it had, and its members left. It was then joined
+     * elsewhere while it was open. Until it has left, or announces that it no longer is in the group, it is not free.
+     */
+    @Test
+    void aHeadThatWasToldToOpenLeavesBeforeItJoinsElsewhere() {
+        for (int n = 1; n <= 3; n++) {
+            engine(n, null);
+        }
+        step();
+        PlannedGroup g = plan.groups().iterator().next();
+        mark(g, GroupState.READY);
+        Assertions.assertEquals(1, of(step(), TargetOrder.Open.class).size());
+        GroupMark ready = new GroupMark(g.name(), g.epoch(), 0, GroupState.READY);
+        engine(headNumber(g), ready, TargetRecord.Presence.SERVING, true);
+        Assertions.assertEquals(2, of(step(), TargetOrder.Leave.class).size());
+        g.members().subList(1, 3).forEach(m -> engine(Integer.parseInt(m.value().substring(2)), null));
+        engine(headNumber(g), ready);
+        List<GroupAction> actions = step();
+        for (GroupAction join : of(actions, TargetOrder.Join.class)) {
+            Assertions.assertNotEquals(g.head(), join.target().id());
+        }
+        Assertions.assertEquals(
+                g.head(), of(actions, TargetOrder.Leave.class).get(0).target().id());
+        engine(headNumber(g), null);
+        Assertions.assertEquals(3, of(step(), TargetOrder.Join.class).size());
+    }
+
     /** Its members may have left it meanwhile: then it must not go on counting on them. */
     @Test
     void aHeadThatIsHeardAgainWithoutItsMembersLeaves() {
--- a/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
@@ -29,6 +29,7 @@
 import org.hallwall.serving.target.TargetRecord;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -78,21 +79,25 @@
         List<InstanceId> all = new ArrayList<>(MEMBERS);
         all.add(WITNESS);
         for (InstanceId id : all) {
-            directory.take(new TargetRecord(
-                    id,
-                    1,
-                    "llm",
-                    new NetAddress("127.0.0.1", 1),
-                    "a",
-                    4,
-                    TargetRecord.Presence.SERVING,
-                    "d",
-                    "m",
-                    List.of("m"),
-                    null));
+            directory.take(record(id));
         }
     }
 
+    private static TargetRecord record(InstanceId id) {
+        return new TargetRecord(
+                id,
+                1,
+                "llm",
+                new NetAddress("127.0.0.1", 1),
+                "a",
+                4,
+                TargetRecord.Presence.SERVING,
+                "d",
+                "m",
+                List.of("m"),
+                null);
+    }
+
     @ParameterizedTest
     @CsvSource({"0, WORKING", "1, LOST", "3, LOST"})
     void allDeadMembersAreFound(int count, GroupLiveness found) {
@@ -108,6 +113,17 @@
         Assertions.assertEquals(expected, probed);
     }
 
+    /** With one witness, which may be dead too, the members were not judged in half of such rounds. */
+    @RepeatedTest(20)
+    void aDeadWitnessDoesNotKeepTheMembersFromBeingJudged() {
+        InstanceId second = new InstanceId("i-8");
+        directory.take(record(second));
+        dead.addAll(MEMBERS);
+        dead.add(WITNESS);
+        Assertions.assertEquals(GroupLiveness.LOST, probes.ask("g", MEMBERS).block());
+        Assertions.assertEquals(MEMBERS, reported);
+    }
+
     /** A controller that has just started, or is cut off, cannot tell who is dead. */
     @ParameterizedTest
     @CsvSource({
