--- /dev/null
+++ b/core/src/test/java/org/hallwall/core/time/RecentPeakTest.java
@@ -0,0 +1,54 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.core.time;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The highest figure counts for as long as it was promised, and is forgotten after twice that. */
+class RecentPeakTest {
+
+    private static final long MEMORY = 1_000;
+
+    @ParameterizedTest
+    @CsvSource({
+        // noted at, asked at, what the peak is: 9 was noted first, 4 at the time of asking
+        "0, 0, 9",
+        "0, 1000, 9",
+        "0, 1999, 9",
+        "0, 2000, 4",
+        "0, 50000, 4",
+        "900, 1900, 9",
+        "900, 2000, 4",
+        "1500, 2500, 9"
+    })
+    void theHighestCountsForItsTime(long notedAt, long askedAt, int peak) {
+        AtomicLong now = new AtomicLong();
+        RecentPeak p = new RecentPeak(MEMORY, now::get);
+        Assertions.assertEquals(0, p.highest());
+        now.set(notedAt);
+        p.note(9);
+        now.set(askedAt);
+        p.note(4);
+        Assertions.assertEquals(peak, p.highest());
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/target/StartedTargetTest.java
@@ -0,0 +1,57 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.target;
+
+import org.hallwall.core.id.InstanceId;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A target's id holds its name and its start, and gives both back. */
+class StartedTargetTest {
+
+    @ParameterizedTest
+    @CsvSource({"i-7f3a91c2, 0, i-7f3a91c2", "i-7f3a91c2, 35, i-7f3a91c2/z", "i.a:b-c, 1296, i.a:b-c/100"})
+    void holdsNameAndStart(String name, long start, String text) {
+        InstanceId id = StartedTarget.id(name, start);
+        Assertions.assertEquals(start, StartedTarget.start(id));
+        Assertions.assertEquals(name, StartedTarget.name(id));
+        Assertions.assertEquals(text, id.value());
+    }
+
+    @Test
+    void aNameWithASlashIsNone() {
+        Assertions.assertThrows(IllegalArgumentException.class, () -> StartedTarget.id("i-1/2", 0));
+    }
+
+    @Test
+    void laterStartsReplaceEarlierOnes() {
+        LatestStarts starts = new LatestStarts();
+        InstanceId first = StartedTarget.id("i-1", 1_000);
+        InstanceId second = StartedTarget.id("i-1", 2_000);
+        Assertions.assertNull(starts.note(first));
+        Assertions.assertNull(starts.note(first));
+        Assertions.assertEquals(first, starts.note(second));
+        Assertions.assertTrue(starts.isPast(first));
+        Assertions.assertFalse(starts.isPast(second));
+        starts.forget(first);
+        Assertions.assertEquals(second, starts.of("i-1"));
+    }
+}
