Log lines of failed attempts recognise a request that comes again

No logic changed. Shown by: RequestDigesterTest (17 cases), RelayTest and RepeatsOfOneServiceTest pass; lines seen in their output.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -106,7 +106,7 @@
         Resend decision = decide(f, charged);
         context.counters().resend(request.service(), decision);
         LOG.infof(
-                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; it %s (%s)",
+                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; it %s (%s); attempt %d of %s",
                 request.attemptId(),
                 target.instance(),
                 target.group() == null ? "-" : target.group().name(),
@@ -115,7 +115,9 @@
                 f.verdict(),
                 f.getMessage(),
                 decision,
-                context.budget().describe(request.service()));
+                context.budget().describe(request.service()),
+                sends,
+                request.digest(context.digester(), context.names()));
         return decision;
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -32,6 +32,7 @@
 
 import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.codec.digest.DigestUtils;
 import org.hallwall.core.duty.DutyThread;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
@@ -41,6 +42,7 @@
 import org.hallwall.serving.config.ConfigurationReader;
 import org.hallwall.serving.control.ControlNode;
 import org.hallwall.serving.control.PackedBytes;
+import org.hallwall.serving.crash.RequestDigester;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
@@ -128,6 +130,7 @@
                 admission,
                 new StreamWatch(),
                 new RelayCounts(registry),
+                new RequestDigester(DigestUtils.sha256(settings.fleet())),
                 ticker);
         this.server = new RelayServer(context);
         this.duty = new DutyThread("feeds", RING, TICK_MILLIS, () -> {});
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -18,9 +18,12 @@
  */
 package org.hallwall.serving.relay;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.hallwall.serving.config.Route;
+import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.RequestDigester;
 
 /**
  * A caller's request, read whole.
@@ -50,4 +53,10 @@
         int priority,
         boolean again,
         long receivedAt,
-        long deadlineAt) {}
+        long deadlineAt) {
+
+    /** Digests what a caller sends again when it comes back: the same caller, method, path and body. */
+    RequestDigest digest(RequestDigester digester, HeaderNames names) {
+        return digester.of(headers.get(names.workspace()), headers.get(HttpHeaderNames.HOST), method.name(), uri, body);
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -37,6 +37,7 @@
 import org.hallwall.serving.config.Route;
 import org.hallwall.serving.config.TargetService;
 import org.hallwall.serving.config.WorkspaceKeys;
+import org.hallwall.serving.crash.RequestDigester;
 import org.hallwall.serving.decision.Mechanisms;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
 import org.hallwall.serving.target.GroupLiveness;
@@ -85,6 +86,7 @@
                 new Admission(balancer, fleet, Mechanisms.ALL, Ticker.SYSTEM),
                 new StreamWatch(),
                 new RelayCounts(new PrometheusRegistry()),
+                new RequestDigester(new byte[RequestDigester.KEY_BYTES]),
                 Ticker.SYSTEM));
         server.open(new NetAddress("127.0.0.1", 0), loops);
         state.take(configuration());
