Requests that end the targets that run them are held back at all entries, for as long as they come

Cause: nothing remembered a request beyond one attempt of its caller, and nothing was shared between entries. Ruled out: load and resumed streams as the cause (the failing test has neither). Change: entries find out which targets have ended under which requests and take it to the replicated log; after three ends that nothing else explains and no answer in between, all entries refuse the request at once. An answer by any target clears it.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -38,6 +38,7 @@
 import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.config.ConfigurationReader;
+import org.hallwall.serving.crash.CrashLedger;
 import org.hallwall.serving.group.ControllerView;
 import org.hallwall.serving.group.GroupController;
 import org.hallwall.serving.group.TargetGateway;
@@ -71,6 +72,7 @@
     private final TargetFeed feed;
     private final TargetDirectory directory;
     private final ConfigurationMachine machine;
+    private final CrashLedger ledger = new CrashLedger();
     private final AtomicReference<Configuration> parsed = new AtomicReference<>(Configuration.NONE);
     private final PeerCodec codec = new PeerCodec(kinds());
     private final PeerServer peers;
@@ -79,6 +81,7 @@
     private LogVoter voter;
     private GroupController groups;
     private ConfigurationService service;
+    private CrashService crashes;
 
     /**
      * Creates a control instance; {@link #start(TargetGateway)} starts it.
@@ -124,7 +127,7 @@
         voter = new LogVoter(
                 new LogSeat(settings.self().instance(), known, settings.disksLost(), LogTiming.DEFAULT),
                 store,
-                machine,
+                new ControlMachine(machine, ledger, feed::wake),
                 (to, message) -> linkTo(to).send(message),
                 ticker,
                 new SecureRandom(),
@@ -132,6 +135,7 @@
         ControllerView view = new ControllerView(directory, this::configuration, entries::streams);
         groups = new GroupController(
                 voter, view, gateway, feed::markLost, settings.timing(), settings.mechanisms(), ticker);
+        crashes = new CrashService(voter, ledger, System::currentTimeMillis);
         service = new ConfigurationService(
                 settings.self().instance(),
                 voter,
@@ -203,6 +207,15 @@
         return voter;
     }
 
+    /**
+     * Gives which requests targets have ended under.
+     *
+     * @return the replicated state
+     */
+    public CrashLedger ledger() {
+        return ledger;
+    }
+
     /**
      * Gives all targets that are known.
      *
@@ -269,7 +282,8 @@
 
     private void follow(InstanceId id) {
         followers.computeIfAbsent(id, i -> {
-            FeedFollower f = new FeedFollower(i.value(), linkTo(i), true, () -> Long.MAX_VALUE, Map::of, this::take);
+            FeedFollower f = new FeedFollower(
+                    i.value(), linkTo(i), true, () -> Long.MAX_VALUE, () -> Long.MAX_VALUE, Map::of, this::take);
             f.start();
             return f;
         });
@@ -326,6 +340,12 @@
             boolean controls = voter != null && voter.holdsLease();
             return Mono.just(new FeedMessage.LoadSums(controls, controls ? loads.take(from, m.running()) : Map.of()));
         }
+        if (message instanceof FeedMessage.CrashReport m && crashes != null) {
+            return crashes.take(m);
+        }
+        if (message instanceof FeedMessage.TrialQuestion m && crashes != null) {
+            return crashes.trial(m.digest());
+        }
         if (message instanceof FeedMessage.StandingHead m && groups != null) {
             return groups.standing(m);
         }
@@ -338,13 +358,23 @@
     private Mono<FeedMessage.News> answer(InstanceId from, FeedMessage.Poll poll) {
         if (poll.heardAfter() < 0) {
             entries.take(from, poll.streams());
+            if (crashes != null) {
+                crashes.ensureKey();
+            }
         }
-        return feed.await(poll, machine.held().version()).map(news -> news(poll));
+        return feed.await(poll, machine.held().version(), ledger.version()).map(news -> news(poll));
     }
 
     private FeedMessage.News news(FeedMessage.Poll poll) {
         ConfigurationMachine.Held held = machine.held();
         byte[] packed = held.version() > poll.configurationVersion() ? held.packed() : null;
-        return feed.news(poll).with(held.version(), packed, members(), entries.count(), entries.most());
+        return feed.news(poll)
+                .with(
+                        held.version(),
+                        packed,
+                        members(),
+                        entries.count(),
+                        entries.most(),
+                        ledger.news(poll.suspectsVersion()));
     }
 }
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/crash/BadEndings.java
@@ -0,0 +1,113 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.crash;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.hallwall.core.id.InstanceId;
+
+/**
+ * Requests that had no good end at a target of which it is not known yet whether it has ended. Not thread-safe.
+ *
+ * <p>A target that ends closes its connections at once, and so may one that lives; the next connection tells them apart.
+ */
+final class BadEndings {
+
+    /**
+     * How long a request that was cut waits for the proof, in milliseconds: a target that starts again at once is proved by its first
+     * announcement, some heartbeats later.
+     */
+    private static final long CUT_MILLIS = 10_000;
+
+    /** How long one that was given up here counts if its target ends then, in milliseconds: longer than a request takes to end a target. */
+    private static final long LEFT_MILLIS = 3_000;
+
+    /** Requests kept at most; more than an entry has in progress. */
+    private static final int MOST = 2_048;
+
+    private final Map<InstanceId, List<Ending>> byTarget = new HashMap<>();
+    private int count;
+
+    void cut(InstanceId target, RequestDigest digest, long now) {
+        add(target, new Ending(digest, now + CUT_MILLIS));
+    }
+
+    void left(InstanceId target, RequestDigest digest, long now) {
+        add(target, new Ending(digest, now + LEFT_MILLIS));
+    }
+
+    private void add(InstanceId target, Ending e) {
+        if (count < MOST) {
+            byTarget.computeIfAbsent(target, t -> new ArrayList<>()).add(e);
+            count++;
+        }
+    }
+
+    /** Takes the requests of a target that has ended, each once. */
+    List<RequestDigest> take(InstanceId target, long now) {
+        List<Ending> all = byTarget.remove(target);
+        if (all == null) {
+            return List.of();
+        }
+        count -= all.size();
+        return all.stream()
+                .filter(e -> now <= e.until())
+                .map(Ending::digest)
+                .distinct()
+                .toList();
+    }
+
+    /** Forgets a request that a target has survived. */
+    void survived(RequestDigest digest) {
+        removeIf(e -> e.digest().equals(digest));
+    }
+
+    void forgetOld(long now) {
+        removeIf(e -> now > e.until());
+    }
+
+    private void removeIf(Predicate<Ending> filter) {
+        Iterator<List<Ending>> lists = byTarget.values().iterator();
+        while (lists.hasNext()) {
+            List<Ending> list = lists.next();
+            int before = list.size();
+            list.removeIf(filter);
+            count -= before - list.size();
+            if (list.isEmpty()) {
+                lists.remove();
+            }
+        }
+    }
+
+    Set<InstanceId> targets() {
+        return Set.copyOf(byTarget.keySet());
+    }
+
+    boolean isEmpty() {
+        return count == 0;
+    }
+
+    private record Ending(RequestDigest digest, long until) {}
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/crash/Suspect.java
@@ -0,0 +1,32 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.crash;
+
+import java.util.List;
+
+import org.hallwall.core.id.InstanceId;
+
+/**
+ * What an entry knows of a request under which targets have ended, and which none has survived since.
+ *
+ * @param digest the request
+ * @param targets the starts of targets that have ended under it
+ * @param held whether it is held back
+ */
+public record Suspect(RequestDigest digest, List<InstanceId> targets, boolean held) {}
--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -26,8 +26,7 @@
     private static final long serialVersionUID = 1L;
 
     private final Verdict verdict;
-    private final boolean reached;
-    private final boolean misdirected;
+    private final Kind kind;
 
     /**
      * Creates the failure of an attempt that reached no target.
@@ -36,7 +35,37 @@
      * @return the failure
      */
     public static AttemptFailure notSent(String reason) {
-        return new AttemptFailure(Verdict.NOT_RUN, reason, false, false);
+        return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.NOT_SENT);
+    }
+
+    /**
+     * Creates the failure of an attempt at an address where nothing listens.
+     *
+     * @param reason why
+     * @return the failure
+     */
+    public static AttemptFailure nobodyThere(String reason) {
+        return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.NOBODY_THERE);
+    }
+
+    /**
+     * Creates the failure of an attempt whose connection the target has ended before its answer was whole.
+     *
+     * @param reason why
+     * @return the failure
+     */
+    public static AttemptFailure brokenOff(String reason) {
+        return new AttemptFailure(Verdict.MAY_HAVE_RUN, reason, Kind.BROKEN_OFF);
+    }
+
+    /**
+     * Creates the failure of an attempt that was given up here.
+     *
+     * @param reason why
+     * @return the failure
+     */
+    public static AttemptFailure left(String reason) {
+        return new AttemptFailure(Verdict.MAY_HAVE_RUN, reason, Kind.LEFT);
     }
 
     /**
@@ -46,7 +75,7 @@
      * @return the failure
      */
     public static AttemptFailure misdirected(String reason) {
-        return new AttemptFailure(Verdict.NOT_RUN, reason, true, true);
+        return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.MISDIRECTED);
     }
 
     /**
@@ -56,14 +85,38 @@
      * @param reason why
      */
     public AttemptFailure(Verdict verdict, String reason) {
-        this(verdict, reason, true, false);
+        this(verdict, reason, Kind.ANSWERED);
     }
 
-    private AttemptFailure(Verdict verdict, String reason, boolean reached, boolean misdirected) {
+    private AttemptFailure(Verdict verdict, String reason, Kind kind) {
         super(reason, null, false, false);
         this.verdict = verdict;
-        this.reached = reached;
-        this.misdirected = misdirected;
+        this.kind = kind;
+    }
+
+    /** What was seen of the target. */
+    enum Kind {
+        /** The request was not sent to it. */
+        NOT_SENT,
+        /** Nothing listens where it was. */
+        NOBODY_THERE,
+        /** Another target answered in its place. */
+        MISDIRECTED,
+        /** It ended the connection before its answer was whole. */
+        BROKEN_OFF,
+        /** The request was given up here while it may have run. */
+        LEFT,
+        /** It answered, though not as it should. */
+        ANSWERED
+    }
+
+    /**
+     * Says what was seen of the target.
+     *
+     * @return the kind of failure
+     */
+    Kind kind() {
+        return kind;
     }
 
     /**
@@ -72,7 +125,7 @@
      * @return true if it did
      */
     public boolean hasReached() {
-        return reached;
+        return kind != Kind.NOT_SENT && kind != Kind.NOBODY_THERE;
     }
 
     /**
@@ -81,7 +134,7 @@
      * @return true if so
      */
     public boolean isMisdirected() {
-        return misdirected;
+        return kind == Kind.MISDIRECTED;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -24,6 +24,7 @@
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.serving.crash.RequestDigest;
 import org.jboss.logging.Logger;
 
 /** The attempts of one request: where it was sent, what is known of its runs, and whether it may be sent once more. */
@@ -36,14 +37,17 @@
     private final RelayContext context;
     private final RelayRequest request;
     private final Set<InstanceId> tried = new HashSet<>();
+    private final Set<InstanceId> brokenOffBy = new HashSet<>();
     private Verdict verdict = Verdict.NOT_RUN;
     private int ran;
     private int turnedAway;
     private int sends;
+    private RequestDigest digest;
 
     Attempts(RelayContext context, RelayRequest request) {
         this.context = context;
         this.request = request;
+        this.digest = request.digest();
     }
 
     /** Chooses a target that the request was not sent to, and notes that it is; null if none is left. */
@@ -81,8 +85,29 @@
     }
 
     /** Notes that the attempt in progress is given up with no answer. */
-    void abandon() {
+    void abandon(ServingTarget target) {
         verdict = verdict.and(Verdict.MAY_HAVE_RUN);
+        left(target);
+    }
+
+    /** Notes that the attempt in progress is over here while its target may still run it. */
+    void left(ServingTarget target) {
+        context.crashes().left(target.instance(), digest());
+    }
+
+    /** Notes that the target of the attempt in progress has answered and lives. */
+    void survived() {
+        if (context.crashes().isWatching()) {
+            context.crashes().survived(digest());
+        }
+    }
+
+    /** Digests the request when it is first needed; null as long as the key is not known. */
+    private RequestDigest digest() {
+        if (digest == null && context.crashes().digester() != null) {
+            digest = request.digestBy(context.crashes().digester(), context.names());
+        }
+        return digest;
     }
 
     /**
@@ -102,6 +127,7 @@
             ran++;
         }
         noteTarget(context.balancer().state(target), target, f);
+        noteCrash(target, f);
         verdict = verdict.and(f.verdict());
         Resend decision = decide(f, charged);
         context.counters().resend(request.service(), decision);
@@ -117,7 +143,7 @@
                 decision,
                 context.budget().describe(request.service()),
                 sends,
-                request.digest(context.digester(), context.names()));
+                digest());
         return decision;
     }
 
@@ -129,6 +155,24 @@
         }
     }
 
+    private void noteCrash(ServingTarget target, AttemptFailure f) {
+        switch (f.kind()) {
+            case NOBODY_THERE:
+                context.crashes().gone(target.instance());
+                break;
+            case BROKEN_OFF:
+                brokenOffBy.add(target.instance());
+                context.crashes().cut(target.instance(), digest());
+                break;
+            case LEFT:
+                left(target);
+                break;
+            default:
+                // it was not sent, or a target that lives has answered
+                break;
+        }
+    }
+
     private Resend decide(AttemptFailure f, boolean charged) {
         boolean allowed = f.verdict() == Verdict.NOT_RUN
                 ? turnedAway <= MOST_TURNED_AWAY
@@ -136,6 +180,9 @@
         if (!allowed) {
             return Resend.NOT_ALLOWED;
         }
+        if (context.crashes().isWatching() && context.crashes().isHeld(digest(), brokenOffBy)) {
+            return Resend.HELD_BACK;
+        }
         if (charged) {
             return Resend.GRANTED;
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -27,12 +27,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import org.apache.commons.codec.digest.DigestUtils;
 import org.hallwall.core.duty.DutyThread;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
@@ -42,7 +43,7 @@
 import org.hallwall.serving.config.ConfigurationReader;
 import org.hallwall.serving.control.ControlNode;
 import org.hallwall.serving.control.PackedBytes;
-import org.hallwall.serving.crash.RequestDigester;
+import org.hallwall.serving.crash.CrashWatch;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
@@ -74,6 +75,8 @@
     private static final Duration REACH_TIMEOUT = Duration.ofMillis(150);
     /** The pause between polls of the requests in progress while stopping, in milliseconds. */
     private static final long STOP_POLL_MILLIS = 50;
+    /** The pause between looks for targets that have ended, and between reports of them that were not taken, in milliseconds. */
+    private static final long LOOK_MILLIS = 200;
 
     private final EntryNodeSettings settings;
     private final ConfigurationReader reader;
@@ -87,10 +90,13 @@
     private final Admission admission;
     private final LoadExchange exchange;
     private final RetryBudget budget;
+    private final CrashWatch crashes;
+    private final EventLoop io;
     private final RelayServer server;
     private final DutyThread duty;
     private final Map<String, String> boots = new HashMap<>();
     private final AtomicLong received = new AtomicLong();
+    private ScheduledFuture<?> looking;
     private volatile TargetGateway gateway;
     private volatile long heardSince = -1;
     private volatile boolean hadTargets;
@@ -117,8 +123,9 @@
         FleetLoad fleet = new FleetLoad(ticker);
         Balancer balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), ticker);
         this.admission = new Admission(balancer, fleet, settings.mechanisms(), ticker);
-        EventLoop io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
+        this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.exchange = new LoadExchange(io, balancer, fleet, links::values);
+        this.crashes = new CrashWatch(new CrashExchange(exchange::controllers, directory, this::reaches), io, ticker);
         RelayContext context = new RelayContext(
                 state,
                 balancer,
@@ -130,7 +137,7 @@
                 admission,
                 new StreamWatch(),
                 new RelayCounts(registry),
-                new RequestDigester(DigestUtils.sha256(settings.fleet())),
+                crashes,
                 ticker);
         this.server = new RelayServer(context);
         this.duty = new DutyThread("feeds", RING, TICK_MILLIS, () -> {});
@@ -151,6 +158,7 @@
         }
         duty.start();
         exchange.start();
+        looking = io.scheduleAtFixedRate(crashes::tick, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
         connect(settings.seeds());
         LOG.infof("entry: %s takes callers on port %d", settings.instance(), server.port());
     }
@@ -165,12 +173,17 @@
     }
 
     /**
-     * Says whether the entry wants callers: it has a configuration, has heard the targets, and does not stop.
+     * Says whether the entry wants callers: it has a configuration, has heard the targets, knows which requests are held back, and does
+     * not stop.
      *
      * @return true if it does
      */
     public boolean isReady() {
-        return !stopping && state.routes().configuration().version() > 0 && heardSince >= 0 && hadTargets();
+        return !stopping
+                && state.routes().configuration().version() > 0
+                && heardSince >= 0
+                && crashes.isReady()
+                && hadTargets();
     }
 
     /** Once it has known targets an entry stays ready: losing them is told to callers, not to the balancer. */
@@ -188,6 +201,15 @@
         return state;
     }
 
+    /**
+     * Gives what holds requests back that end targets.
+     *
+     * @return the watch
+     */
+    public CrashWatch crashes() {
+        return crashes;
+    }
+
     /**
      * Gives the relay.
      *
@@ -216,6 +238,7 @@
         LOG.infof("entry: %s ends, %d requests are cut off", settings.instance(), server.inFlight());
         followers.values().forEach(FeedFollower::close);
         exchange.close();
+        looking.cancel(false);
         duty.close();
         links.values().forEach(PeerLink::close);
         server.close();
@@ -254,6 +277,7 @@
                         link,
                         false,
                         this::receivedVersion,
+                        crashes::version,
                         admission::streams,
                         onDuty(news -> take(m.instance().value(), news)));
                 followers.put(m.instance(), f);
@@ -292,6 +316,9 @@
         if (!news.records().isEmpty() || news.lost() != null) {
             state.judge();
         }
+        if (news.suspects() != null) {
+            io.execute(() -> crashes.take(news.suspects()));
+        }
         budget.entries(news.mostEntries());
         admission.entries(news.entries());
         exchange.entries(news.entries());
--- a/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
@@ -73,8 +73,8 @@
                 .next()
                 .switchIfEmpty(Mono.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the answer ended early")))
                 .timeout(Duration.ofMillis(patience(left)))
-                .onErrorMap(e ->
-                        e instanceof AttemptFailure ? e : new AttemptFailure(Verdict.MAY_HAVE_RUN, "no answer in time"))
+                .onErrorMap(e -> e instanceof AttemptFailure ? e : AttemptFailure.left("no answer in time"))
+                .doOnCancel(() -> attempts.left(target))
                 .doFinally(s -> state.end())
                 .flatMap(a -> judge(state, a))
                 .onErrorResume(AttemptFailure.class, f -> again(target, f));
@@ -90,6 +90,7 @@
     }
 
     private Mono<WholeAnswer> judge(TargetState state, WholeAnswer answer) {
+        attempts.survived();
         if (!answer.isFailure()) {
             state.succeeded();
             context.counters().attempt("answered");
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -19,7 +19,7 @@
 package org.hallwall.serving.relay;
 
 import org.hallwall.core.time.Ticker;
-import org.hallwall.serving.crash.RequestDigester;
+import org.hallwall.serving.crash.CrashWatch;
 
 /**
  * What the runs of requests share.
@@ -34,7 +34,7 @@
  * @param admission bounds the streams in progress
  * @param watch looks at streams in progress
  * @param counters counts outcomes
- * @param digester recognises requests that come again
+ * @param crashes holds requests back that end targets
  * @param ticker the clock
  */
 public record RelayContext(
@@ -48,7 +48,7 @@
         Admission admission,
         StreamWatch watch,
         RelayCounts counters,
-        RequestDigester digester,
+        CrashWatch crashes,
         Ticker ticker) {
 
     /** When a caller comes back whose request found no target, in milliseconds: about the time in which a group is repaired. */
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayCounts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayCounts.java
@@ -32,6 +32,7 @@
     private final Counter refusals;
     private final Counter sends;
     private final Counter resends;
+    private final Counter heldBack;
     private final Histogram firstByte;
 
     /**
@@ -65,6 +66,11 @@
                 .help("Failed attempts, by service and by what became of the request")
                 .labelNames("service", "decision")
                 .register(registry);
+        heldBack = Counter.builder()
+                .name("hallwall_relay_held_back")
+                .help("Requests refused because targets have ended under them, by service")
+                .labelNames("service")
+                .register(registry);
         firstByte = Histogram.builder()
                 .name("hallwall_relay_first_seconds")
                 .help("Time to the first byte of an answer")
@@ -88,6 +94,10 @@
         resends.labelValues(service, decision.label()).inc();
     }
 
+    void heldBack(String service) {
+        heldBack.labelValues(service).inc();
+    }
+
     void refusal(int status) {
         refusals.labelValues(Integer.toString(status)).inc();
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -38,6 +38,7 @@
  * @param model the model that it names, or null
  * @param priority its rank; zero is the highest
  * @param again whether it has likely been refused before
+ * @param digest recognises it when it comes again; null if no request is a suspect
  * @param receivedAt the clock when it came, in milliseconds
  * @param deadlineAt the clock when it must have its answer, in milliseconds
  */
@@ -52,11 +53,30 @@
         String model,
         int priority,
         boolean again,
+        RequestDigest digest,
         long receivedAt,
         long deadlineAt) {
 
+    /** Copies the request with its digest. */
+    RelayRequest with(RequestDigest known) {
+        return new RelayRequest(
+                attemptId,
+                method,
+                uri,
+                headers,
+                body,
+                route,
+                service,
+                model,
+                priority,
+                again,
+                known,
+                receivedAt,
+                deadlineAt);
+    }
+
     /** Digests what a caller sends again when it comes back: the same caller, method, path and body. */
-    RequestDigest digest(RequestDigester digester, HeaderNames names) {
+    RequestDigest digestBy(RequestDigester digester, HeaderNames names) {
         return digester.of(headers.get(names.workspace()), headers.get(HttpHeaderNames.HOST), method.name(), uri, body);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -41,6 +41,7 @@
 import org.hallwall.serving.config.Route;
 import org.hallwall.serving.config.RouteTable;
 import org.hallwall.serving.config.WorkspaceKeys;
+import org.hallwall.serving.crash.CrashWatch;
 import org.jboss.logging.Logger;
 import org.reactivestreams.Publisher;
 import reactor.core.Exceptions;
@@ -182,7 +183,7 @@
         String service = route.service(ThreadLocalRandom.current().nextDouble());
         context.budget().request(service);
         return read(req, most)
-                .map(body -> new RelayRequest(
+                .map(body -> identified(new RelayRequest(
                         attemptId,
                         req.method(),
                         req.uri(),
@@ -193,12 +194,35 @@
                         headers.get(context.names().model()),
                         workspace == null || workspace.priority() == null ? route.priority() : workspace.priority(),
                         again,
+                        null,
                         now,
-                        deadlineAt))
+                        deadlineAt)))
+                .flatMap(this::unlessHeldBack)
                 .flatMap(r -> route.kind() == RequestKind.STREAM ? stream(req, res, r) : plain(req, res, r))
                 .onErrorResume(RelayRefusal.class, e -> refuse(req, res, e));
     }
 
+    /** Digests a request while any is a suspect; otherwise it is not needed. */
+    private RelayRequest identified(RelayRequest r) {
+        CrashWatch crashes = context.crashes();
+        return crashes.isWatching() ? r.with(r.digestBy(crashes.digester(), context.names())) : r;
+    }
+
+    /**
+     * A request under which targets have ended is refused before it is queued. It has not run, and its caller is told when it may be
+     * tried; coming back earlier buys nothing.
+     */
+    private Mono<RelayRequest> unlessHeldBack(RelayRequest r) {
+        return context.crashes()
+                .holdBackMillis(r.digest())
+                .flatMap(millis -> {
+                    context.counters().heldBack(r.service());
+                    return Mono.<RelayRequest>error(
+                            RelayRefusal.notRun(context.crashes().describe(r.digest()), millis));
+                })
+                .defaultIfEmpty(r);
+    }
+
     private static void checkHead(RouteTable routes, HttpHeaders headers, String uri) throws RelayRefusal {
         int size = uri.length();
         for (Map.Entry<String, String> h : headers) {
--- a/serving/src/main/java/org/hallwall/serving/relay/Resend.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Resend.java
@@ -29,7 +29,9 @@
     /** The retry budget pays for another attempt. */
     GRANTED(true, "is sent again on the budget"),
     /** The retry budget is spent. */
-    REFUSED(false, "is not sent again, the budget is spent");
+    REFUSED(false, "is not sent again, the budget is spent"),
+    /** Targets have ended under it, and one more would likely end too. */
+    HELD_BACK(false, "is held back, targets have ended under it");
 
     private final boolean sent;
     private final String text;
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -110,6 +110,9 @@
         LOG.infof(
                 "request %s: the caller left after %d ms and %d events",
                 request.attemptId(), context.now() - request.receivedAt(), eventCount);
+        if (current != null) {
+            attempts.left(current.target);
+        }
         finish();
     }
 
@@ -145,19 +148,19 @@
         long now = context.now();
         if (now >= request.deadlineAt()) {
             current.drop();
-            attempts.abandon();
+            attempts.abandon(current.target);
             giveUp("its time is over");
             return;
         }
         Attempt a = current;
         if (!context.state().targets().stillWorks(a.target)) {
-            a.fail(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the group no longer serves"));
+            a.fail(AttemptFailure.left("the group no longer serves"));
             return;
         }
         long seen = Math.max(progressAt, a.state.progressAt());
         if (now - seen > patience(a) && shouldLeave(a, seen, now) && canMove(a, now)) {
             moving = true;
-            a.fail(new AttemptFailure(Verdict.MAY_HAVE_RUN, "it stands still for " + (now - seen) + " ms"));
+            a.fail(AttemptFailure.left("it stands still for " + (now - seen) + " ms"));
         }
     }
 
@@ -242,6 +245,7 @@
 
     private void completed(Attempt a) {
         a.state.succeeded();
+        attempts.survived();
         context.counters().attempt("answered");
         finish();
         LOG.infof(
@@ -370,6 +374,7 @@
             }
             over = true;
             state.end();
+            attempts.survived();
             finish();
             headGiven = true;
             context.counters().answer(status);
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -18,11 +18,14 @@
  */
 package org.hallwall.serving.relay;
 
+import java.io.IOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.target.StartedTarget;
@@ -131,7 +134,15 @@
 
     private static AttemptFailure failure(Throwable e, boolean sent) {
         String reason = e.getClass().getSimpleName() + ": " + e.getMessage();
-        return sent ? new AttemptFailure(Verdict.MAY_HAVE_RUN, reason) : AttemptFailure.notSent(reason);
+        if (!sent) {
+            boolean refused = e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
+            return refused ? AttemptFailure.nobodyThere(reason) : AttemptFailure.notSent(reason);
+        }
+        // bytes that are no answer come from a target that lives, or that will be seen to have ended by the next
+        // connection
+        return e instanceof IOException
+                ? AttemptFailure.brokenOff(reason)
+                : new AttemptFailure(Verdict.MAY_HAVE_RUN, reason);
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
@@ -46,6 +46,7 @@
     private final PeerLink link;
     private final boolean wantsHeartbeats;
     private final LongSupplier configurationVersion;
+    private final LongSupplier suspectsVersion;
     private final Supplier<Map<String, Integer>> streams;
     private final Consumer<FeedMessage.News> consumer;
     private String boot = "";
@@ -63,6 +64,7 @@
      * @param link the link to it
      * @param wantsHeartbeats whether heartbeats without changes are wanted
      * @param configurationVersion gives the version that is known already
+     * @param suspectsVersion gives the version of the suspects that is known already
      * @param streams gives the streams in progress by model
      * @param consumer takes the news; called in order
      */
@@ -71,12 +73,14 @@
             PeerLink link,
             boolean wantsHeartbeats,
             LongSupplier configurationVersion,
+            LongSupplier suspectsVersion,
             Supplier<Map<String, Integer>> streams,
             Consumer<FeedMessage.News> consumer) {
         this.name = name;
         this.link = link;
         this.wantsHeartbeats = wantsHeartbeats;
         this.configurationVersion = configurationVersion;
+        this.suspectsVersion = suspectsVersion;
         this.streams = streams;
         this.consumer = consumer;
     }
@@ -123,7 +127,8 @@
                 wantsHeartbeats ? heardAfter : -1,
                 configurationVersion.getAsLong(),
                 WAIT_MILLIS,
-                streams.get());
+                streams.get(),
+                suspectsVersion.getAsLong());
         current = link.call(poll, ANSWER_TIMEOUT).cast(FeedMessage.News.class).subscribe(this::take, this::lost);
     }
 
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -23,6 +23,9 @@
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
+import org.hallwall.serving.crash.EndedTarget;
+import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.SuspectNews;
 import org.hallwall.wire.PeerKinds;
 import org.hallwall.wire.PeerMessage;
 
@@ -44,7 +47,11 @@
                 .add(66, HeadFinding.class)
                 .add(67, LoadReport.class)
                 .add(68, LoadSums.class)
-                .add(69, SuspectFinding.class);
+                .add(69, SuspectFinding.class)
+                .add(70, CrashReport.class)
+                .add(71, CrashReportTaken.class)
+                .add(72, TrialQuestion.class)
+                .add(73, TrialAnswer.class);
     }
 
     /**
@@ -56,6 +63,7 @@
      * @param configurationVersion the version that the asker has
      * @param waitMillis the longest wait, in milliseconds
      * @param streams the asker's streams in progress by model
+     * @param suspectsVersion the version of the suspects that the asker has
      */
     record Poll(
             String boot,
@@ -63,7 +71,8 @@
             long heardAfter,
             long configurationVersion,
             long waitMillis,
-            Map<String, Integer> streams)
+            Map<String, Integer> streams,
+            long suspectsVersion)
             implements FeedMessage {}
 
     /**
@@ -80,6 +89,7 @@
      * @param members the control instances
      * @param entries how many entries have asked lately
      * @param mostEntries the most entries that there were lately; zero if this instance cannot know yet
+     * @param suspects the changes of the suspects, or null if there are none
      */
     record News(
             String boot,
@@ -92,7 +102,8 @@
             byte[] configuration,
             List<ControlMember> members,
             int entries,
-            int mostEntries)
+            int mostEntries,
+            SuspectNews suspects)
             implements FeedMessage {
 
         /**
@@ -103,10 +114,12 @@
          * @param all the control instances
          * @param asking how many entries have asked lately
          * @param most the most entries that there were lately, or zero
+         * @param crashing the changes of the suspects, or null
          * @return the whole answer
          */
-        public News with(long version, byte[] packed, List<ControlMember> all, int asking, int most) {
-            return new News(boot, next, records, lost, heardNext, heard, version, packed, all, asking, most);
+        public News with(
+                long version, byte[] packed, List<ControlMember> all, int asking, int most, SuspectNews crashing) {
+            return new News(boot, next, records, lost, heardNext, heard, version, packed, all, asking, most, crashing);
         }
     }
 
@@ -173,6 +186,38 @@
      */
     record LoadSums(boolean controls, Map<String, Integer> running) implements FeedMessage {}
 
+    /**
+     * Reports targets that have ended with what they ran, and suspects that a target has answered.
+     *
+     * @param ended the targets
+     * @param survived the suspects
+     */
+    record CrashReport(List<EndedTarget> ended, List<RequestDigest> survived) implements FeedMessage {}
+
+    /**
+     * Answers a report of ended targets.
+     *
+     * @param taken whether it lasts; if not, the asker keeps it and asks again
+     * @param version the version of the suspects that holds it
+     */
+    record CrashReportTaken(boolean taken, long version) implements FeedMessage {}
+
+    /**
+     * Asks whether a request that is held back may be tried.
+     *
+     * @param digest the request
+     */
+    record TrialQuestion(RequestDigest digest) implements FeedMessage {}
+
+    /**
+     * Answers whether a request that is held back may be tried.
+     *
+     * @param leads whether the answering instance leads; only that one decides
+     * @param granted whether the asker may send it to one target, once
+     * @param againMillis when it may be asked again, in milliseconds
+     */
+    record TrialAnswer(boolean leads, boolean granted, long againMillis) implements FeedMessage {}
+
     /**
      * A control instance.
      *
--- a/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
@@ -146,11 +146,12 @@
      *
      * @param poll what the asker has
      * @param configurationVersion the version in force here
+     * @param suspectsVersion the version of the suspects here
      * @return the end of the wait
      */
-    public Mono<Boolean> await(FeedMessage.Poll poll, long configurationVersion) {
+    public Mono<Boolean> await(FeedMessage.Poll poll, long configurationVersion, long suspectsVersion) {
         return Mono.<Boolean>create(sink -> {
-                    if (!register(poll, configurationVersion, sink)) {
+                    if (!register(poll, configurationVersion, suspectsVersion, sink)) {
                         sink.success(true);
                     }
                 })
@@ -178,11 +179,15 @@
             }
         }
         List<InstanceId> dead = lostChange > after ? List.copyOf(lost) : null;
-        return new FeedMessage.News(boot, changes, records, dead, heartbeats, heard, 0, null, List.of(), 0, 0);
+        return new FeedMessage.News(boot, changes, records, dead, heartbeats, heard, 0, null, List.of(), 0, 0, null);
     }
 
-    private synchronized boolean register(FeedMessage.Poll poll, long version, MonoSink<Boolean> sink) {
-        boolean current = boot.equals(poll.boot()) && poll.after() == changes && poll.configurationVersion() >= version;
+    private synchronized boolean register(
+            FeedMessage.Poll poll, long version, long suspectsVersion, MonoSink<Boolean> sink) {
+        boolean current = boot.equals(poll.boot())
+                && poll.after() == changes
+                && poll.configurationVersion() >= version
+                && poll.suspectsVersion() >= suspectsVersion;
         if (!current) {
             return false;
         }
--- a/serving/src/test/java/org/hallwall/serving/relay/AdmissionTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/AdmissionTest.java
@@ -48,7 +48,19 @@
 
     private static RelayRequest request(boolean again) {
         return new RelayRequest(
-                "a", HttpMethod.POST, "/", new DefaultHttpHeaders(), new byte[0], null, "s", "m", 1, again, 0, 1_000);
+                "a",
+                HttpMethod.POST,
+                "/",
+                new DefaultHttpHeaders(),
+                new byte[0],
+                null,
+                "s",
+                "m",
+                1,
+                again,
+                null,
+                0,
+                1_000);
     }
 
     @ParameterizedTest
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -37,7 +37,9 @@
 import org.hallwall.serving.config.Route;
 import org.hallwall.serving.config.TargetService;
 import org.hallwall.serving.config.WorkspaceKeys;
+import org.hallwall.serving.crash.CrashWatch;
 import org.hallwall.serving.crash.RequestDigester;
+import org.hallwall.serving.crash.SuspectNews;
 import org.hallwall.serving.decision.Mechanisms;
 import org.hallwall.serving.target.FeedMessage.StandingHead;
 import org.hallwall.serving.target.GroupLiveness;
@@ -58,6 +60,8 @@
     private final TargetDirectory directory = new TargetDirectory(Ticker.SYSTEM);
     private final EntryState state = new EntryState(directory);
     private final List<StandingHead> standing = new CopyOnWriteArrayList<>();
+    private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
+    private final CrashWatch crashes;
     private final RelayServer server;
     private volatile GroupLiveness liveness = GroupLiveness.UNKNOWN;
     private long sequence;
@@ -75,6 +79,9 @@
         budget.entries(1);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
         Balancer balancer = new Balancer("a", fleet, Mechanisms.ALL, Ticker.SYSTEM);
+        crashes = new CrashWatch(
+                crashPeers, loops.onServer(LoopResources.DEFAULT_NATIVE).next(), Ticker.SYSTEM);
+        crashes.take(new SuspectNews(new byte[RequestDigester.KEY_BYTES], 1, true, List.of(), List.of()));
         server = new RelayServer(new RelayContext(
                 state,
                 balancer,
@@ -86,7 +93,7 @@
                 new Admission(balancer, fleet, Mechanisms.ALL, Ticker.SYSTEM),
                 new StreamWatch(),
                 new RelayCounts(new PrometheusRegistry()),
-                new RequestDigester(new byte[RequestDigester.KEY_BYTES]),
+                crashes,
                 Ticker.SYSTEM));
         server.open(new NetAddress("127.0.0.1", 0), loops);
         state.take(configuration());
@@ -149,6 +156,11 @@
         state.judge();
     }
 
+    /** Whom the relay asks about requests that end targets. */
+    ScriptedCrashPeers crashPeers() {
+        return crashPeers;
+    }
+
     /** From now on the controller says this of all groups. */
     void say(GroupLiveness answer) {
         liveness = answer;
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
@@ -0,0 +1,71 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.serving.crash.CrashPeers;
+import org.hallwall.serving.crash.EndedTarget;
+import org.hallwall.serving.crash.RequestDigest;
+import reactor.core.publisher.Mono;
+
+/** Targets that answer unless a test says that they are gone, and no leader of the log: the relay is on its own. */
+final class ScriptedCrashPeers implements CrashPeers {
+
+    private final Set<InstanceId> gone = ConcurrentHashMap.newKeySet();
+    private final Set<InstanceId> again = ConcurrentHashMap.newKeySet();
+    private final List<EndedTarget> reported = new CopyOnWriteArrayList<>();
+
+    void end(String target) {
+        gone.add(new InstanceId(target));
+    }
+
+    void startAgain(String target) {
+        again.add(new InstanceId(target));
+    }
+
+    List<EndedTarget> reported() {
+        return reported;
+    }
+
+    @Override
+    public Mono<Boolean> answers(InstanceId target) {
+        return Mono.just(!gone.contains(target));
+    }
+
+    @Override
+    public boolean hasStartedAgain(InstanceId target) {
+        return again.contains(target);
+    }
+
+    @Override
+    public Mono<Long> report(List<EndedTarget> ended, List<RequestDigest> survived) {
+        reported.addAll(ended);
+        return Mono.empty();
+    }
+
+    @Override
+    public Mono<Trial> mayTry(RequestDigest digest) {
+        return Mono.empty();
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/target/TargetFeedTest.java
+++ b/serving/src/test/java/org/hallwall/serving/target/TargetFeedTest.java
@@ -50,7 +50,7 @@
     }
 
     private static FeedMessage.Poll poll(String boot, long after) {
-        return new FeedMessage.Poll(boot, after, 0, 0, 50, java.util.Map.of());
+        return new FeedMessage.Poll(boot, after, 0, 0, 50, java.util.Map.of(), 0);
     }
 
     @ParameterizedTest
@@ -74,7 +74,8 @@
     void aLeavingTargetWakesWhoWaits() {
         feed.announce(record(1, TargetRecord.Presence.SERVING));
         FeedMessage.News first = feed.news(poll("", 0));
-        Mono<Boolean> waiting = feed.await(poll(first.boot(), first.next()), 0).cache();
+        Mono<Boolean> waiting =
+                feed.await(poll(first.boot(), first.next()), 0, 0).cache();
         waiting.subscribe();
         feed.announce(record(2, TargetRecord.Presence.LEAVING));
         Assertions.assertEquals(Boolean.TRUE, waiting.block(Duration.ofSeconds(5)));
@@ -86,12 +87,13 @@
     void aHeartbeatTravelsWithoutWaking() {
         feed.announce(record(1, TargetRecord.Presence.SERVING));
         FeedMessage.News first = feed.news(poll("", 0));
-        Mono<Boolean> waiting = feed.await(poll(first.boot(), first.next()), 0).cache();
+        Mono<Boolean> waiting =
+                feed.await(poll(first.boot(), first.next()), 0, 0).cache();
         waiting.subscribe();
         feed.announce(record(2, TargetRecord.Presence.SERVING));
         Assertions.assertEquals(Boolean.FALSE, waiting.block(Duration.ofSeconds(5)));
         FeedMessage.News next = feed.news(
-                new FeedMessage.Poll(first.boot(), first.next(), first.heardNext(), 0, 50, java.util.Map.of()));
+                new FeedMessage.Poll(first.boot(), first.next(), first.heardNext(), 0, 50, java.util.Map.of(), 0));
         Assertions.assertTrue(next.records().isEmpty());
         Assertions.assertEquals(List.of(new InstanceId("i-1")), next.heard());
     }
@@ -106,7 +108,7 @@
     void aNewerConfigurationIsNews() {
         FeedMessage.News first = feed.news(poll("", 0));
         Assertions.assertEquals(
-                Boolean.TRUE, feed.await(poll(first.boot(), first.next()), 5).block(Duration.ofSeconds(5)));
+                Boolean.TRUE, feed.await(poll(first.boot(), first.next()), 5, 0).block(Duration.ofSeconds(5)));
     }
 
     @Test
