Popular requests are not held back for ends that they only met; the story of a held request is told

Ruled out: counting ends at one moment once: not needed, as an answer within 10 s tells the two apart. Change: an entry does not count an end against a request that a target answered for it in the last 10 s, and says so of what others suspect. When one was held wrongly the next is looked at anew. Two trials instead of three, after a minute and after 2 h, so that sends on their way are within the bound.

--- a/cli/src/main/java/org/hallwall/cli/RequestStory.java
+++ b/cli/src/main/java/org/hallwall/cli/RequestStory.java
@@ -41,6 +41,9 @@
     /** Targets and groups in the lines of a request: "attempt at TARGET of GROUP failed", "from TARGET,". */
     private static final Pattern ATTEMPT = Pattern.compile("attempt at (\\S+?)(?: of (\\S+))? failed");
 
+    /** What recognises a request that comes again: "attempt 2 of DIGEST", "held back as DIGEST:". */
+    private static final Pattern DIGEST = Pattern.compile("(?:attempt \\d+ of|held back as) ([0-9a-f]{32})");
+
     private static final Pattern ANSWER = Pattern.compile(" from (\\S+?), first after");
     /** The controller's regular line on what serves. */
     private static final Pattern SERVES = Pattern.compile("^groups: .* serve, idle by fabric domain");
@@ -73,10 +76,11 @@
                 .orElseThrow()
                 .plus(AFTER);
         Set<String> names = names(own);
+        Set<String> digests = digests(own);
         List<LogLine> out = new ArrayList<>();
         for (LogLine line : all) {
             boolean inTime = !line.at().isBefore(from) && !line.at().isAfter(to);
-            if (isOwn(line) || (inTime && isAbout(line, names))) {
+            if (isOwn(line) || (inTime && isAbout(line, names)) || tellsOfCrashes(line, digests)) {
                 out.add(line);
             }
         }
@@ -96,6 +100,22 @@
         return SERVES.matcher(line.message()).find() || names.stream().anyMatch(n -> namesIt(line.message(), n));
     }
 
+    /** What is known of a request that comes again was seen when it came before, however long ago. */
+    private static boolean tellsOfCrashes(LogLine line, Set<String> digests) {
+        return line.message().startsWith("crashes: ") && digests.stream().anyMatch(line.message()::contains);
+    }
+
+    private static Set<String> digests(List<LogLine> own) {
+        Set<String> out = new LinkedHashSet<>();
+        for (LogLine line : own) {
+            Matcher digest = DIGEST.matcher(line.message());
+            while (digest.find()) {
+                out.add(digest.group(1));
+            }
+        }
+        return out;
+    }
+
     private static boolean namesIt(String message, String name) {
         return Pattern.compile("(?<![\\w-])" + Pattern.quote(name) + "(?![\\w-])")
                 .matcher(message)
--- a/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
@@ -24,6 +24,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 import org.approvaltests.Approvals;
 import org.hallwall.program.ExitCode;
@@ -70,6 +71,36 @@
                 out.toString(StandardCharsets.UTF_8).replace("\r\n", "\n"));
     }
 
+    /** Why a request is held back was seen long before it came again, at other processes. */
+    @Test
+    void tellsWhyARequestIsHeldBack() throws IOException {
+        String digest = "a5a06891af0b4b89086baca24b264a2a";
+        Path file = folder.resolve("all.log");
+        Files.writeString(
+                file,
+                String.join(
+                        "\n",
+                        line("00:00:00", "crashes: target i-2/mx has ended under 1 requests: [" + digest + "]"),
+                        line(
+                                "00:00:01",
+                                "crashes: target i-9/mx has ended under 1 requests: [b" + digest.substring(1) + "]"),
+                        line("00:00:02", "crashes: request " + digest + " is held back: [i-2/mx] ended under it"),
+                        line(
+                                "00:30:00",
+                                "request x: refused with 503, NOT_RUN: held back as " + digest + ": [i-2/mx]")));
+        Assertions.assertEquals(ExitCode.SUCCESS, run("explain", "x", file.toString()));
+        List<String> story = out.toString(StandardCharsets.UTF_8).lines().toList();
+        Assertions.assertEquals(3, story.size(), story::toString);
+        Assertions.assertTrue(story.get(0).contains("i-2/mx has ended"));
+        Assertions.assertTrue(story.get(1).contains("is held back"));
+        Assertions.assertTrue(story.get(2).contains("refused with 503"));
+    }
+
+    private static String line(String time, String message) {
+        return "{\"at\":\"2026-01-01T" + time + "Z\",\"level\":\"INFO\",\"part\":\"P\",\"message\":\"" + message
+                + "\"}";
+    }
+
     @ParameterizedTest
     @CsvSource({
         "explain, WRONG_USE, REQUEST-ID is missing",
--- a/serving/src/main/java/org/hallwall/serving/control/CrashService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/CrashService.java
@@ -71,7 +71,9 @@
         new SecureRandom().nextBytes(key);
         propose(CrashCommand.key(timeOfDay.getAsLong(), key))
                 .subscribe(
-                        done -> {}, e -> LOG.warnf("no key for digests yet, %s", e.getMessage()), this::mayProposeKey);
+                        done -> {},
+                        e -> LOG.warnf("crashes: no key for digests yet, %s", e.getMessage()),
+                        this::mayProposeKey);
     }
 
     private synchronized void mayProposeKey() {
@@ -86,7 +88,7 @@
         return propose(CrashCommand.seen(timeOfDay.getAsLong(), report.ended(), report.survived()))
                 .map(done -> new CrashReportTaken(true, ledger.version()))
                 .onErrorResume(e -> {
-                    LOG.warnf("a report on ended targets was not taken, %s", e.getMessage());
+                    LOG.warnf("crashes: a report on ended targets was not taken, %s", e.getMessage());
                     return Mono.just(new CrashReportTaken(false, 0));
                 });
     }
--- a/serving/src/main/java/org/hallwall/serving/crash/BadEndings.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/BadEndings.java
@@ -36,13 +36,10 @@
 final class BadEndings {
 
     /**
-     * How long a request that was cut waits for the proof, in milliseconds: a target that starts again at once is proved by its first
-     * announcement, some heartbeats later.
+     * How long the proof is awaited, in milliseconds: a refused connection gives it at once, the announcement of a later start after the
+     * seconds that targets take to come back.
      */
-    private static final long CUT_MILLIS = 10_000;
-
-    /** How long one that was given up here counts if its target ends then, in milliseconds: longer than a request takes to end a target. */
-    private static final long LEFT_MILLIS = 3_000;
+    private static final long PROOF_MILLIS = 10_000;
 
     /** Requests kept at most; more than an entry has in progress. */
     private static final int MOST = 2_048;
@@ -50,17 +47,9 @@
     private final Map<InstanceId, List<Ending>> byTarget = new HashMap<>();
     private int count;
 
-    void cut(InstanceId target, RequestDigest digest, long now) {
-        add(target, new Ending(digest, now + CUT_MILLIS));
-    }
-
-    void left(InstanceId target, RequestDigest digest, long now) {
-        add(target, new Ending(digest, now + LEFT_MILLIS));
-    }
-
-    private void add(InstanceId target, Ending e) {
+    void add(InstanceId target, RequestDigest digest, long now) {
         if (count < MOST) {
-            byTarget.computeIfAbsent(target, t -> new ArrayList<>()).add(e);
+            byTarget.computeIfAbsent(target, t -> new ArrayList<>()).add(new Ending(digest, now + PROOF_MILLIS));
             count++;
         }
     }
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -46,10 +46,10 @@
     static final int ENDED_TO_HOLD = 3;
 
     /**
-     * So many hold it back even if others explain them: of two such requests that always run together, both are found. A request that was
-     * only there gets so far if it meets an end at five runs in a row.
+     * So many hold it back even if others explain them: of two such requests that always run together, both are found. An innocent one that
+     * is not popular gets no further anyway, where a caller tries twice and each try is sent to two targets.
      */
-    static final int ENDED_TO_HOLD_ANYHOW = 5;
+    static final int ENDED_TO_HOLD_ANYHOW = 4;
 
     /** After this time without a sign of it a request is forgotten, in milliseconds: a day, as callers' own schedules repeat by days. */
     private static final long FORGET_MILLIS = 86_400_000;
@@ -81,7 +81,7 @@
         }
         forgetOld(c.at());
         c.ended().forEach(e -> ended(e, c.at()));
-        c.survived().forEach(this::survived);
+        c.survived().forEach(d -> survived(d, c.at()));
         return c.trial() != null && trial(c.trial(), c.at());
     }
 
@@ -94,17 +94,23 @@
             }
         }
         there.forEach(s -> suspects.put(s.digest(), s));
-        // the one with most ends first: it explains this end for the others
-        there.sort(Comparator.comparing((HeldRequest s) -> s.targets().size())
+        holdThoseDue(there, at);
+        makeRoom();
+    }
+
+    /** Holds back the one with most ends first: it explains ends for the others. */
+    private void holdThoseDue(List<HeldRequest> candidates, long at) {
+        candidates.sort(Comparator.comparing((HeldRequest s) -> s.targets().size())
                 .reversed()
                 .thenComparing(HeldRequest::digest));
-        for (HeldRequest s : there) {
+        for (HeldRequest s : candidates) {
             if (!s.held() && isToHold(s)) {
                 suspects.put(s.digest(), s.hold(at, ++version));
-                LOG.warnf("request %s is held back: %s ended under it, none survived it", s.digest(), s.targets());
+                LOG.warnf(
+                        "crashes: request %s is held back: %s ended under it, none survived it",
+                        s.digest(), s.targets());
             }
         }
-        makeRoom();
     }
 
     private boolean isToHold(HeldRequest s) {
@@ -118,13 +124,16 @@
         return unexplained >= ENDED_TO_HOLD || s.targets().size() >= ENDED_TO_HOLD_ANYHOW;
     }
 
-    private void survived(RequestDigest d) {
+    private void survived(RequestDigest d, long at) {
         HeldRequest s = suspects.get(d);
-        if (s != null) {
-            if (s.held()) {
-                LOG.warnf("request %s is no longer held back: a target has survived it", d);
-            }
-            remove(d);
+        if (s == null) {
+            return;
+        }
+        remove(d);
+        if (s.held()) {
+            LOG.warnf("crashes: request %s is no longer held back: a target has survived it", d);
+            // the ends that it explained have another cause
+            holdThoseDue(new ArrayList<>(suspects.values()), at);
         }
     }
 
@@ -136,7 +145,7 @@
         boolean due = s.isTrialDue(at);
         suspects.put(d, s.sentAgain(at));
         if (due) {
-            LOG.warnf("request %s is tried for the %d. time since it is held back", d, s.trials() + 1);
+            LOG.warnf("crashes: request %s is tried for the %d. time since it is held back", d, s.trials() + 1);
         }
         return due;
     }
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -36,9 +36,7 @@
 
 /**
  * Keeps requests that end targets from being sent on: it finds out which targets have ended under which requests, tells the log, and holds
- * back what all entries together have seen too often. Used on the I/O thread only, but for {@link #version()} and {@link #isReady()}.
- *
- * <p>Nothing is digested as long as no request is a suspect, so that it costs nothing then.
+ * back what all entries together have seen too often. Used on the I/O thread only, but for the methods that say so.
  */
 public final class CrashWatch {
 
@@ -58,6 +56,7 @@
     private final Ticker ticker;
     private final KnownSuspects known = new KnownSuspects();
     private final BadEndings endings = new BadEndings();
+    private final RecentAnswers answers = new RecentAnswers();
     private final List<EndedTarget> unlogged = new ArrayList<>();
     private final Set<RequestDigest> survived = new LinkedHashSet<>();
     private final Set<InstanceId> asked = new HashSet<>();
@@ -66,6 +65,8 @@
     private long heardAt;
     private volatile RequestDigester digester;
     private volatile long version;
+    private volatile int suspects;
+    private volatile long held;
 
     /**
      * Creates a watch that knows nothing; nothing is digested before the key is known.
@@ -91,12 +92,19 @@
         }
         known.take(news);
         version = known.version();
+        suspects = known.size();
+        held = known.heldCount();
         heardAt = ticker.millis();
         askAgainAt.keySet().removeIf(d -> !known.isHeld(d, Set.of()));
+        // what others suspect may have been answered here all along
+        news.changed().stream()
+                .map(Suspect::digest)
+                .filter(d -> answers.has(d, heardAt))
+                .forEach(this::survived);
     }
 
     /**
-     * Gives the version of the suspects that is known here.
+     * Gives the version of the suspects that is known here; on any thread.
      *
      * @return the version; zero if none is
      */
@@ -105,7 +113,7 @@
     }
 
     /**
-     * Says whether what the log holds is known here: before, an entry would send what others hold back.
+     * Says whether what the log holds is known here, on any thread: before, an entry would send what others hold back.
      *
      * @return true if it is
      */
@@ -191,7 +199,7 @@
         if (digest == null) {
             return;
         }
-        endings.cut(target, digest, ticker.millis());
+        endings.add(target, digest, ticker.millis());
         if (asked.add(target)) {
             peers.answers(target)
                     .subscribe(answers -> io.execute(() -> {
@@ -211,7 +219,7 @@
      */
     public void left(InstanceId target, RequestDigest digest) {
         if (digest != null) {
-            endings.left(target, digest, ticker.millis());
+            endings.add(target, digest, ticker.millis());
         }
     }
 
@@ -221,12 +229,15 @@
      * @param target the start of the target
      */
     public void gone(InstanceId target) {
-        List<RequestDigest> running = endings.take(target, ticker.millis());
+        long now = ticker.millis();
+        List<RequestDigest> running = endings.take(target, now).stream()
+                .filter(d -> !answers.has(d, now))
+                .toList();
         if (running.isEmpty()) {
             return;
         }
         LOG.infof(
-                "target %s has ended under %d requests: %s",
+                "crashes: target %s has ended under %d requests: %s",
                 target, running.size(), running.stream().limit(MOST_NAMED).toList());
         known.ended(target, running);
         if (unlogged.stream().mapToInt(e -> e.running().size()).sum() < KnownSuspects.MOST_OWN) {
@@ -244,6 +255,7 @@
         if (digest == null) {
             return;
         }
+        answers.note(digest, ticker.millis());
         endings.survived(digest);
         if (known.survived(digest) && survived.size() < MOST_SURVIVED) {
             survived.add(digest);
@@ -285,20 +297,20 @@
     }
 
     /**
-     * Counts the suspects.
+     * Counts the suspects; on any thread.
      *
      * @return how many the log holds, as far as is known here
      */
     public int suspects() {
-        return known.size();
+        return suspects;
     }
 
     /**
-     * Counts the requests that are held back.
+     * Counts the requests that are held back; on any thread.
      *
      * @return how many
      */
     public long held() {
-        return known.heldCount();
+        return held;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/crash/HeldRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/HeldRequest.java
@@ -51,10 +51,11 @@
     private static final long HOUR_MILLIS = 60 * MINUTE_MILLIS;
 
     /**
-     * The pauses before each trial, in milliseconds. A trial puts one target at stake, so there are three at most: for a fault that passes
-     * or is mended by hand within minutes, by a restart of the fleet, and by a new version of the targets.
+     * The pauses before each trial, in milliseconds. Each puts one target at stake; callers of a request that was held back wrongly wait a
+     * minute. The second is for a new version of the targets, or whatever else has mended it. There is no third: what was sent elsewhere
+     * while the request became known counts as a retry too.
      */
-    private static final long[] TRIAL_PAUSES = {5 * MINUTE_MILLIS, HOUR_MILLIS, 6 * HOUR_MILLIS};
+    private static final long[] TRIAL_PAUSES = {MINUTE_MILLIS, 2 * HOUR_MILLIS};
 
     /** Targets kept for each; more of them decide nothing. */
     private static final int MOST_TARGETS = 8;
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -97,9 +97,7 @@
 
     /** Notes that the target of the attempt in progress has answered and lives. */
     void survived() {
-        if (context.crashes().isWatching()) {
-            context.crashes().survived(digest());
-        }
+        context.crashes().survived(digest());
     }
 
     /** Digests the request when it is first needed; null as long as the key is not known. */
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -23,7 +23,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
@@ -56,6 +58,8 @@
     static final HeaderNames NAMES = new HeaderNames(
             "X-Attempt", "X-Deadline", "X-Expected", "X-Workspace", "X-Key", "X-Not-Run", "X-Model", "Last-Event-Id");
 
+    private static final long LOOK_MILLIS = 20;
+
     private final LoopResources loops = LoopResources.create("test", 1, true);
     private final TargetDirectory directory = new TargetDirectory(Ticker.SYSTEM);
     private final EntryState state = new EntryState(directory);
@@ -79,8 +83,9 @@
         budget.entries(1);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
         Balancer balancer = new Balancer("a", fleet, Mechanisms.ALL, Ticker.SYSTEM);
-        crashes = new CrashWatch(
-                crashPeers, loops.onServer(LoopResources.DEFAULT_NATIVE).next(), Ticker.SYSTEM);
+        EventLoop io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
+        crashes = new CrashWatch(crashPeers, io, Ticker.SYSTEM);
+        io.scheduleAtFixedRate(crashes::tick, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
         crashes.take(new SuspectNews(new byte[RequestDigester.KEY_BYTES], 1, true, List.of(), List.of()));
         server = new RelayServer(new RelayContext(
                 state,
@@ -123,7 +128,9 @@
                 1,
                 routes,
                 services,
-                List.of(new WorkspaceKeys("w", List.of("secret"), null)),
+                List.of(
+                        new WorkspaceKeys("w", List.of("secret"), null),
+                        new WorkspaceKeys("v", List.of("other"), null)),
                 new CallerLimits(2_000, 10_000, 1_000, 1_000));
     }
 
