--- a/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
@@ -43,7 +43,8 @@
         ENTRIES_RESTART(SimulatedCrashes::restartEntries),
         RACK_ENDS(s -> s.endSome(0.1)),
         DOMAIN_ENDS(s -> s.endSome(0.33)),
-        NO_LEADER(s -> s.leaderless(1_500));
+        NO_LEADER(s -> s.leaderless(1_500)),
+        DOMAIN_CUT_OFF(s -> s.cutOff(0.33, 4_000));
 
         private final Consumer<SimulatedCrashes> trouble;
 
@@ -78,10 +79,12 @@
     @EnumSource(Besides.class)
     void theSameWhateverElseHappens(Besides besides) {
         SimulatedCrashes s = new SimulatedCrashes(9, 15, 11);
+        s.run(3, 120, 0.3, 5);
+        besides.trouble.accept(s);
         s.comes("guilty-0", 700);
         for (int i = 0; i < SECONDS / 5; i++) {
-            besides.trouble.accept(s);
             s.run(5, 120, 0.3, 5);
+            besides.trouble.accept(s);
         }
         check(s, besides.name());
     }
--- a/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
@@ -128,6 +128,20 @@
         at(millis, () -> led = true);
     }
 
+    /** A failure domain's entries are cut off from the log for a time; callers still reach them, and they their targets. */
+    void cutOff(double part, int millis) {
+        List<Entry> some =
+                entries.stream().filter(e -> random.nextDouble() < part).toList();
+        some.forEach(e -> e.cutOff = true);
+        at(millis, () -> {
+            some.forEach(e -> {
+                e.cutOff = false;
+                e.inTouchSince = now;
+            });
+            tell();
+        });
+    }
+
     // --- what it asks
 
     Map<String, Integer> endedBy() {
@@ -147,7 +161,7 @@
         return innocentsHeld;
     }
 
-    /** Gives the longest time from a third end until an entry held the request back. */
+    /** Gives the longest time from a third end, and since an entry is in touch, until it held the request back. */
     long slowestToKnow() {
         return slowestToKnow;
     }
@@ -198,7 +212,7 @@
     private void tell() {
         for (Entry e : entries) {
             at(HOP + random.nextInt(HOP * 2), () -> {
-                SuspectNews news = led ? ledger.news(e.watch.version()) : null;
+                SuspectNews news = led && !e.cutOff ? ledger.news(e.watch.version()) : null;
                 if (news != null) {
                     e.watch.take(news);
                     e.noteKnown();
@@ -238,7 +252,7 @@
 
         private void noteSend() {
             Long third = thirdAt.get(name);
-            if (third != null && now > third + 3_000) {
+            if (third != null && now > third + 3_000 && !entry.cutOff) {
                 sentLater.merge(name, 1, Integer::sum);
             }
         }
@@ -326,13 +340,14 @@
 
         private final CrashWatch watch = new CrashWatch(this, Runnable::run, () -> now);
         private final Set<String> knows = new HashSet<>();
-        private final long startedAt = now;
+        private long inTouchSince = now;
+        private boolean cutOff;
 
         void noteKnown() {
             for (Map.Entry<String, Long> third : thirdAt.entrySet()) {
                 if (!knows.contains(third.getKey()) && watch.isHeld(new RequestDigest(third.getKey()), Set.of())) {
                     knows.add(third.getKey());
-                    slowestToKnow = Math.max(slowestToKnow, now - Math.max(startedAt, third.getValue()));
+                    slowestToKnow = Math.max(slowestToKnow, now - Math.max(inTouchSince, third.getValue()));
                 }
             }
         }
@@ -352,7 +367,7 @@
         @Override
         public Mono<Long> report(List<EndedTarget> ended, List<RequestDigest> survived) {
             return later(HOP + COMMIT, () -> {
-                if (!led) {
+                if (!led || cutOff) {
                     return null;
                 }
                 ledger.apply(CrashCommand.seen(now, ended, survived));
@@ -363,7 +378,7 @@
 
         @Override
         public Mono<Trial> mayTry(RequestDigest digest) {
-            return Mono.just(new Trial(ledger.apply(CrashCommand.trial(now, digest)), 10_000));
+            return cutOff ? Mono.empty() : Mono.just(new Trial(ledger.apply(CrashCommand.trial(now, digest)), 10_000));
         }
     }
 }
