A held request's refusal tells how long its last end is known; what the log holds of a suspect is a LoggedSuspect

Cause: the line named the age of the last news of any suspect; HeldRequest also stood for suspects that are not held. Shown by: CrashLedgerTest, CrashSimulationTest, HeldBackTest, ControlMachineTest pass.

--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -62,7 +62,7 @@
 
     private static final Logger LOG = Logger.getLogger(CrashLedger.class);
 
-    private final Map<RequestDigest, HeldRequest> suspects = new HashMap<>();
+    private final Map<RequestDigest, LoggedSuspect> suspects = new HashMap<>();
     private final Deque<Removal> removals = new ArrayDeque<>();
     private byte[] key;
     private long version;
@@ -86,9 +86,9 @@
     }
 
     private void ended(EndedTarget e, long at) {
-        List<HeldRequest> there = new ArrayList<>();
+        List<LoggedSuspect> there = new ArrayList<>();
         for (RequestDigest d : e.running()) {
-            HeldRequest s = suspects.getOrDefault(d, HeldRequest.unknown(d, at));
+            LoggedSuspect s = suspects.getOrDefault(d, LoggedSuspect.unknown(d, at));
             if (!s.targets().contains(e.target())) {
                 there.add(s.endedUnder(e.target(), at, ++version));
             }
@@ -99,11 +99,11 @@
     }
 
     /** Holds back the one with most ends first: it explains ends for the others. */
-    private void holdThoseDue(List<HeldRequest> candidates, long at) {
-        candidates.sort(Comparator.comparing((HeldRequest s) -> s.targets().size())
+    private void holdThoseDue(List<LoggedSuspect> candidates, long at) {
+        candidates.sort(Comparator.comparing((LoggedSuspect s) -> s.targets().size())
                 .reversed()
-                .thenComparing(HeldRequest::digest));
-        for (HeldRequest s : candidates) {
+                .thenComparing(LoggedSuspect::digest));
+        for (LoggedSuspect s : candidates) {
             if (!s.held() && isToHold(s)) {
                 suspects.put(s.digest(), s.hold(at, ++version));
                 LOG.warnf(
@@ -113,19 +113,19 @@
         }
     }
 
-    private boolean isToHold(HeldRequest s) {
+    private boolean isToHold(LoggedSuspect s) {
         if (s.targets().size() < ENDED_TO_HOLD) {
             return false;
         }
         Set<InstanceId> explained = new HashSet<>();
-        suspects.values().stream().filter(HeldRequest::held).forEach(h -> explained.addAll(h.targets()));
+        suspects.values().stream().filter(LoggedSuspect::held).forEach(h -> explained.addAll(h.targets()));
         long unexplained =
                 s.targets().stream().filter(t -> !explained.contains(t)).count();
         return unexplained >= ENDED_TO_HOLD || s.targets().size() >= ENDED_TO_HOLD_ANYHOW;
     }
 
     private void survived(RequestDigest d, long at) {
-        HeldRequest s = suspects.get(d);
+        LoggedSuspect s = suspects.get(d);
         if (s == null) {
             return;
         }
@@ -138,7 +138,7 @@
     }
 
     private boolean trial(RequestDigest d, long at) {
-        HeldRequest s = suspects.get(d);
+        LoggedSuspect s = suspects.get(d);
         if (s == null) {
             return false;
         }
@@ -153,7 +153,7 @@
     private void forgetOld(long at) {
         List<RequestDigest> old = suspects.values().stream()
                 .filter(s -> at - s.seenAt() > FORGET_MILLIS)
-                .map(HeldRequest::digest)
+                .map(LoggedSuspect::digest)
                 .sorted()
                 .toList();
         old.forEach(this::remove);
@@ -165,12 +165,12 @@
             return;
         }
         List<RequestDigest> least = suspects.values().stream()
-                .sorted(Comparator.comparing(HeldRequest::held)
+                .sorted(Comparator.comparing(LoggedSuspect::held)
                         .thenComparing(s -> s.targets().size())
-                        .thenComparing(HeldRequest::seenAt)
-                        .thenComparing(HeldRequest::digest))
+                        .thenComparing(LoggedSuspect::seenAt)
+                        .thenComparing(LoggedSuspect::digest))
                 .limit(surplus)
-                .map(HeldRequest::digest)
+                .map(LoggedSuspect::digest)
                 .toList();
         least.forEach(this::remove);
     }
@@ -214,7 +214,7 @@
         boolean whole = after == 0 || after < toldFrom;
         List<Suspect> changed = suspects.values().stream()
                 .filter(s -> whole || s.version() > after)
-                .map(HeldRequest::suspect)
+                .map(LoggedSuspect::suspect)
                 .toList();
         List<RequestDigest> removed = whole
                 ? List.of()
@@ -234,7 +234,7 @@
      * @return the pause in milliseconds, not above a day; zero if a trial is due
      */
     public synchronized long trialInMillis(RequestDigest digest, long now) {
-        HeldRequest s = suspects.get(digest);
+        LoggedSuspect s = suspects.get(digest);
         return s == null ? 0 : Math.max(0, Math.min(s.nextTrialAt() - now, FORGET_MILLIS));
     }
 
@@ -246,7 +246,7 @@
      * @return the time in milliseconds; zero if it is no suspect
      */
     public synchronized long unseenMillis(RequestDigest digest, long now) {
-        HeldRequest s = suspects.get(digest);
+        LoggedSuspect s = suspects.get(digest);
         return s == null ? 0 : now - s.seenAt();
     }
 
@@ -257,8 +257,8 @@
      */
     public synchronized Collection<Suspect> held() {
         return suspects.values().stream()
-                .filter(HeldRequest::held)
-                .map(HeldRequest::suspect)
+                .filter(LoggedSuspect::held)
+                .map(LoggedSuspect::suspect)
                 .toList();
     }
 
@@ -289,5 +289,5 @@
     private record Removal(long version, RequestDigest digest) {}
 
     /** The state as it is stored. */
-    private record Snapshot(byte[] key, long version, List<HeldRequest> suspects) {}
+    private record Snapshot(byte[] key, long version, List<LoggedSuspect> suspects) {}
 }
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -62,7 +62,6 @@
     private final Set<InstanceId> asked = new HashSet<>();
     private final Map<RequestDigest, Long> askAgainAt = new HashMap<>();
     private boolean reporting;
-    private long heardAt;
     private volatile RequestDigester digester;
     private volatile long version;
     private volatile int suspects;
@@ -90,16 +89,16 @@
         if (digester == null && news.key() != null) {
             digester = new RequestDigester(news.key());
         }
-        known.take(news);
+        known.take(news, ticker.millis());
         version = known.version();
         suspects = known.size();
         held = known.heldCount();
-        heardAt = ticker.millis();
+        long now = ticker.millis();
         askAgainAt.keySet().removeIf(d -> !known.isHeld(d, Set.of()));
         // what others suspect may have been answered here all along
         news.changed().stream()
                 .map(Suspect::digest)
-                .filter(d -> answers.has(d, heardAt))
+                .filter(d -> answers.has(d, now))
                 .forEach(this::survived);
     }
 
@@ -181,12 +180,13 @@
      * Tells by what a request is held back, for logs and callers.
      *
      * @param digest the request
-     * @return the targets and the age of what is known
+     * @return the targets, and how long the last end is known
      */
     public String describe(RequestDigest digest) {
+        long at = known.takenAt(digest);
+        String age = at == 0 ? "seen here only" : "the last known here for " + (ticker.millis() - at) + " ms";
         return "held back as " + digest + ": " + new TreeSet<>(known.targets(digest, Set.of()))
-                + " ended under it and none has survived it, by suspects " + version + " of "
-                + (ticker.millis() - heardAt) + " ms ago";
+                + " ended under it and none has survived it, " + age + ", suspects of version " + version;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/crash/KnownSuspects.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/KnownSuspects.java
@@ -37,22 +37,37 @@
     static final int MOST_OWN = 1_024;
 
     private final Map<RequestDigest, Suspect> logged = new HashMap<>();
+    private final Map<RequestDigest, Long> takenAt = new HashMap<>();
     private final Map<RequestDigest, Set<InstanceId>> own = new LinkedHashMap<>();
     private long version;
 
-    /** Takes changes; those that are known already are passed over. */
-    void take(SuspectNews news) {
+    /** Takes changes at a time of the clock; those that are known already are passed over. */
+    void take(SuspectNews news, long now) {
         if (news.version() <= version) {
             return;
         }
         if (news.whole()) {
             logged.clear();
+            takenAt.clear();
         }
-        news.removed().forEach(logged::remove);
-        news.changed().forEach(s -> logged.put(s.digest(), s));
+        news.removed().forEach(this::forget);
+        news.changed().forEach(s -> {
+            logged.put(s.digest(), s);
+            takenAt.put(s.digest(), now);
+        });
         version = news.version();
     }
 
+    private Suspect forget(RequestDigest digest) {
+        takenAt.remove(digest);
+        return logged.remove(digest);
+    }
+
+    /** Gives when the last change of a suspect was learned, by the clock; zero if the log does not hold it here. */
+    long takenAt(RequestDigest digest) {
+        return takenAt.getOrDefault(digest, 0L);
+    }
+
     long version() {
         return version;
     }
@@ -90,7 +105,7 @@
      */
     boolean survived(RequestDigest digest) {
         boolean seen = own.remove(digest) != null;
-        return logged.remove(digest) != null || seen;
+        return forget(digest) != null || seen;
     }
 
     boolean isSuspect(RequestDigest digest) {
--- a/serving/src/main/java/org/hallwall/serving/crash/HeldRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/LoggedSuspect.java
@@ -36,7 +36,7 @@
  * @param seenAt when it was last heard of
  * @param version the version of the state with its last change
  */
-record HeldRequest(
+record LoggedSuspect(
         RequestDigest digest,
         List<InstanceId> targets,
         boolean held,
@@ -60,30 +60,30 @@
     /** Targets kept for each; more of them decide nothing. */
     private static final int MOST_TARGETS = 8;
 
-    static HeldRequest unknown(RequestDigest digest, long at) {
-        return new HeldRequest(digest, List.of(), false, 0, NEVER, at, 0);
+    static LoggedSuspect unknown(RequestDigest digest, long at) {
+        return new LoggedSuspect(digest, List.of(), false, 0, NEVER, at, 0);
     }
 
-    HeldRequest endedUnder(InstanceId target, long at, long next) {
+    LoggedSuspect endedUnder(InstanceId target, long at, long next) {
         List<InstanceId> all = new ArrayList<>(targets);
         if (!all.contains(target) && all.size() < MOST_TARGETS) {
             all.add(target);
         }
-        return new HeldRequest(digest, all, held, trials, nextTrialAt, at, next);
+        return new LoggedSuspect(digest, all, held, trials, nextTrialAt, at, next);
     }
 
-    HeldRequest hold(long at, long next) {
-        return new HeldRequest(digest, targets, true, 0, at + TRIAL_PAUSES[0], at, next);
+    LoggedSuspect hold(long at, long next) {
+        return new LoggedSuspect(digest, targets, true, 0, at + TRIAL_PAUSES[0], at, next);
     }
 
     /** Notes that a caller has sent it again; it is tried if that is due. */
-    HeldRequest sentAgain(long at) {
+    LoggedSuspect sentAgain(long at) {
         if (!isTrialDue(at)) {
-            return new HeldRequest(digest, targets, held, trials, nextTrialAt, at, version);
+            return new LoggedSuspect(digest, targets, held, trials, nextTrialAt, at, version);
         }
         int tried = trials + 1;
         long later = tried < TRIAL_PAUSES.length ? at + TRIAL_PAUSES[tried] : NEVER;
-        return new HeldRequest(digest, targets, held, tried, later, at, version);
+        return new LoggedSuspect(digest, targets, held, tried, later, at, version);
     }
 
     boolean isTrialDue(long at) {
--- a/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
@@ -255,7 +255,7 @@
     private void follow(KnownSuspects entry) {
         SuspectNews news = ledger.news(entry.version());
         if (news != null) {
-            entry.take(news);
+            entry.take(news, 0);
         }
     }
 }
