--- a/serving/src/test/java/org/hallwall/serving/relay/HeldBackTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/HeldBackTest.java
@@ -29,9 +29,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.hallwall.serving.config.RequestKind;
+import org.hallwall.serving.target.StartedTarget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -60,8 +60,14 @@
         IN_THE_ANSWER,
         /** When the entry has given the request up, unseen; then it starts again. */
         WHEN_LEFT,
+        /** When the entry has given the request up, unseen; nothing comes back in its place. */
+        WHEN_LEFT_FOR_GOOD,
         /** Only the connection ends, and the target lives. */
-        NOT_AT_ALL
+        NOT_AT_ALL;
+
+        boolean isUnseen() {
+            return this == WHEN_LEFT || this == WHEN_LEFT_FOR_GOOD;
+        }
     }
 
     private final List<ScriptedTarget> targets = new ArrayList<>();
@@ -71,9 +77,8 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private RelayFixture relay;
 
-    @BeforeEach
-    void open() throws Exception {
-        relay = new RelayFixture();
+    private void open(long objectiveMillis) throws Exception {
+        relay = new RelayFixture(0, 100, objectiveMillis);
     }
 
     @AfterEach
@@ -83,42 +88,91 @@
     }
 
     /** Adds targets that end under requests of workspace w with the body "ends". */
-    private void targets(End how) throws IOException {
+    private void targets(End how) throws Exception {
+        // with the long one no attempt is left before its target ends
+        open(how.isUnseen() ? 400 : 4_000);
         for (int i = 0; i < TARGETS; i++) {
-            String id = "i-" + i;
-            ScriptedTarget t = new ScriptedTarget((r, c) -> {
-                if (!r.body().equals("ends") || !r.headers().get("x-workspace").equals("w")) {
-                    boolean stream = r.line().contains("/stream/");
-                    c.send(stream ? EVENTS : WHOLE);
-                    if (stream) {
-                        c.chunk("id: 1\ndata: 1\n\n").send("0\r\n\r\n");
-                    }
-                    return;
-                }
-                end(id, how, c);
-            });
-            targets.add(t);
-            relay.add("app", id, t.port());
-            relay.add("llm", "h" + id, t.port());
+            EndingTarget t = new EndingTarget("i-" + i, how);
+            targets.add(t.target);
+            t.announce();
         }
     }
 
-    private void end(String id, End how, ScriptedTarget.Connection c) throws IOException {
-        ended.incrementAndGet();
-        if (how == End.IN_THE_ANSWER) {
-            c.send(EVENTS);
+    /** A target of both services, and its present start. */
+    private final class EndingTarget {
+
+        private final String name;
+        private final End how;
+        private final ScriptedTarget target;
+        private volatile int start = 1;
+
+        EndingTarget(String name, End how) throws IOException {
+            this.name = name;
+            this.how = how;
+            this.target = new ScriptedTarget(this::answer);
         }
-        if (how == End.WHEN_LEFT) {
-            c.awaitClose();
-            relay.crashPeers().startAgain(id);
-            relay.crashPeers().startAgain("h" + id);
-            return;
+
+        private String id(String service) {
+            return StartedTarget.id(service + "-" + name, start).value();
+        }
+
+        private void announce() {
+            relay.add("app", id("app"), target.port());
+            relay.add("llm", id("llm"), target.port());
+        }
+
+        private void answer(ScriptedTarget.Request r, ScriptedTarget.Connection c) throws IOException {
+            if (r.body().equals("ends") && r.headers().get("x-workspace").equals("w")) {
+                end(c);
+                return;
+            }
+            boolean stream = r.line().contains("/stream/");
+            c.send(stream ? EVENTS : WHOLE);
+            if (stream) {
+                c.chunk("id: 1\ndata: 1\n\n").send("0\r\n\r\n");
+            }
         }
-        if (how != End.NOT_AT_ALL) {
-            relay.crashPeers().end(id);
-            relay.crashPeers().end("h" + id);
+
+        private void end(ScriptedTarget.Connection c) throws IOException {
+            ended.incrementAndGet();
+            switch (how) {
+                case NOT_AT_ALL:
+                    c.reset();
+                    break;
+                case WHEN_LEFT:
+                    c.awaitClose();
+                    startAgain();
+                    break;
+                case WHEN_LEFT_FOR_GOOD:
+                    c.awaitClose();
+                    goAway(c);
+                    break;
+                case IN_THE_ANSWER:
+                    c.send(EVENTS);
+                    goAway(c);
+                    break;
+                default:
+                    goAway(c);
+                    break;
+            }
+        }
+
+        /** Nothing listens any more where a target has ended: each end that is counted is one of another start. */
+        private void goAway(ScriptedTarget.Connection c) throws IOException {
+            target.close();
+            relay.crashPeers().end(id("app"));
+            relay.crashPeers().end(id("llm"));
+            c.reset();
+        }
+
+        private synchronized void startAgain() {
+            String app = id("app");
+            String llm = id("llm");
+            start++;
+            announce();
+            relay.crashPeers().startAgain(app);
+            relay.crashPeers().startAgain(llm);
         }
-        c.reset();
     }
 
     private HttpResponse<String> send(RequestKind kind, String key, String path, String body) throws Exception {
@@ -147,6 +201,8 @@
         "IDEMPOTENT, AT_ONCE",
         "IDEMPOTENT, IN_THE_ANSWER",
         "IDEMPOTENT, WHEN_LEFT",
+        "STREAM, WHEN_LEFT_FOR_GOOD",
+        "IDEMPOTENT, WHEN_LEFT_FOR_GOOD",
         "NON_IDEMPOTENT, AT_ONCE",
         "NON_IDEMPOTENT, IN_THE_ANSWER"
     })
@@ -157,7 +213,7 @@
             last = send(kind, "secret", "x", "ends");
         }
         // an attempt that is left is sent on before its target ends
-        int most = how == End.WHEN_LEFT ? MOST_ENDED + 1 : MOST_ENDED;
+        int most = how.isUnseen() ? MOST_ENDED + 1 : MOST_ENDED;
         Assertions.assertTrue(ended.get() <= most, ended.get() + " targets ended");
         Assertions.assertEquals(503, last.statusCode());
         Assertions.assertTrue(last.body().contains("ended under it"), last.body());
@@ -189,6 +245,7 @@
     /** A popular request is there whenever a target ends, and is answered elsewhere in between. */
     @Test
     void whatIsAnsweredInBetweenIsNeverHeldBack() throws Exception {
+        open(400);
         AtomicInteger arrivals = new AtomicInteger();
         for (int i = 0; i < TARGETS; i++) {
             String id = "i-" + i;
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.EventLoop;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -65,10 +66,10 @@
     private final EntryState state = new EntryState(directory);
     private final List<StandingHead> standing = new CopyOnWriteArrayList<>();
     private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
+    private final AtomicLong sequence = new AtomicLong();
     private final CrashWatch crashes;
     private final RelayServer server;
     private volatile GroupLiveness liveness = GroupLiveness.UNKNOWN;
-    private long sequence;
 
     RelayFixture() throws ProgramException {
         this(100);
@@ -79,6 +80,11 @@
     }
 
     RelayFixture(double ratio, double repeats) throws ProgramException {
+        this(ratio, repeats, 400);
+    }
+
+    /** How long an attempt is waited for goes by the latency objective, in milliseconds. */
+    RelayFixture(double ratio, double repeats, long objectiveMillis) throws ProgramException {
         RetryBudget budget = new RetryBudget(ratio, repeats, 10_000, true, Ticker.SYSTEM);
         budget.entries(1);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
@@ -101,10 +107,10 @@
                 crashes,
                 Ticker.SYSTEM));
         server.open(new NetAddress("127.0.0.1", 0), loops);
-        state.take(configuration());
+        state.take(configuration(objectiveMillis));
     }
 
-    private static Configuration configuration() {
+    private static Configuration configuration(long objectiveMillis) {
         List<Route> routes = new ArrayList<>();
         for (RequestKind k : RequestKind.values()) {
             routes.add(new Route(
@@ -113,7 +119,7 @@
                     "/" + k.name().toLowerCase(java.util.Locale.ROOT) + "/",
                     k,
                     4_000,
-                    400,
+                    objectiveMillis,
                     1,
                     List.of(new Route.WeightedService(k == RequestKind.STREAM ? "llm" : "app", 1)),
                     2,
@@ -144,7 +150,7 @@
     void announce(String service, String id, int port, GroupMark mark) {
         directory.take(new TargetRecord(
                 new InstanceId(id),
-                ++sequence,
+                sequence.incrementAndGet(),
                 service,
                 new NetAddress("127.0.0.1", port),
                 "a",
@@ -159,7 +165,7 @@
 
     /** A target says that it ends. */
     void remove(String id) {
-        directory.take(directory.find(new InstanceId(id)).with(++sequence, TargetRecord.Presence.GONE));
+        directory.take(directory.find(new InstanceId(id)).with(sequence.incrementAndGet(), TargetRecord.Presence.GONE));
         state.judge();
     }
 
