A target that was left with a request is looked at again: its end counts though nobody was there to see it

Cause: an end was proven by a connection broken off, by a refused one of a later attempt, or by a later start under the same name.

Change: while a request without a good end is open at a target (10 s), the entry looks every 2 s whether the address still accepts connections, and at once when another target is seen to have ended under the same request. Only a refused connection counts: silence may be a cut link. Costs at most five connections for each target that was left, 16 at a time for an entry.

Ruled out: taking silence for an end here, as right after a broken connection: under a cut each request that is left would collect ends.

--- a/serving/src/main/java/org/hallwall/serving/crash/BadEndings.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/BadEndings.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.crash;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -94,6 +95,14 @@
         return Set.copyOf(byTarget.keySet());
     }
 
+    /** Lists the targets where any of these requests had no good end. */
+    List<InstanceId> targetsOf(Collection<RequestDigest> digests) {
+        return byTarget.entrySet().stream()
+                .filter(t -> t.getValue().stream().anyMatch(e -> digests.contains(e.digest())))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     boolean isEmpty() {
         return count == 0;
     }
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
@@ -34,6 +34,14 @@
      */
     Mono<Boolean> answers(InstanceId target);
 
+    /**
+     * Asks whether nothing listens any more where a target was; unlike silence, that is no matter of links or load.
+     *
+     * @param target the start of the target
+     * @return true only if its address refuses a connection; never an error
+     */
+    Mono<Boolean> refuses(InstanceId target);
+
     /**
      * Says whether a later start of a target is known.
      *
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -45,6 +45,15 @@
     /** When a caller comes back if nobody can say more, in milliseconds: elections and cuts are over by then for the most part. */
     private static final long ALONE_MILLIS = 10_000;
 
+    /**
+     * How often a target is asked about that was left with a request, or answered just after it broke one off, in milliseconds: it may end
+     * behind that, and then nobody is there to see it. Costs up to five connections for a request that was left.
+     */
+    private static final long ASK_AGAIN_MILLIS = 2_000;
+
+    /** Questions in progress at most, so that a failure domain that goes dark does not cost a burst of connections. */
+    private static final int MOST_ASKED = 16;
+
     /** Requests named in a log line at most. */
     private static final int MOST_NAMED = 8;
 
@@ -61,6 +70,7 @@
     private final Set<RequestDigest> survived = new LinkedHashSet<>();
     private final Set<InstanceId> asked = new HashSet<>();
     private final Map<RequestDigest, Long> askAgainAt = new HashMap<>();
+    private final Map<InstanceId, Long> lookAgainAt = new HashMap<>();
     private boolean reporting;
     private volatile RequestDigester digester;
     private volatile long version;
@@ -243,6 +253,8 @@
         if (unlogged.stream().mapToInt(e -> e.running().size()).sum() < KnownSuspects.MOST_OWN) {
             unlogged.add(new EndedTarget(target, running));
         }
+        // a suspect's other targets are looked at now, since it may be sent to the next one within milliseconds
+        endings.targetsOf(Set.copyOf(running)).forEach(t -> lookAgain(t, now));
         report();
     }
 
@@ -267,14 +279,32 @@
     public void tick() {
         long now = ticker.millis();
         endings.forgetOld(now);
-        for (InstanceId target : endings.targets()) {
+        Set<InstanceId> open = endings.targets();
+        lookAgainAt.keySet().retainAll(open);
+        for (InstanceId target : open) {
             if (peers.hasStartedAgain(target)) {
                 gone(target);
+            } else if (now >= lookAgainAt.computeIfAbsent(target, t -> now + ASK_AGAIN_MILLIS)) {
+                lookAgain(target, now);
             }
         }
         report();
     }
 
+    private void lookAgain(InstanceId target, long now) {
+        if (asked.size() >= MOST_ASKED || !asked.add(target)) {
+            return;
+        }
+        lookAgainAt.put(target, now + ASK_AGAIN_MILLIS);
+        peers.refuses(target)
+                .subscribe(refused -> io.execute(() -> {
+                    asked.remove(target);
+                    if (refused) {
+                        gone(target);
+                    }
+                }));
+    }
+
     private void report() {
         if (reporting || unlogged.isEmpty() && survived.isEmpty()) {
             return;
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -25,6 +25,7 @@
 import java.util.function.Supplier;
 
 import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.crash.CrashPeers;
 import org.hallwall.serving.crash.EndedTarget;
 import org.hallwall.serving.crash.RequestDigest;
@@ -53,6 +54,7 @@
     private final Supplier<Collection<PeerLink>> controllers;
     private final TargetDirectory directory;
     private final Function<InstanceId, Mono<Boolean>> reaches;
+    private final Function<NetAddress, Mono<Boolean>> refuses;
 
     /**
      * Creates the exchange.
@@ -60,14 +62,17 @@
      * @param controllers gives the link to the leader, or those to all if it is not known
      * @param directory all targets
      * @param reaches asks whether a target answers
+     * @param refuses asks whether an address refuses a connection
      */
     CrashExchange(
             Supplier<Collection<PeerLink>> controllers,
             TargetDirectory directory,
-            Function<InstanceId, Mono<Boolean>> reaches) {
+            Function<InstanceId, Mono<Boolean>> reaches,
+            Function<NetAddress, Mono<Boolean>> refuses) {
         this.controllers = controllers;
         this.directory = directory;
         this.reaches = reaches;
+        this.refuses = refuses;
     }
 
     @Override
@@ -75,6 +80,12 @@
         return reaches.apply(target);
     }
 
+    @Override
+    public Mono<Boolean> refuses(InstanceId target) {
+        TargetRecord known = directory.find(target);
+        return known == null ? Mono.just(false) : refuses.apply(known.address());
+    }
+
     @Override
     public boolean hasStartedAgain(InstanceId target) {
         TargetRecord known = directory.find(target);
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -125,11 +125,13 @@
         this.admission = new Admission(balancer, fleet, settings.mechanisms(), ticker);
         this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.exchange = new LoadExchange(io, balancer, fleet, links::values);
-        this.crashes = new CrashWatch(new CrashExchange(exchange::controllers, directory, this::reaches), io, ticker);
+        TargetClient client = new TargetClient(loops, names);
+        this.crashes = new CrashWatch(
+                new CrashExchange(exchange::controllers, directory, this::reaches, client::refuses), io, ticker);
         RelayContext context = new RelayContext(
                 state,
                 balancer,
-                new TargetClient(loops, names),
+                client,
                 budget,
                 new ForwardedHeaders(names),
                 names,
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -27,6 +27,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.target.StartedTarget;
 import org.reactivestreams.Publisher;
@@ -37,6 +38,7 @@
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpClient;
 
 /** Sends attempts to targets over kept connections. */
 public final class TargetClient {
@@ -54,6 +56,7 @@
     private static final int MISDIRECTED = 421;
 
     private final HttpClient client;
+    private final TcpClient knocker;
     private final HeaderNames names;
 
     /**
@@ -74,9 +77,29 @@
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                 .httpResponseDecoder(spec -> spec.maxHeaderSize(MOST_HEAD_BYTES).maxInitialLineLength(MOST_HEAD_BYTES));
+        this.knocker = TcpClient.create(ConnectionProvider.newConnection())
+                .runOn(loops)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
         this.names = names;
     }
 
+    /**
+     * Asks by a new connection, which is closed at once, whether nothing listens at an address.
+     *
+     * @param address the address
+     * @return true if the connection is refused; false if it comes up, or nobody says a word
+     */
+    Mono<Boolean> refuses(NetAddress address) {
+        return knocker.host(address.host())
+                .port(address.port())
+                .connect()
+                .map(c -> {
+                    c.dispose();
+                    return false;
+                })
+                .onErrorResume(e -> Mono.just(isRefusal(e)));
+    }
+
     /**
      * Sends one attempt.
      *
@@ -132,11 +155,14 @@
         return answer.read(head, body);
     }
 
+    private static boolean isRefusal(Throwable e) {
+        return e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
+    }
+
     private static AttemptFailure failure(Throwable e, boolean sent) {
         String reason = e.getClass().getSimpleName() + ": " + e.getMessage();
         if (!sent) {
-            boolean refused = e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
-            return refused ? AttemptFailure.nobodyThere(reason) : AttemptFailure.notSent(reason);
+            return isRefusal(e) ? AttemptFailure.nobodyThere(reason) : AttemptFailure.notSent(reason);
         }
         // bytes that are no answer come from a target that lives, or that will be seen to have ended by the next
         // connection
--- a/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
@@ -359,6 +359,13 @@
                     () -> targets.stream().anyMatch(t -> t.up && t.start().equals(target)));
         }
 
+        @Override
+        public Mono<Boolean> refuses(InstanceId target) {
+            return later(
+                    HOP * 2,
+                    () -> targets.stream().anyMatch(t -> !t.up && t.start().equals(target)));
+        }
+
         @Override
         public boolean hasStartedAgain(InstanceId target) {
             return false;
--- a/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
@@ -53,6 +53,11 @@
         return Mono.just(!gone.contains(target));
     }
 
+    @Override
+    public Mono<Boolean> refuses(InstanceId target) {
+        return Mono.just(gone.contains(target));
+    }
+
     @Override
     public boolean hasStartedAgain(InstanceId target) {
         return again.contains(target);
