A target that has said that it leaves is not looked at: its end in order is nobody's fault

Cause, read in the change before: a request is also left because its group no longer serves. If that target then goes in order within 10 s, its refused connection would have counted as an end under the request, though nothing crashed.

Change: only a target that serves by its last announcement is asked. One that leaves and crashes under a request is still found by the broken connection.

--- a/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
@@ -38,7 +38,7 @@
      * Asks whether nothing listens any more where a target was; unlike silence, that is no matter of links or load.
      *
      * @param target the start of the target
-     * @return true only if its address refuses a connection; never an error
+     * @return true only if its address refuses a connection, and it has not said that it leaves; never an error
      */
     Mono<Boolean> refuses(InstanceId target);
 
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -83,7 +83,8 @@
     @Override
     public Mono<Boolean> refuses(InstanceId target) {
         TargetRecord known = directory.find(target);
-        return known == null ? Mono.just(false) : refuses.apply(known.address());
+        // one that has said that it leaves ends in order: what it was left with is not to blame
+        return known == null || !known.isServing() ? Mono.just(false) : refuses.apply(known.address());
     }
 
     @Override
