--- a/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
@@ -89,6 +89,17 @@
         check(s, besides.name());
     }
 
+    /** A target ends 0.4 s after the entry has left it with the request, and comes back under another name: no connection breaks off. */
+    @ParameterizedTest
+    @CsvSource({"9, 15, 120, 31", "9, 15, 120, 32", "82, 40, 500, 33", "350, 116, 2000, 34"})
+    void guiltyOnesThatAreLeftBeforeTheEndAreHeldBackToo(int entries, int targets, int perSecond, long seed) {
+        SimulatedCrashes s = new SimulatedCrashes(entries, targets, seed);
+        s.run(3, perSecond, 0.3, 5);
+        s.comes("guilty-late", 700);
+        s.run(SECONDS, perSecond, 0.3, 5);
+        check(s, "entries " + entries + ", left before the end");
+    }
+
     /** Ends without a guilty request: nothing is ever held back, however popular. */
     @ParameterizedTest
     @CsvSource({"0.05, 0.0", "0.1, 0.3", "0.33, 0.3", "0.33, 0.9"})
--- a/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
@@ -47,6 +47,10 @@
     private static final int RUN = 1_000;
 
     private static final int TO_THE_END = 80;
+    /** The same of a request that entries have left by then, and how long they wait for it, in milliseconds. */
+    private static final int TO_A_LATE_END = 700;
+
+    private static final int PATIENCE = 300;
     /** How long a target is away, in milliseconds. */
     private static final int AWAY = 8_000;
 
@@ -172,6 +176,11 @@
         return name.startsWith("guilty");
     }
 
+    /** Says whether entries give a request up before its target ends. */
+    private static boolean isLeft(String name) {
+        return name.startsWith("guilty-late");
+    }
+
     private void call(String name, int tries) {
         if (!isGuilty(name) && tries == 1) {
             innocents++;
@@ -265,6 +274,11 @@
             again();
         }
 
+        void left(InstanceId start) {
+            entry.watch.left(start, digest);
+            again();
+        }
+
         void brokenOff(InstanceId start) {
             brokenOffBy.add(start);
             entry.watch.cut(start, digest);
@@ -303,7 +317,15 @@
             running.add(c);
             int start = starts;
             boolean guilty = isGuilty(c.name);
-            at(guilty ? TO_THE_END : RUN / 2 + random.nextInt(RUN), () -> {
+            if (isLeft(c.name)) {
+                at(PATIENCE, () -> {
+                    if (running.remove(c)) {
+                        c.left(start());
+                    }
+                });
+            }
+            int toTheEnd = isLeft(c.name) ? TO_A_LATE_END : TO_THE_END;
+            at(guilty ? toTheEnd : RUN / 2 + random.nextInt(RUN), () -> {
                 if (start != starts || !up) {
                     return;
                 }
