An operator's read is confirmed by a quorum, not by a lease: a leader that was suspended shows nothing old

Cause: the lease for reads goes by the steady clock, which stands still while a machine is suspended; the leader of before answered by a lease that was over.

Change: reads of the configuration, and the answer to one that is in force already, wait for a round of heartbeats that was sent after they came (LogReads). No clock takes part: times only tell messages apart. Reads that come together share a round. The controller's step goes by the lease as before: its orders carry fencing tokens, and a round for each step would double the heartbeats.

Weighed: CLOCK_BOOTTIME (no known library among ours reads it, and a step of time of day must not look the same); an empty entry of the log for each read (a sync at a quorum, and one more write at a disk that is full, after which the voter ends).

Before: version 1 is shown after 2 was accepted.

--- a/log/src/main/java/org/hallwall/log/LogFollowers.java
+++ b/log/src/main/java/org/hallwall/log/LogFollowers.java
@@ -94,16 +94,23 @@
 
     /** Says whether a quorum, the leader included, has answered what was sent within a time. */
     boolean haveAnswered(long now, long within) {
+        return voters.others().isEmpty() || now - answeredSentAt() < within;
+    }
+
+    /** Says whether a quorum, the leader included, has answered what was sent at a time or later. */
+    boolean haveAnsweredSince(long sentAt) {
+        return voters.others().isEmpty() || answeredSentAt() >= sentAt;
+    }
+
+    /** Gives when the last messages were sent that a quorum has answered. */
+    private long answeredSentAt() {
         List<InstanceId> others = voters.others();
-        if (others.isEmpty()) {
-            return true;
-        }
         long[] heard = new long[others.size()];
         for (int i = 0; i < heard.length; i++) {
             heard[i] = followers.get(others.get(i)).heardSentAt();
         }
         Arrays.sort(heard);
-        return now - heard[heard.length - (voters.quorum() - 1)] < within;
+        return heard[heard.length - (voters.quorum() - 1)];
     }
 
     /** Gives the highest index that a quorum of admitted folders holds. */
--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -60,6 +60,7 @@
     private long commit;
     private long electionAt;
     private long heartbeatAt;
+    private long lastSentAt = Long.MIN_VALUE;
     private long leaderHeardAt;
     private final LogStartProbe startProbe;
 
@@ -203,6 +204,30 @@
                 && followers.haveAnswered(now, timing.leaseMillis());
     }
 
+    /**
+     * Sends heartbeats whose answers show that this voter still leads; answers to earlier ones do not.
+     *
+     * @param now the clock in milliseconds
+     * @return when they were sent; empty if this voter does not lead, or sent others in this millisecond
+     */
+    public OptionalLong confirm(long now) {
+        if (role != LogRole.LEADER || now <= lastSentAt) {
+            return OptionalLong.empty();
+        }
+        sendToAll(now);
+        return OptionalLong.of(now);
+    }
+
+    /**
+     * Says whether a quorum has answered what was sent at a time or later. No clock takes part: times only tell messages apart.
+     *
+     * @param sentAt when it was sent, as {@link #confirm(long)} gave it
+     * @return true if all that was accepted before it was sent is applied here
+     */
+    public boolean isConfirmed(long sentAt) {
+        return role == LogRole.LEADER && log.termAt(commit) == term && followers.haveAnsweredSince(sentAt);
+    }
+
     /**
      * Describes the replica.
      *
@@ -559,6 +584,7 @@
     }
 
     private void sendTo(long now, InstanceId to, LogFollower f) {
+        lastSentAt = now;
         long prev = f.next() - 1;
         if (prev < log.baseIndex()) {
             if (f.maySendSnapshot(now, timing.electionMillis())) {
--- a/log/src/main/java/org/hallwall/log/LogVoter.java
+++ b/log/src/main/java/org/hallwall/log/LogVoter.java
@@ -49,6 +49,7 @@
     private final Runnable onFailure;
     private final DutyThread duty;
     private final LogReplica replica;
+    private final LogReads reads;
     private final Map<Long, Pending> pending = new HashMap<>();
     private volatile LogState state;
     private volatile boolean lease;
@@ -82,6 +83,7 @@
         LogStored stored = store.stored();
         machine.restore(stored.snapshot().index(), stored.snapshot().state());
         this.replica = new LogReplica(seat, stored, random, ticker.millis());
+        this.reads = new LogReads(replica);
         this.state = replica.state();
         this.duty = new DutyThread("log", RING, TICK_MILLIS, this::tick);
     }
@@ -97,7 +99,10 @@
      * @param message the message
      */
     public void receive(LogMessage message) {
-        duty.offer(() -> perform(replica.receive(ticker.millis(), message)));
+        duty.offer(() -> {
+            perform(replica.receive(ticker.millis(), message));
+            answerReads();
+        });
     }
 
     /**
@@ -136,7 +141,26 @@
     }
 
     /**
-     * Asks for the index that a read must wait for; only a leader with a lease answers.
+     * Waits until a quorum confirms that this voter leads. No clock takes part: a machine that was suspended believes its lease, since its steady
+     * clock stood still. Costs a round of heartbeats, 40 ms and a round trip at most, so it is for reads by operators.
+     *
+     * @return the commit index, with all that was accepted before the call applied here, or a {@link LogProposalException}
+     */
+    public CompletableFuture<Long> confirmedIndex() {
+        CompletableFuture<Long> index = new CompletableFuture<>();
+        boolean taken = duty.offer(() -> {
+            reads.ask(index);
+            answerReads();
+        });
+        if (!taken) {
+            index.completeExceptionally(refused("the log's ring is full"));
+        }
+        return index;
+    }
+
+    /**
+     * Asks for the index that a read must wait for; only a leader with a lease answers. Just after a suspension of its machine a leader may
+     * believe a lease that is over, which {@link #confirmedIndex()} does not.
      *
      * @return the commit index, or a {@link LogProposalException}
      */
@@ -181,6 +205,12 @@
     private void tick() {
         perform(replica.tick(ticker.millis()));
         lease = replica.holdsLease(ticker.millis());
+        answerReads();
+    }
+
+    private void answerReads() {
+        reads.step(ticker.millis(), () -> refused("this voter does not lead"));
+        perform(replica.taken());
     }
 
     private void proposeNow(byte[] command, CompletableFuture<Object> outcome) {
--- a/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
@@ -89,7 +90,7 @@
      * @return the reply; never an error
      */
     public Mono<ConfigurationReply> get() {
-        return leaderOnly(Mono.defer(() -> Mono.fromFuture(voter.readIndex()).map(index -> content())));
+        return leaderOnly(Mono.defer(() -> upToDate(this::content)));
     }
 
     private Mono<ConfigurationReply> leaderOnly(Mono<ConfigurationReply> answer) {
@@ -108,12 +109,17 @@
 
     private Mono<ConfigurationReply> accept(long version, byte[] bytes) {
         if (machine.held().version() >= version) {
-            return Mono.fromFuture(voter.readIndex()).map(index -> accepted(version));
+            return upToDate(() -> accepted(version));
         }
         byte[] command = ConfigurationMachine.command(version, PackedBytes.pack(bytes));
         return Mono.fromFuture(voter.propose(command)).map(held -> accepted(version));
     }
 
+    /** A lease would do but for a machine that was suspended: what is shown must never be older than what was accepted. */
+    private Mono<ConfigurationReply> upToDate(Supplier<ConfigurationReply> reply) {
+        return Mono.fromFuture(voter.confirmedIndex()).map(index -> reply.get());
+    }
+
     private ConfigurationReply accepted(long version) {
         long held = machine.held().version();
         LOG.infof("configuration: version %d acknowledged, %d is in force", version, held);
