--- a/control/src/main/java/org/hallwall/control/CommandRouter.java
+++ b/control/src/main/java/org/hallwall/control/CommandRouter.java
@@ -108,7 +108,7 @@
      * @return the answer
      */
     public Mono<ReadIndexReply> handleReadIndex() {
-        return Mono.fromFuture(voter.readIndex())
+        return Mono.fromFuture(voter.confirmedIndex())
                 .map(ReadIndexReply::new)
                 .onErrorResume(e -> Mono.just(new ReadIndexReply(0)));
     }
@@ -140,7 +140,7 @@
             return Mono.error(noQuorum(Verdict.NOT_RUN, "no leader is known"));
         }
         if (leader.equals(self)) {
-            CompletableFuture<Long> index = voter.readIndex();
+            CompletableFuture<Long> index = voter.confirmedIndex();
             return Mono.fromFuture(index);
         }
         return links.get(leader)
@@ -148,7 +148,7 @@
                 .cast(ReadIndexReply.class)
                 .filter(r -> r.index() > 0)
                 .map(ReadIndexReply::index)
-                .switchIfEmpty(Mono.error(noQuorum(Verdict.NOT_RUN, "the leader has no lease")));
+                .switchIfEmpty(Mono.error(noQuorum(Verdict.NOT_RUN, "the leader has no quorum")));
     }
 
     private Mono<Void> awaitApplied(long index) {
