--- a/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
@@ -51,6 +51,10 @@
         Besides(Consumer<SimulatedCrashes> trouble) {
             this.trouble = trouble;
         }
+
+        void happen(SimulatedCrashes s) {
+            trouble.accept(s);
+        }
     }
 
     /** Entries, targets and requests a second grow together; each guilty request comes every 0.7 s to any entry. */
@@ -80,11 +84,11 @@
     void theSameWhateverElseHappens(Besides besides) {
         SimulatedCrashes s = new SimulatedCrashes(9, 15, 11);
         s.run(3, 120, 0.3, 5);
-        besides.trouble.accept(s);
+        besides.happen(s);
         s.comes("guilty-0", 700);
         for (int i = 0; i < SECONDS / 5; i++) {
             s.run(5, 120, 0.3, 5);
-            besides.trouble.accept(s);
+            besides.happen(s);
         }
         check(s, besides.name());
     }
