Held-back test: the two latency objectives have names

No change of what is checked: the short one makes entries leave a silent target, the long one keeps them from it, so that each case is what its name says.

--- a/serving/src/test/java/org/hallwall/serving/relay/HeldBackTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/HeldBackTest.java
@@ -49,6 +49,10 @@
             "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final int TARGETS = 10;
     private static final int ARRIVALS = 8;
+    /** The latency objective, in milliseconds: with the short one an entry leaves a target that is silent, with the long one it never does. */
+    private static final long SHORT = 400;
+
+    private static final long LONG = 4_000;
     /** Three that make it known; in the third attempt nothing is sent again. */
     private static final int MOST_ENDED = 3;
 
@@ -89,8 +93,7 @@
 
     /** Adds targets that end under requests of workspace w with the body "ends". */
     private void targets(End how) throws Exception {
-        // with the long one no attempt is left before its target ends
-        open(how.isUnseen() ? 400 : 4_000);
+        open(how.isUnseen() ? SHORT : LONG);
         for (int i = 0; i < TARGETS; i++) {
             EndingTarget t = new EndingTarget("i-" + i, how);
             targets.add(t.target);
@@ -245,7 +248,7 @@
     /** A popular request is there whenever a target ends, and is answered elsewhere in between. */
     @Test
     void whatIsAnsweredInBetweenIsNeverHeldBack() throws Exception {
-        open(400);
+        open(SHORT);
         AtomicInteger arrivals = new AtomicInteger();
         for (int i = 0; i < TARGETS; i++) {
             String id = "i-" + i;
