--- a/wire/src/test/java/org/hallwall/wire/PeerLinkTest.java
+++ b/wire/src/test/java/org/hallwall/wire/PeerLinkTest.java
@@ -22,13 +22,20 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.awaitility.Awaitility;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 
 /** A link comes up when its peer begins to listen, however long that takes. */
 class PeerLinkTest {
@@ -64,6 +71,76 @@
         Awaitility.await().atMost(WITHIN).until(() -> links.stream().allMatch(PeerLink::isUp));
     }
 
+    /**
+     * The process stands still right after it has planned an attempt, for longer than until that attempt: it runs on another thread, and plans the
+     * next one. Seen where an entry that had stood still for 3.5 s at its start never tried one of its links again, and a whole fleet lacked the
+     * targets that only this entry heard.
+     */
+    @Test
+    void aLinkThatStandsStillWhileItPlansGoesOnTrying() throws IOException {
+        NetAddress address = listen(0);
+        server.close();
+        AtomicInteger planned = new AtomicInteger();
+        CountDownLatch later = new CountDownLatch(1);
+        Schedulers.setFactory(new Schedulers.Factory() {
+            @Override
+            public Scheduler newParallel(int parallelism, ThreadFactory threads) {
+                return new StandingScheduler(
+                        Schedulers.Factory.super.newParallel(parallelism, threads), planned, later);
+            }
+        });
+        try {
+            PeerLink link = new PeerLink(address, "test", new InstanceId("i-1"), codec);
+            links.add(link);
+            Awaitility.await().atMost(WITHIN).until(() -> later.getCount() == 0);
+            listen(address.port());
+            Awaitility.await().atMost(WITHIN).until(link::isUp);
+            // up by the attempt that stood still, if no other is planned any more
+            server.close();
+            Awaitility.await().atMost(WITHIN).until(() -> !link.isUp());
+            listen(address.port());
+            Awaitility.await().atMost(WITHIN).until(link::isUp);
+        } finally {
+            Schedulers.resetFactory();
+        }
+    }
+
+    /** Stands still after the first attempt that is planned for later, until that one has run and planned another. */
+    private record StandingScheduler(Scheduler real, AtomicInteger planned, CountDownLatch later) implements Scheduler {
+
+        @Override
+        public Disposable schedule(Runnable task) {
+            return real.schedule(task);
+        }
+
+        @Override
+        public Disposable schedule(Runnable task, long delay, TimeUnit unit) {
+            int number = planned.incrementAndGet();
+            Disposable out = real.schedule(
+                    () -> {
+                        task.run();
+                        later.countDown();
+                    },
+                    delay,
+                    unit);
+            if (number == 1) {
+                // the planned attempt has run whole, with the next one planned and kept
+                Awaitility.await().atMost(WITHIN).until(() -> later.getCount() == 0);
+            }
+            return out;
+        }
+
+        @Override
+        public Worker createWorker() {
+            return real.createWorker();
+        }
+
+        @Override
+        public void dispose() {
+            real.dispose();
+        }
+    }
+
     @Test
     void aLinkComesUpAgainWhenItsPeerIsBack() throws IOException {
         NetAddress address = listen(0);
