A link goes on trying whatever stands still while it plans: attempts are no longer kept to be cancelled

Change: the next attempt is planned and not kept; one that comes after close() ends at once. Each attempt plans exactly one, so there is one chain. Cost: a link that was closed is held for 0.5 s more. Before: the link does not come up within 20 s. After: PeerLinkTest 3 of 3, in 2.3 s.

--- a/wire/src/main/java/org/hallwall/wire/PeerLink.java
+++ b/wire/src/main/java/org/hallwall/wire/PeerLink.java
@@ -35,8 +35,6 @@
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.Verdict;
 import org.jboss.logging.Logger;
-import reactor.core.Disposable;
-import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 import reactor.core.scheduler.Schedulers;
@@ -66,7 +64,6 @@
     private final AtomicLong sentBytes = new AtomicLong();
     private final AtomicLong dropped = new AtomicLong();
     private final long createdAt = Ticker.SYSTEM.millis();
-    private final Disposable.Swap prober = Disposables.swap();
     private volatile Connection connection;
     private volatile boolean connecting;
     private volatile boolean closed;
@@ -84,7 +81,6 @@
         this.address = address;
         this.hello = new PeerHello(PeerHello.PROTOCOL, fleet, self);
         this.codec = codec;
-        // not kept: its first act is to keep the next one, perhaps before this thread goes on
         Schedulers.parallel().schedule(this::probe);
     }
 
@@ -137,7 +133,6 @@
     @Override
     public void close() {
         closed = true;
-        prober.dispose();
         breakOff();
     }
 
@@ -162,7 +157,9 @@
     }
 
     private void probeAfter(long millis) {
-        prober.update(Schedulers.parallel().schedule(this::probe, millis, TimeUnit.MILLISECONDS));
+        // not kept to be cancelled: a thread that stands still here would cancel one that was planned meanwhile, and
+        // the link stay down for good
+        Schedulers.parallel().schedule(this::probe, millis, TimeUnit.MILLISECONDS);
     }
 
     private void probe() {
