Sight: the line of an attempt that was turned away tells what its answer asks for

Logs could not tell a target that rests from one that is full: an answer's time and its word that the target leaves went unread and unlogged. No decision goes by them yet.

--- a/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
@@ -29,6 +29,7 @@
  * @param notRun set by a target that has not run the request
  * @param model the model that the request wants
  * @param lastEventId the last event that the caller has
+ * @param leaving set by a target that is about to end
  */
 public record HeaderNames(
         String attemptId,
@@ -38,4 +39,5 @@
         String key,
         String notRun,
         String model,
-        String lastEventId) {}
+        String lastEventId,
+        String leaving) {}
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -21,12 +21,14 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.target.StartedTarget;
@@ -52,6 +54,9 @@
     /** The largest head of an answer, in bytes. */
     private static final int MOST_HEAD_BYTES = 65_536;
 
+    /** How much of a header's value is logged, in characters. */
+    private static final int MOST_LOGGED = 40;
+
     /** The status by which a target says that it is not the one that the request names. */
     private static final int MISDIRECTED = 421;
 
@@ -147,7 +152,8 @@
             return Flux.error(AttemptFailure.misdirected("another target answered, status " + status));
         }
         if (head.responseHeaders().contains(names.notRun())) {
-            return Flux.error(new AttemptFailure(Verdict.NOT_RUN, "the target did not run it, status " + status));
+            String reason = "the target did not run it, status " + status + wishes(head.responseHeaders());
+            return Flux.error(new AttemptFailure(Verdict.NOT_RUN, reason));
         }
         if (echoed == null) {
             return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "an answer names no request"));
@@ -155,6 +161,18 @@
         return answer.read(head, body);
     }
 
+    /** Tells what an answer says of the work that its target wants, for logs. */
+    private String wishes(HttpHeaders headers) {
+        StringBuilder out = new StringBuilder();
+        for (String name : List.of(HttpHeaderNames.RETRY_AFTER.toString(), names.leaving())) {
+            String value = headers.get(name);
+            if (value != null) {
+                out.append(", ").append(name).append(": ").append(value, 0, Math.min(value.length(), MOST_LOGGED));
+            }
+        }
+        return out.toString();
+    }
+
     private static boolean isRefusal(Throwable e) {
         return e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
@@ -27,8 +27,8 @@
 /** Only headers that belong to the request itself are passed on. */
 class ForwardedHeadersTest {
 
-    private static final HeaderNames NAMES =
-            new HeaderNames("attempt", "deadline", "expected", "workspace", "key", "not-run", "model", "last");
+    private static final HeaderNames NAMES = new HeaderNames(
+            "attempt", "deadline", "expected", "workspace", "key", "not-run", "model", "last", "leaving");
 
     @ParameterizedTest
     @CsvSource({
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -57,7 +57,15 @@
 final class RelayFixture implements Closeable {
 
     static final HeaderNames NAMES = new HeaderNames(
-            "X-Attempt", "X-Deadline", "X-Expected", "X-Workspace", "X-Key", "X-Not-Run", "X-Model", "Last-Event-Id");
+            "X-Attempt",
+            "X-Deadline",
+            "X-Expected",
+            "X-Workspace",
+            "X-Key",
+            "X-Not-Run",
+            "X-Model",
+            "Last-Event-Id",
+            "X-Leaving");
 
     private static final long LOOK_MILLIS = 20;
 
