--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/UnwillingTargetTest.java
@@ -0,0 +1,229 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A target that has said that it rests or leaves gets nothing more, by any way that a request can take. */
+class UnwillingTargetTest {
+
+    private static final String WHOLE =
+            "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello";
+    private static final String EVENTS = "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\nX-Stamp: s\r\n"
+            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String EVENT = "id: 1\ndata: 1\n\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+    private static final String RESTS = "HTTP/1.1 503 Busy\r\nX-Attempt: ATTEMPT\r\nX-Not-Run: 1\r\nRetry-After: 30\r\n"
+            + "Content-Length: 0\r\n\r\n";
+    /** Some more than the kept connections to one target. */
+    private static final int CROWD = 70;
+
+    private static final int KEPT_CONNECTIONS = 64;
+    private static final int REQUESTS = 20;
+
+    private final List<ScriptedTarget> targets = new ArrayList<>();
+    private final AtomicInteger named = new AtomicInteger();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private RelayFixture relay;
+
+    @BeforeEach
+    void open() throws Exception {
+        relay = new RelayFixture();
+    }
+
+    @AfterEach
+    void close() {
+        relay.close();
+        targets.forEach(ScriptedTarget::close);
+    }
+
+    private ScriptedTarget target(String kind, ScriptedTarget.Script script) throws IOException {
+        ScriptedTarget t = new ScriptedTarget(script);
+        targets.add(t);
+        relay.add(service(kind), "i-" + targets.size(), t.port());
+        return t;
+    }
+
+    private static String service(String kind) {
+        return kind.equals("stream") ? "llm" : "app";
+    }
+
+    private static ScriptedTarget.Script serving(String kind) {
+        return (r, c) -> {
+            if (kind.equals("stream")) {
+                c.send(EVENTS).chunk(EVENT).send(LAST_CHUNK);
+            } else {
+                c.send(WHOLE);
+            }
+        };
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(String kind) {
+        HttpRequest r = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + relay.port() + "/" + kind + "/x"))
+                .timeout(Duration.ofSeconds(10))
+                .header("X-Attempt", "attempt-" + named.incrementAndGet())
+                .header("X-Model", "m")
+                .header("X-Key", "secret")
+                .build();
+        return client.sendAsync(r, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpResponse<String> get(String kind) {
+        return send(kind).join();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"idempotent", "non_idempotent", "stream"})
+    void oneThatRestsIsAskedNoMore(String kind) throws Exception {
+        ScriptedTarget resting = target(kind, (r, c) -> c.send(RESTS));
+        target(kind, serving(kind));
+        for (int i = 0; i < REQUESTS; i++) {
+            Assertions.assertEquals(200, get(kind).statusCode());
+        }
+        Assertions.assertTrue(
+                resting.requests().size() <= 1, () -> resting.requests().size() + " requests reached it");
+    }
+
+    /** The time counts with and without the sign that the request has not run, and when the answer is not whole. */
+    @ParameterizedTest
+    @CsvSource({
+        "503 Busy, X-Not-Run: 1, 0",
+        "503 Busy, X-Nothing: 1, 0",
+        "429 Too Many, X-Not-Run: 1, 0",
+        "503 Busy, X-Nothing: 1, 9"
+    })
+    void theTimeIsObeyedWhateverElseTheAnswerIs(String status, String sign, int missing) throws Exception {
+        ScriptedTarget resting = target("idempotent", (r, c) -> {
+            c.send("HTTP/1.1 " + status + "\r\nX-Attempt: ATTEMPT\r\n" + sign
+                    + "\r\nRetry-After: 30\r\nContent-Length: " + missing + "\r\n\r\n");
+            if (missing > 0) {
+                c.reset();
+            }
+        });
+        target("idempotent", serving("idempotent"));
+        for (int i = 0; i < REQUESTS; i++) {
+            get("idempotent");
+        }
+        Assertions.assertTrue(
+                resting.requests().size() <= 1, () -> resting.requests().size() + " requests reached it");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"idempotent", "non_idempotent", "stream"})
+    void oneThatLeavesIsAskedNoMore(String kind) throws Exception {
+        ScriptedTarget leaving = target(kind, (r, c) -> {
+            if (kind.equals("stream")) {
+                c.send(EVENTS.replace("X-Stamp", "X-Leaving: 1\r\nX-Stamp"))
+                        .chunk(EVENT)
+                        .send(LAST_CHUNK);
+            } else {
+                c.send(WHOLE.replace("X-Stamp", "X-Leaving: 1\r\nX-Stamp"));
+            }
+        });
+        target(kind, serving(kind));
+        for (int i = 0; i < REQUESTS; i++) {
+            Assertions.assertEquals(200, get(kind).statusCode());
+        }
+        Assertions.assertTrue(
+                leaving.requests().size() <= 1, () -> leaving.requests().size() + " requests reached it");
+    }
+
+    /** If there are no others, callers are refused at once and told when it wants to be asked again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"idempotent", "non_idempotent", "stream"})
+    void theOnlyOneIsAskedNoMoreEither(String kind) throws Exception {
+        ScriptedTarget resting = target(kind, (r, c) -> c.send(RESTS));
+        get(kind);
+        for (int i = 0; i < REQUESTS; i++) {
+            HttpResponse<String> a = get(kind);
+            Assertions.assertEquals(503, a.statusCode());
+            double told =
+                    Double.parseDouble(a.headers().firstValue("Retry-After").orElseThrow());
+            Assertions.assertTrue(told > 20, () -> "it rests for 30 s, and a caller is told " + told);
+        }
+        Assertions.assertEquals(1, resting.requests().size());
+    }
+
+    /** A stream that was broken off is not taken up by a target that rests. */
+    @Test
+    void aStreamIsNotResumedAtOneThatRests() throws Exception {
+        ScriptedTarget resting = target("stream", (r, c) -> c.send(RESTS));
+        get("stream");
+        ScriptedTarget breaking =
+                target("stream", (r, c) -> c.send(EVENTS).chunk(EVENT).reset());
+        for (int i = 0; i < 3; i++) {
+            send("stream").exceptionally(e -> null).join();
+        }
+        Assertions.assertFalse(breaking.requests().isEmpty());
+        Assertions.assertEquals(1, resting.requests().size());
+    }
+
+    /** Requests that had chosen it and wait for a connection are not sent when one is free. */
+    @Test
+    void whatWaitsForAConnectionIsNotSentAfterTheAnswer() throws Exception {
+        CountDownLatch allKeptAreUsed = new CountDownLatch(KEPT_CONNECTIONS);
+        ScriptedTarget resting = target("non_idempotent", (r, c) -> {
+            allKeptAreUsed.countDown();
+            try {
+                allKeptAreUsed.await(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            c.send(RESTS);
+        });
+        List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
+        for (int i = 0; i < CROWD; i++) {
+            all.add(send("non_idempotent"));
+        }
+        all.forEach(f -> Assertions.assertEquals(503, f.join().statusCode()));
+        Assertions.assertEquals(KEPT_CONNECTIONS, resting.requests().size());
+    }
+
+    /** What one start has asked for does not bind the next one. */
+    @Test
+    void aNewStartIsAskedAgain() throws Exception {
+        target("idempotent", (r, c) -> c.send(RESTS));
+        get("idempotent");
+        relay.remove("i-1");
+        ScriptedTarget again = new ScriptedTarget(serving("idempotent"));
+        targets.add(again);
+        relay.add("app", "i-1/1", again.port());
+        Assertions.assertEquals(200, get("idempotent").statusCode());
+    }
+}
