A target that asks for rest, or says that it leaves, is left alone by every way

Callers saw half of their requests refused while half of the targets had room: nine of ten arrivals ended at targets that turned them away. Cause: what an answer says of its target was read by nobody. 'Not run' was taken for a word on the request, which went elsewhere; the target stayed a candidate, and as it turns away in a millisecond and runs nothing it looked idle and near ones drew most requests. Change: one place, TargetAvailability, holds by the start of a target what it has asked this process for, read from the head of every answer to requests, probes and orders. Candidates come from it, a send takes a permit of it, and the permit is asked once more when a connection is there; there is no path round it, also if there is no other target. Admission counts no room of resting targets. Where all rest, callers are refused at once with the time of the first rest's end. After a rest the first request goes alone, entries come back spread by their number. Why it holds: the one method that writes a request to a target cannot do so without a permit; the time only ever grows, and leaving is final for a start.

--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetAvailability.java
@@ -0,0 +1,264 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.availability;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
+
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.time.Ticker;
+import org.jboss.logging.Logger;
+
+/**
+ * Knows which targets want no work from this instance: those that asked it for rest, and those that said that they leave. All ways to a
+ * target ask here, with no exception for the case that there is no other target.
+ *
+ * <p>What is known belongs to one start of a target. That it leaves is final: no announcement takes it back, whichever is the later one,
+ * since a target that leaves ends. After a rest the first request goes alone, so that a target that is still overrun is not overrun again
+ * by all that has gathered meanwhile. Safe for all threads.
+ */
+public final class TargetAvailability {
+
+    private static final Logger LOG = Logger.getLogger(TargetAvailability.class);
+    /** What is remembered at most; the oldest goes first. A fleet has a few hundred targets. */
+    private static final int MOST_REMEMBERED = 4_096;
+    /** Fractions of a millisecond that the clock does not show. */
+    private static final long ROUNDING_MILLIS = 1;
+    /**
+     * How far apart entries come back after a rest, in milliseconds for each entry: they were turned away in the same moment, and a target
+     * answers some hundred first requests a second.
+     */
+    private static final long SPREAD_MILLIS_AN_ENTRY = 5;
+    /** The most that an entry waits for others after a rest, in milliseconds. */
+    private static final long MOST_SPREAD_MILLIS = 1_000;
+    /** The shortest time between two lines about what was not understood, in milliseconds. */
+    private static final long UNREAD_LINE_MILLIS = 1_000;
+
+    private final Ticker ticker;
+    private final DoubleSupplier random;
+    private final Map<InstanceId, TargetWish> wishes = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<InstanceId, TargetWish> eldest) {
+            return size() > MOST_REMEMBERED;
+        }
+    };
+    private int entries = 1;
+    private long unread;
+    private long unreadLineAt = Long.MIN_VALUE / 2;
+
+    /**
+     * Creates it; all targets want work.
+     *
+     * @param ticker the clock
+     * @param random draws from 0 to 1
+     */
+    public TargetAvailability(Ticker ticker, DoubleSupplier random) {
+        this.ticker = ticker;
+        this.random = random;
+    }
+
+    /**
+     * Sets how many entries come back after a rest.
+     *
+     * @param count how many
+     */
+    public synchronized void entries(int count) {
+        entries = Math.max(1, count);
+    }
+
+    /**
+     * Takes what an answer says of its target.
+     *
+     * @param target the start of the target that was asked
+     * @param notice what the answer says
+     */
+    public synchronized void take(InstanceId target, TargetNotice notice) {
+        if (notice.unread() != null) {
+            noteUnread(target, notice.unread());
+        }
+        if (notice.leaving()) {
+            TargetWish w = wish(target);
+            if (!w.isLeaving()) {
+                LOG.infof("targets: %s says that it leaves, nothing more is sent to it", target);
+            }
+            w.leaves();
+        }
+        if (notice.restMillis() > 0) {
+            rest(target, notice.restMillis());
+        }
+    }
+
+    private void rest(InstanceId target, long millis) {
+        long now = ticker.millis();
+        TargetWish w = wish(target);
+        if (!w.isResting(now)) {
+            LOG.infof("targets: %s asks for %d ms of rest", target, millis);
+        }
+        long spread = Math.min(MOST_SPREAD_MILLIS, SPREAD_MILLIS_AN_ENTRY * entries);
+        w.rests(now + millis + ROUNDING_MILLIS, (long) (random.getAsDouble() * spread));
+    }
+
+    private void noteUnread(InstanceId target, String text) {
+        unread++;
+        long now = ticker.millis();
+        if (now - unreadLineAt >= UNREAD_LINE_MILLIS) {
+            unreadLineAt = now;
+            LOG.warnf("targets: an answer of %s says what is not understood: %s; %d so far", target, text, unread);
+        }
+    }
+
+    private TargetWish wish(InstanceId target) {
+        return wishes.computeIfAbsent(target, t -> new TargetWish());
+    }
+
+    /**
+     * Says whether a request may be sent to a target now.
+     *
+     * @param target the start of the target
+     * @return true if it may
+     */
+    public synchronized boolean wantsRequests(InstanceId target) {
+        TargetWish w = wishes.get(target);
+        return w == null || w.wantsRequests(ticker.millis());
+    }
+
+    /**
+     * Takes the right to send a request to a target.
+     *
+     * @param target the start of the target
+     * @return the permit, or null if no request may be sent now
+     */
+    public synchronized SendPermit tryBegin(InstanceId target) {
+        TargetWish w = wishes.get(target);
+        if (w == null) {
+            return new SendPermit(this, target, false);
+        }
+        long now = ticker.millis();
+        if (!w.wantsRequests(now)) {
+            return null;
+        }
+        if (w.isOver(now)) {
+            wishes.remove(target);
+        }
+        return new SendPermit(this, target, w.begin(now));
+    }
+
+    /**
+     * Says whether a target is to be left alone altogether: by requests, probes and orders.
+     *
+     * @param target the start of the target
+     * @return true as long as the rest lasts that it has asked this instance for
+     */
+    public synchronized boolean isResting(InstanceId target) {
+        TargetWish w = wishes.get(target);
+        return w != null && w.isResting(ticker.millis());
+    }
+
+    /**
+     * Says whether a target has said that it leaves.
+     *
+     * @param target the start of the target
+     * @return true if it has
+     */
+    public synchronized boolean isLeaving(InstanceId target) {
+        TargetWish w = wishes.get(target);
+        return w != null && w.isLeaving();
+    }
+
+    /**
+     * Says how long until a request may be sent to a target that does not leave.
+     *
+     * @param target the start of the target
+     * @return milliseconds; zero if one may be sent now
+     */
+    public synchronized long againMillis(InstanceId target) {
+        TargetWish w = wishes.get(target);
+        return w == null ? 0 : w.againMillis(ticker.millis());
+    }
+
+    synchronized void firstAnswered(InstanceId target, boolean turnedAway) {
+        TargetWish w = wishes.get(target);
+        if (w == null) {
+            return;
+        }
+        if (turnedAway) {
+            w.firstTurnedAway(ticker.millis());
+        } else {
+            w.firstTaken(ticker.millis());
+            LOG.infof("targets: %s takes requests again after its rest", target);
+        }
+    }
+
+    synchronized void firstDropped(InstanceId target) {
+        TargetWish w = wishes.get(target);
+        if (w != null) {
+            w.firstDropped(ticker.millis());
+        }
+    }
+
+    /**
+     * Lists the targets that want no requests now, for people.
+     *
+     * @return what each is about, by target
+     */
+    public synchronized Map<String, String> unwilling() {
+        long now = ticker.millis();
+        Map<String, String> out = new TreeMap<>();
+        wishes.forEach((target, w) -> {
+            if (w.isLeaving()) {
+                out.put(target.value(), "leaves");
+            } else if (!w.wantsRequests(now)) {
+                out.put(target.value(), "rests for " + w.againMillis(now) + " ms");
+            }
+        });
+        return out;
+    }
+
+    /**
+     * Counts the targets that rest.
+     *
+     * @return how many
+     */
+    public synchronized int resting() {
+        long now = ticker.millis();
+        return (int) wishes.values().stream().filter(w -> w.isResting(now)).count();
+    }
+
+    /**
+     * Counts the targets that have said that they leave.
+     *
+     * @return how many are remembered
+     */
+    public synchronized int leaving() {
+        return (int) wishes.values().stream().filter(TargetWish::isLeaving).count();
+    }
+
+    /**
+     * Counts the answers that said of their target what is not understood.
+     *
+     * @return how many
+     */
+    public synchronized long unread() {
+        return unread;
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetNotice.java
@@ -0,0 +1,43 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.availability;
+
+/**
+ * What an answer says of its target, whatever it says of the request.
+ *
+ * @param restMillis for how long the target wants nothing from this instance, in milliseconds; zero if it does not say so
+ * @param leaving whether the target is about to end
+ * @param unread what was said and not understood, cut short; null if there is nothing of that kind
+ */
+public record TargetNotice(long restMillis, boolean leaving, String unread) {
+
+    /** Nothing is said. */
+    public static final TargetNotice NONE = new TargetNotice(0, false, null);
+
+    /**
+     * Tells it for logs.
+     *
+     * @return text to go behind others; empty if nothing is said
+     */
+    public String describe() {
+        return (restMillis > 0 ? ", asks for " + restMillis + " ms of rest" : "")
+                + (leaving ? ", leaves" : "")
+                + (unread != null ? ", says " + unread : "");
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
@@ -136,7 +136,10 @@
         if (record == null) {
             return Mono.just(new Answer(id, false, 0));
         }
-        return gateway.answers(record, TIMEOUT).map(ok -> new Answer(id, ok, ticker.millis() - begunAt));
+        return gateway.answers(record, TIMEOUT)
+                .map(ok -> new Answer(id, ok, ticker.millis() - begunAt))
+                // one that rests has answered lately, and says nothing of how quick this controller is
+                .defaultIfEmpty(new Answer(id, true, Long.MAX_VALUE));
     }
 
     private GroupLiveness judge(String group, List<InstanceId> members, List<Answer> answers) {
--- a/serving/src/main/java/org/hallwall/serving/relay/Admission.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Admission.java
@@ -80,12 +80,23 @@
     AdmissionWindow enter(RelayRequest request, List<ServingTarget> targets) {
         AdmissionWindow w = windows.computeIfAbsent(key(request), k -> new AdmissionWindow());
         boolean admitted = mayEnter(w, request, targets);
-        if (!admitted && !request.again() && mechanisms.has(Mechanism.REFUSED_DEMAND)) {
-            refusedOf(request).refused(ticker.millis());
+        if (!admitted) {
+            refuse(request);
         }
         return admitted ? w : null;
     }
 
+    /**
+     * Notes a stream that is not admitted: its demand counts all the same.
+     *
+     * @param request the request
+     */
+    void refuse(RelayRequest request) {
+        if (!request.again() && mechanisms.has(Mechanism.REFUSED_DEMAND)) {
+            refusedOf(request).refused(ticker.millis());
+        }
+    }
+
     private boolean mayEnter(AdmissionWindow w, RelayRequest request, List<ServingTarget> targets) {
         if (fleet.isKnown() && !targets.isEmpty()) {
             if (hasRoom(request, targets)) {
--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -38,6 +38,16 @@
         return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.NOT_SENT);
     }
 
+    /**
+     * Creates the failure of an attempt that was not made, as its target wants no requests.
+     *
+     * @param reason why
+     * @return the failure
+     */
+    public static AttemptFailure unwilling(String reason) {
+        return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.UNWILLING);
+    }
+
     /**
      * Creates the failure of an attempt at an address where nothing listens.
      *
@@ -98,6 +108,8 @@
     enum Kind {
         /** The request was not sent to it. */
         NOT_SENT,
+        /** It wants no requests, and this one was kept from it. */
+        UNWILLING,
         /** Nothing listens where it was. */
         NOBODY_THERE,
         /** Another target answered in its place. */
@@ -125,7 +137,16 @@
      * @return true if it did
      */
     public boolean hasReached() {
-        return kind != Kind.NOT_SENT && kind != Kind.NOBODY_THERE;
+        return kind != Kind.UNWILLING && !isUnreachable();
+    }
+
+    /**
+     * Says whether the target could not be reached.
+     *
+     * @return true if so
+     */
+    public boolean isUnreachable() {
+        return kind == Kind.NOT_SENT || kind == Kind.NOBODY_THERE;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -19,7 +19,6 @@
 package org.hallwall.serving.relay;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 
 import org.hallwall.core.id.InstanceId;
@@ -63,8 +62,7 @@
 
     /** Chooses a target that the request was not sent to; null if none is left. */
     ServingTarget other() {
-        List<ServingTarget> targets = context.state().targets().of(request.service(), request.model());
-        return context.balancer().choose(targets, tried);
+        return context.balancer().choose(context.candidates().of(request), tried);
     }
 
     /** Says whether the request may run once more after the attempt in progress. */
@@ -119,10 +117,10 @@
      */
     Resend failed(ServingTarget target, AttemptFailure f, long events, boolean charged) {
         context.counters().attempt(f.verdict().name());
-        if (f.verdict() == Verdict.NOT_RUN) {
-            turnedAway++;
-        } else {
+        if (f.verdict() != Verdict.NOT_RUN) {
             ran++;
+        } else if (f.kind() != AttemptFailure.Kind.UNWILLING) {
+            turnedAway++;
         }
         noteTarget(context.balancer().state(target), target, f);
         noteCrash(target, f);
@@ -148,7 +146,7 @@
     private void noteTarget(TargetState state, ServingTarget target, AttemptFailure f) {
         if (f.isMisdirected()) {
             state.displaced(target, context.now());
-        } else if (f.verdict() != Verdict.NOT_RUN || !f.hasReached()) {
+        } else if (f.verdict() != Verdict.NOT_RUN || f.isUnreachable()) {
             state.failed(context.now());
         }
     }
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/Candidates.java
@@ -0,0 +1,91 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.List;
+import java.util.function.DoubleSupplier;
+
+import org.hallwall.serving.availability.TargetAvailability;
+
+/** The targets that a request may go to at this moment: those that serve it and want work. */
+final class Candidates {
+
+    /** How far apart callers come back who are told the same moment, in milliseconds: the time of some first requests after a rest. */
+    private static final long SPREAD_MILLIS = 250;
+
+    private final EntryState state;
+    private final TargetAvailability availability;
+    private final DoubleSupplier random;
+
+    /**
+     * Creates it.
+     *
+     * @param state the targets that serve
+     * @param availability which of them want work
+     * @param random draws from 0 to 1
+     */
+    Candidates(EntryState state, TargetAvailability availability, DoubleSupplier random) {
+        this.state = state;
+        this.availability = availability;
+        this.random = random;
+    }
+
+    /** Lists the targets that a request may be sent to now. */
+    List<ServingTarget> of(RelayRequest request) {
+        return serving(request).stream()
+                .filter(t -> availability.wantsRequests(t.instance()))
+                .toList();
+    }
+
+    private List<ServingTarget> serving(RelayRequest request) {
+        return state.targets().of(request.service(), request.model());
+    }
+
+    /** Says whether there are targets that serve a request, though they may want none now. */
+    boolean serveLater(RelayRequest request) {
+        return !serving(request).isEmpty();
+    }
+
+    /** Tells why none is left, for logs and callers. */
+    String describe(RelayRequest request) {
+        List<ServingTarget> all = serving(request);
+        long want = all.stream()
+                .filter(t -> availability.wantsRequests(t.instance()))
+                .count();
+        return all.isEmpty()
+                ? "no target serves"
+                : "no target is left, " + want + " of " + all.size() + " want requests now, the others rest or leave";
+    }
+
+    /**
+     * Says when a caller should come back whose request found no target, in milliseconds: when the first rest is over. Until then nobody
+     * would take it, and where all leave or one is left that has failed, repair takes the usual time.
+     */
+    long comeBackMillis(RelayRequest request) {
+        long earliest = Long.MAX_VALUE;
+        for (ServingTarget t : serving(request)) {
+            if (!availability.isLeaving(t.instance())) {
+                earliest = Math.min(earliest, availability.againMillis(t.instance()));
+            }
+        }
+        return earliest == 0 || earliest == Long.MAX_VALUE
+                ? RelayContext.COME_BACK_MILLIS
+                : earliest + (long) (random.getAsDouble() * SPREAD_MILLIS);
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -21,6 +21,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -54,21 +55,21 @@
     private final Supplier<Collection<PeerLink>> controllers;
     private final TargetDirectory directory;
     private final Function<InstanceId, Mono<Boolean>> reaches;
-    private final Function<NetAddress, Mono<Boolean>> refuses;
+    private final BiFunction<InstanceId, NetAddress, Mono<Boolean>> refuses;
 
     /**
      * Creates the exchange.
      *
      * @param controllers gives the link to the leader, or those to all if it is not known
      * @param directory all targets
-     * @param reaches asks whether a target answers
-     * @param refuses asks whether an address refuses a connection
+     * @param reaches asks whether a target answers; empty for one that rests and is not asked
+     * @param refuses asks whether the address of a target refuses a connection
      */
     CrashExchange(
             Supplier<Collection<PeerLink>> controllers,
             TargetDirectory directory,
             Function<InstanceId, Mono<Boolean>> reaches,
-            Function<NetAddress, Mono<Boolean>> refuses) {
+            BiFunction<InstanceId, NetAddress, Mono<Boolean>> refuses) {
         this.controllers = controllers;
         this.directory = directory;
         this.reaches = reaches;
@@ -77,14 +78,15 @@
 
     @Override
     public Mono<Boolean> answers(InstanceId target) {
-        return reaches.apply(target);
+        // one that rests has answered lately; that it has ended since is found out by looking again
+        return reaches.apply(target).defaultIfEmpty(true);
     }
 
     @Override
     public Mono<Boolean> refuses(InstanceId target) {
         TargetRecord known = directory.find(target);
         // one that has said that it leaves ends in order: what it was left with is not to blame
-        return known == null || !known.isServing() ? Mono.just(false) : refuses.apply(known.address());
+        return known == null || !known.isServing() ? Mono.just(false) : refuses.apply(target, known.address());
     }
 
     @Override
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -27,9 +27,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -39,6 +41,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.program.ProgramException;
+import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.config.ConfigurationReader;
 import org.hallwall.serving.control.ControlNode;
@@ -78,11 +81,15 @@
     /** The pause between looks for targets that have ended, and between reports of them that were not taken, in milliseconds. */
     private static final long LOOK_MILLIS = 200;
 
+    private static final DoubleSupplier RANDOM =
+            () -> ThreadLocalRandom.current().nextDouble();
+
     private final EntryNodeSettings settings;
     private final ConfigurationReader reader;
     private final Ticker ticker = Ticker.SYSTEM;
     private final TargetDirectory directory = new TargetDirectory(ticker);
     private final EntryState state = new EntryState(directory);
+    private final TargetAvailability availability = new TargetAvailability(ticker, RANDOM);
     private final PeerCodec codec = new PeerCodec(ControlNode.kinds());
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new HashMap<>();
@@ -125,11 +132,12 @@
         this.admission = new Admission(balancer, fleet, settings.mechanisms(), ticker);
         this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.exchange = new LoadExchange(io, balancer, fleet, links::values);
-        TargetClient client = new TargetClient(loops, names);
+        TargetClient client = new TargetClient(loops, names, availability);
         this.crashes = new CrashWatch(
                 new CrashExchange(exchange::controllers, directory, this::reaches, client::refuses), io, ticker);
         RelayContext context = new RelayContext(
                 state,
+                new Candidates(state, availability, RANDOM),
                 balancer,
                 client,
                 budget,
@@ -212,6 +220,15 @@
         return crashes;
     }
 
+    /**
+     * Gives what is known of targets that want no work.
+     *
+     * @return the one place that knows
+     */
+    public TargetAvailability availability() {
+        return availability;
+    }
+
     /**
      * Gives the relay.
      *
@@ -323,6 +340,7 @@
         }
         budget.entries(news.mostEntries());
         admission.entries(news.entries());
+        availability.entries(news.entries());
         exchange.entries(news.entries());
         if (!news.members().isEmpty()) {
             disconnectFrom(news.members());
@@ -362,18 +380,21 @@
         });
     }
 
-    /** Asks the members that did not answer the controller, tells it, and goes by its own finding if it does not answer. */
+    /** Asks the members that did not answer the controller, but for those that rest, tells it, and goes by its own finding if it does not answer. */
     private Mono<HeadFinding> secondOpinion(PeerLink link, HeadFinding suspected) {
-        return Flux.fromIterable(suspected.suspects())
-                .filterWhen(this::reaches)
-                .collectList()
-                .flatMap(reached -> {
-                    List<InstanceId> silent = new ArrayList<>(suspected.suspects());
-                    silent.removeAll(reached);
-                    GroupLiveness own = silent.isEmpty() ? GroupLiveness.WORKING : GroupLiveness.LOST;
-                    return finding(link, new FeedMessage.SuspectFinding(suspected.group(), reached, silent))
-                            .defaultIfEmpty(new HeadFinding(suspected.group(), own, List.of()));
-                });
+        List<InstanceId> asked = suspected.suspects().stream()
+                .filter(id -> !availability.isResting(id))
+                .toList();
+        if (asked.isEmpty()) {
+            return Mono.just(new HeadFinding(suspected.group(), GroupLiveness.UNKNOWN, List.of()));
+        }
+        return Flux.fromIterable(asked).filterWhen(this::reaches).collectList().flatMap(reached -> {
+            List<InstanceId> silent = new ArrayList<>(asked);
+            silent.removeAll(reached);
+            GroupLiveness own = silent.isEmpty() ? GroupLiveness.WORKING : GroupLiveness.LOST;
+            return finding(link, new FeedMessage.SuspectFinding(suspected.group(), reached, silent))
+                    .defaultIfEmpty(new HeadFinding(suspected.group(), own, List.of()));
+        });
     }
 
     private Mono<Boolean> reaches(InstanceId target) {
--- a/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
@@ -30,6 +30,7 @@
  * @param model the model that the request wants
  * @param lastEventId the last event that the caller has
  * @param leaving set by a target that is about to end
+ * @param answeredBy set by a target that turns a request away, to its own name
  */
 public record HeaderNames(
         String attemptId,
@@ -40,4 +41,5 @@
         String notRun,
         String model,
         String lastEventId,
-        String leaving) {}
+        String leaving,
+        String answeredBy) {}
--- a/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
@@ -55,7 +55,7 @@
         }
         ServingTarget target = attempts.next();
         if (target == null) {
-            return end("no target serves");
+            return end(context.candidates().describe(request));
         }
         TargetState state = context.balancer().state(target);
         state.begin();
@@ -112,6 +112,7 @@
         if (verdict != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
             return Mono.error(new RelayRefusal(504, verdict, reason, 0));
         }
-        return Mono.error(RelayRefusal.after(verdict, reason, RelayContext.COME_BACK_MILLIS));
+        return Mono.error(
+                RelayRefusal.after(verdict, reason, context.candidates().comeBackMillis(request)));
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -25,7 +25,8 @@
  * What the runs of requests share.
  *
  * @param state what the entry believes
- * @param balancer chooses targets
+ * @param candidates lists the targets that a request may go to now
+ * @param balancer chooses among them
  * @param client speaks to targets
  * @param budget bounds repeats
  * @param headers copies headers
@@ -39,6 +40,7 @@
  */
 public record RelayContext(
         EntryState state,
+        Candidates candidates,
         Balancer balancer,
         TargetClient client,
         RetryBudget budget,
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -272,7 +272,12 @@
 
     private Mono<Void> stream(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
         Channel channel = channel(req);
-        List<ServingTarget> targets = context.state().targets().of(r.service(), r.model());
+        Candidates candidates = context.candidates();
+        List<ServingTarget> targets = candidates.of(r);
+        if (targets.isEmpty() && candidates.serveLater(r)) {
+            context.admission().refuse(r);
+            return Mono.error(RelayRefusal.notRun(candidates.describe(r), candidates.comeBackMillis(r)));
+        }
         AdmissionWindow window = context.admission().enter(r, targets);
         if (window == null) {
             String reason = context.admission().describe(r, targets);
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -128,7 +128,7 @@
         }
         ServingTarget target = attempts.next();
         if (target == null) {
-            giveUp("no group serves");
+            giveUp(context.candidates().describe(request));
             return;
         }
         Attempt a = new Attempt(target, now);
@@ -198,7 +198,7 @@
     }
 
     private void failed(Attempt a, AttemptFailure f) {
-        if (!f.hasReached()) {
+        if (f.isUnreachable()) {
             reportUnreachable(a.target);
         }
         if (attempts.failed(a.target, f, eventCount, moving).isSent()) {
@@ -231,7 +231,8 @@
         } else if (attempts.verdict() != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
             head.tryEmitError(new RelayRefusal(504, attempts.verdict(), reason, 0));
         } else {
-            head.tryEmitError(RelayRefusal.after(attempts.verdict(), reason, RelayContext.COME_BACK_MILLIS));
+            head.tryEmitError(RelayRefusal.after(
+                    attempts.verdict(), reason, context.candidates().comeBackMillis(request)));
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -21,16 +21,21 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.serving.availability.NoticeReader;
+import org.hallwall.serving.availability.SendPermit;
+import org.hallwall.serving.availability.TargetAvailability;
+import org.hallwall.serving.availability.TargetNotice;
 import org.hallwall.serving.target.StartedTarget;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -54,23 +59,23 @@
     /** The largest head of an answer, in bytes. */
     private static final int MOST_HEAD_BYTES = 65_536;
 
-    /** How much of a header's value is logged, in characters. */
-    private static final int MOST_LOGGED = 40;
-
     /** The status by which a target says that it is not the one that the request names. */
     private static final int MISDIRECTED = 421;
 
     private final HttpClient client;
     private final TcpClient knocker;
     private final HeaderNames names;
+    private final NoticeReader notices;
+    private final TargetAvailability availability;
 
     /**
      * Creates a client.
      *
      * @param loops the I/O threads
      * @param names the names of the headers that the relay sets
+     * @param availability which targets want work
      */
-    public TargetClient(LoopResources loops, HeaderNames names) {
+    public TargetClient(LoopResources loops, HeaderNames names, TargetAvailability availability) {
         ConnectionProvider pool = ConnectionProvider.builder("targets")
                 .maxConnections(MOST_CONNECTIONS)
                 .pendingAcquireTimeout(Duration.ofMillis(CONNECT_MILLIS))
@@ -86,15 +91,21 @@
                 .runOn(loops)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
         this.names = names;
+        this.notices = new NoticeReader(names.leaving(), names.answeredBy());
+        this.availability = availability;
     }
 
     /**
-     * Asks by a new connection, which is closed at once, whether nothing listens at an address.
+     * Asks by a new connection, which is closed at once, whether nothing listens where a target was.
      *
-     * @param address the address
-     * @return true if the connection is refused; false if it comes up, or nobody says a word
+     * @param target the start of the target
+     * @param address its address
+     * @return true if the connection is refused; false if it comes up, nobody says a word, or the target rests and was not asked
      */
-    Mono<Boolean> refuses(NetAddress address) {
+    Mono<Boolean> refuses(InstanceId target, NetAddress address) {
+        if (availability.isResting(target)) {
+            return Mono.just(false);
+        }
         return knocker.host(address.host())
                 .port(address.port())
                 .connect()
@@ -106,7 +117,7 @@
     }
 
     /**
-     * Sends one attempt.
+     * Sends one attempt, if the target wants requests: now, and still when a connection is there.
      *
      * @param target the target
      * @param request the request
@@ -122,37 +133,68 @@
             String lastEventId,
             long remainingMillis,
             AnswerReader<T> answer) {
+        return Flux.defer(() -> {
+            SendPermit permit = availability.tryBegin(target.instance());
+            return permit == null
+                    ? Flux.error(AttemptFailure.unwilling("it wants no requests now"))
+                    : send(permit, target, request, headers(target, request, lastEventId, remainingMillis), answer)
+                            .doFinally(s -> permit.end());
+        });
+    }
+
+    private Consumer<HttpHeaders> headers(
+            ServingTarget target, RelayRequest request, String lastEventId, long remainingMillis) {
+        return h -> {
+            h.set(request.headers());
+            h.set(names.expectedTarget(), StartedTarget.name(target.instance()));
+            h.set(names.deadlineMillis(), Math.max(1, remainingMillis));
+            h.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+            if (lastEventId != null) {
+                h.set(names.lastEventId(), lastEventId);
+            }
+        };
+    }
+
+    private <T> Flux<T> send(
+            SendPermit permit,
+            ServingTarget target,
+            RelayRequest request,
+            Consumer<HttpHeaders> headers,
+            AnswerReader<T> answer) {
         AtomicBoolean sent = new AtomicBoolean();
-        HttpClient c = client.headers(h -> {
-                    h.set(request.headers());
-                    h.set(names.expectedTarget(), StartedTarget.name(target.instance()));
-                    h.set(names.deadlineMillis(), Math.max(1, remainingMillis));
-                    h.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-                    if (lastEventId != null) {
-                        h.set(names.lastEventId(), lastEventId);
+        return client.headers(headers)
+                .request(request.method())
+                .uri("http://" + target.address() + request.uri())
+                .send((r, out) -> {
+                    if (!permit.isStillWanted()) {
+                        return Mono.error(AttemptFailure.unwilling("it wanted no requests any more"));
                     }
+                    sent.set(true);
+                    return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
-                .doOnRequest((r, conn) -> sent.set(true));
-        String url = "http://" + target.address() + request.uri();
-        return c.request(request.method())
-                .uri(url)
-                .send((r, out) -> out.send(Mono.just(Unpooled.wrappedBuffer(request.body()))))
-                .response((head, body) -> read(request, head, body, answer))
+                .response((head, body) -> read(permit, target, request, head, body, answer))
                 .onErrorMap(e -> !(e instanceof AttemptFailure), e -> failure(e, sent.get()));
     }
 
     private <T> Publisher<T> read(
-            RelayRequest request, HttpClientResponse head, ByteBufFlux body, AnswerReader<T> answer) {
+            SendPermit permit,
+            ServingTarget target,
+            RelayRequest request,
+            HttpClientResponse head,
+            ByteBufFlux body,
+            AnswerReader<T> answer) {
+        int status = head.status().code();
+        TargetNotice notice = notices.read(target.instance(), status, head.responseHeaders());
+        permit.answered(status, notice);
         String echoed = head.responseHeaders().get(names.attemptId());
         if (echoed != null && !echoed.equals(request.attemptId())) {
             return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "an answer to another request came"));
         }
-        int status = head.status().code();
         if (status == MISDIRECTED) {
             return Flux.error(AttemptFailure.misdirected("another target answered, status " + status));
         }
         if (head.responseHeaders().contains(names.notRun())) {
-            String reason = "the target did not run it, status " + status + wishes(head.responseHeaders());
+            String reason = "the target did not run it, status " + status + notice.describe();
             return Flux.error(new AttemptFailure(Verdict.NOT_RUN, reason));
         }
         if (echoed == null) {
@@ -161,18 +203,6 @@
         return answer.read(head, body);
     }
 
-    /** Tells what an answer says of the work that its target wants, for logs. */
-    private String wishes(HttpHeaders headers) {
-        StringBuilder out = new StringBuilder();
-        for (String name : List.of(HttpHeaderNames.RETRY_AFTER.toString(), names.leaving())) {
-            String value = headers.get(name);
-            if (value != null) {
-                out.append(", ").append(name).append(": ").append(value, 0, Math.min(value.length(), MOST_LOGGED));
-            }
-        }
-        return out.toString();
-    }
-
     private static boolean isRefusal(Throwable e) {
         return e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
     }
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/availability/NoticeReaderTest.java
@@ -0,0 +1,124 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.availability;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.hallwall.core.id.InstanceId;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What answers may say of their target, and what of it is obeyed. */
+class NoticeReaderTest {
+
+    private static final InstanceId TARGET = new InstanceId("i-1/k");
+    private final NoticeReader reader = new NoticeReader("X-Leaving", "X-Answered-By");
+
+    private TargetNotice read(int status, String... headers) {
+        HttpHeaders all = new DefaultHttpHeaders();
+        for (int i = 0; i < headers.length; i += 2) {
+            all.add(headers[i], headers[i + 1]);
+        }
+        return reader.read(TARGET, status, all);
+    }
+
+    /** Whatever cannot be read is no rest, and is told. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "3; 3000; false",
+                "2.5; 2500; false",
+                "0.0001; 1; false",
+                "0; 0; false",
+                "0.0; 0; false",
+                "'3 , 5'; 5000; false",
+                "3, 5; 5000; false",
+                "300; 300000; false",
+                "301; 300000; false",
+                "99999999999999999; 300000; false",
+                "999999999999999999999999; 0; true",
+                "-3; 0; true",
+                "+3; 0; true",
+                "3s; 0; true",
+                "1e3; 0; true",
+                "0x10; 0; true",
+                "NaN; 0; true",
+                "Infinity; 0; true",
+                "''; 0; true",
+                "3,; 3000; true",
+                "3, soon; 3000; true",
+                "Wed, 21 Oct 2026 07:28:00 GMT; 0; true"
+            })
+    void timesAreSeconds(String text, long millis, boolean unread) {
+        TargetNotice n = read(503, "Retry-After", text);
+        Assertions.assertEquals(millis, n.restMillis());
+        Assertions.assertEquals(unread, n.unread() != null, () -> "unread: " + n.unread());
+    }
+
+    @Test
+    void ofTwoTimesTheLongerCounts() {
+        Assertions.assertEquals(
+                4_000, read(503, "Retry-After", "4", "Retry-After", "2").restMillis());
+    }
+
+    /** On other answers the time is a word to callers, or has no meaning. */
+    @ParameterizedTest
+    @CsvSource({"503, 3000", "429, 3000", "200, 0", "301, 0", "404, 0", "500, 0", "502, 0"})
+    void onlyWhoTurnsAwayAsksForRest(int status, long millis) {
+        Assertions.assertEquals(millis, read(status, "Retry-After", "3").restMillis());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200", "404", "500", "503"})
+    void whoLeavesSaysSoInAnyAnswer(int status) {
+        Assertions.assertTrue(read(status, "X-Leaving", "1").leaving());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0", "true", "2", "''", "11"})
+    void anotherWordIsNoWord(String text) {
+        TargetNotice n = read(200, "X-Leaving", text);
+        Assertions.assertFalse(n.leaving());
+        Assertions.assertNotNull(n.unread());
+    }
+
+    /** An answer by another target at the same address says nothing of the one that was meant. */
+    @ParameterizedTest
+    @CsvSource({"i-1, true", "i-2, false", ", false"})
+    void theWordIsThatOfWhoAnswers(String answeredBy, boolean counts) {
+        TargetNotice n = answeredBy == null
+                ? read(421, "X-Leaving", "1")
+                : read(421, "X-Leaving", "1", "X-Answered-By", answeredBy);
+        Assertions.assertEquals(counts, n.leaving());
+    }
+
+    @Test
+    void whatIsNotUnderstoodIsCutShort() {
+        Assertions.assertEquals(
+                40, read(503, "Retry-After", "x".repeat(10_000)).unread().length());
+    }
+
+    @Test
+    void mostAnswersSayNothing() {
+        Assertions.assertSame(TargetNotice.NONE, read(200, "Content-Type", "text/plain"));
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
@@ -45,6 +45,7 @@
 
     private final List<InstanceId> probed = new ArrayList<>();
     private final List<InstanceId> dead = new ArrayList<>();
+    private final List<InstanceId> resting = new ArrayList<>();
     private final List<InstanceId> reported = new ArrayList<>();
     private final TargetDirectory directory = new TargetDirectory(() -> now());
     private long now = 1_000;
@@ -59,6 +60,9 @@
 
         @Override
         public Mono<Boolean> answers(TargetRecord target, Duration timeout) {
+            if (resting.contains(target.instance())) {
+                return Mono.empty();
+            }
             probed.add(target.instance());
             return silence
                     ? Mono.never()
@@ -113,6 +117,16 @@
         Assertions.assertEquals(expected, probed);
     }
 
+    /** One that rests is not asked, and its silence is no sign; the others are judged as ever. */
+    @ParameterizedTest
+    @CsvSource({"1, 0, WORKING", "1, 1, LOST", "3, 0, WORKING"})
+    void whoRestsIsNotHeldForDead(int rest, int dying, GroupLiveness found) {
+        resting.addAll(MEMBERS.subList(0, rest));
+        dead.addAll(MEMBERS.subList(rest, rest + dying));
+        Assertions.assertEquals(found, probes.ask("g", MEMBERS).block());
+        Assertions.assertEquals(dead, reported);
+    }
+
     /** With one witness, which may be dead too, the members were not judged in half of such rounds. */
     @RepeatedTest(20)
     void aDeadWitnessDoesNotKeepTheMembersFromBeingJudged() {
--- a/serving/src/test/java/org/hallwall/serving/relay/CrashExchangeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/CrashExchangeTest.java
@@ -41,7 +41,7 @@
     private final AtomicInteger asked = new AtomicInteger();
 
     private boolean refuses(boolean refused) {
-        CrashExchange exchange = new CrashExchange(List::of, directory, t -> Mono.just(true), a -> {
+        CrashExchange exchange = new CrashExchange(List::of, directory, t -> Mono.just(true), (t, a) -> {
             asked.incrementAndGet();
             return Mono.just(refused);
         });
--- a/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
@@ -28,7 +28,7 @@
 class ForwardedHeadersTest {
 
     private static final HeaderNames NAMES = new HeaderNames(
-            "attempt", "deadline", "expected", "workspace", "key", "not-run", "model", "last", "leaving");
+            "attempt", "deadline", "expected", "workspace", "key", "not-run", "model", "last", "leaving", "by");
 
     @ParameterizedTest
     @CsvSource({
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -32,6 +32,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.program.ProgramException;
+import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.config.CallerLimits;
 import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.EngineModel;
@@ -65,13 +66,15 @@
             "X-Not-Run",
             "X-Model",
             "Last-Event-Id",
-            "X-Leaving");
+            "X-Leaving",
+            "X-Answered-By");
 
     private static final long LOOK_MILLIS = 20;
 
     private final LoopResources loops = LoopResources.create("test", 1, true);
     private final TargetDirectory directory = new TargetDirectory(Ticker.SYSTEM);
     private final EntryState state = new EntryState(directory);
+    private final TargetAvailability availability = new TargetAvailability(Ticker.SYSTEM, () -> 0);
     private final List<StandingHead> standing = new CopyOnWriteArrayList<>();
     private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
     private final AtomicLong sequence = new AtomicLong();
@@ -103,8 +106,9 @@
         crashes.take(new SuspectNews(new byte[RequestDigester.KEY_BYTES], 1, true, List.of(), List.of()));
         server = new RelayServer(new RelayContext(
                 state,
+                new Candidates(state, availability, () -> 0),
                 balancer,
-                new TargetClient(loops, NAMES),
+                new TargetClient(loops, NAMES, availability),
                 budget,
                 new ForwardedHeaders(NAMES),
                 NAMES,
