After a rest targets are asked again without ceremony: neither a first request alone nor a spread pays

The mend came with a first request that goes alone after a rest, and entries that come back spread by their number. The rest is the target's own wish and is kept. Change: TargetWish holds a time and a flag; permits, draws and entry counts are gone.

--- a/serving/src/main/java/org/hallwall/serving/availability/RestTime.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/RestTime.java
@@ -28,8 +28,8 @@
 final class RestTime {
 
     /**
-     * The longest rest that is obeyed at once, in milliseconds. Overload passes within minutes; a target that asks for more by mistake is
-     * asked again by one request after that time.
+     * The longest rest that is obeyed, in milliseconds. Overload passes within minutes, and a target that asks for more by mistake is not
+     * lost for longer; what it then answers counts anew.
      */
     static final long MOST_MILLIS = 300_000;
 
--- a/serving/src/main/java/org/hallwall/serving/availability/TargetAvailability.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetAvailability.java
@@ -21,7 +21,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.DoubleSupplier;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
@@ -32,8 +31,7 @@
  * target ask here, with no exception for the case that there is no other target.
  *
  * <p>What is known belongs to one start of a target. That it leaves is final: no announcement takes it back, whichever is the later one,
- * since a target that leaves ends. After a rest the first request goes alone, so that a target that is still overrun is not overrun again
- * by all that has gathered meanwhile. Safe for all threads.
+ * since a target that leaves ends. Safe for all threads.
  */
 public final class TargetAvailability {
 
@@ -42,18 +40,10 @@
     private static final int MOST_REMEMBERED = 4_096;
     /** Fractions of a millisecond that the clock does not show. */
     private static final long ROUNDING_MILLIS = 1;
-    /**
-     * How far apart entries come back after a rest, in milliseconds for each entry: they were turned away in the same moment, and a target
-     * answers some hundred first requests a second.
-     */
-    private static final long SPREAD_MILLIS_AN_ENTRY = 5;
-    /** The most that an entry waits for others after a rest, in milliseconds. */
-    private static final long MOST_SPREAD_MILLIS = 1_000;
     /** The shortest time between two lines about what was not understood, in milliseconds. */
     private static final long UNREAD_LINE_MILLIS = 1_000;
 
     private final Ticker ticker;
-    private final DoubleSupplier random;
     private final Map<InstanceId, TargetWish> wishes = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -62,7 +52,6 @@
             return size() > MOST_REMEMBERED;
         }
     };
-    private int entries = 1;
     private long unread;
     private long unreadLineAt = Long.MIN_VALUE / 2;
 
@@ -70,20 +59,9 @@
      * Creates it; all targets want work.
      *
      * @param ticker the clock
-     * @param random draws from 0 to 1
      */
-    public TargetAvailability(Ticker ticker, DoubleSupplier random) {
+    public TargetAvailability(Ticker ticker) {
         this.ticker = ticker;
-        this.random = random;
-    }
-
-    /**
-     * Sets how many entries come back after a rest.
-     *
-     * @param count how many
-     */
-    public synchronized void entries(int count) {
-        entries = Math.max(1, count);
     }
 
     /**
@@ -114,8 +92,7 @@
         if (!w.isResting(now)) {
             LOG.infof("targets: %s asks for %d ms of rest", target, millis);
         }
-        long spread = Math.min(MOST_SPREAD_MILLIS, SPREAD_MILLIS_AN_ENTRY * entries);
-        w.rests(now + millis + ROUNDING_MILLIS, (long) (random.getAsDouble() * spread));
+        w.rests(now + millis + ROUNDING_MILLIS);
     }
 
     private void noteUnread(InstanceId target, String text) {
@@ -142,27 +119,6 @@
         return w == null || w.wantsRequests(ticker.millis());
     }
 
-    /**
-     * Takes the right to send a request to a target.
-     *
-     * @param target the start of the target
-     * @return the permit, or null if no request may be sent now
-     */
-    public synchronized SendPermit tryBegin(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        if (w == null) {
-            return new SendPermit(this, target, false);
-        }
-        long now = ticker.millis();
-        if (!w.wantsRequests(now)) {
-            return null;
-        }
-        if (w.isOver(now)) {
-            wishes.remove(target);
-        }
-        return new SendPermit(this, target, w.begin(now));
-    }
-
     /**
      * Says whether a target is to be left alone altogether: by requests, probes and orders.
      *
@@ -186,34 +142,14 @@
     }
 
     /**
-     * Says how long until a request may be sent to a target that does not leave.
+     * Says how long the rest of a target still lasts.
      *
      * @param target the start of the target
-     * @return milliseconds; zero if one may be sent now
+     * @return milliseconds; zero if it does not rest
      */
-    public synchronized long againMillis(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        return w == null ? 0 : w.againMillis(ticker.millis());
-    }
-
-    synchronized void firstAnswered(InstanceId target, boolean turnedAway) {
+    public synchronized long restMillis(InstanceId target) {
         TargetWish w = wishes.get(target);
-        if (w == null) {
-            return;
-        }
-        if (turnedAway) {
-            w.firstTurnedAway(ticker.millis());
-        } else {
-            w.firstTaken(ticker.millis());
-            LOG.infof("targets: %s takes requests again after its rest", target);
-        }
-    }
-
-    synchronized void firstDropped(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        if (w != null) {
-            w.firstDropped(ticker.millis());
-        }
+        return w == null ? 0 : w.restMillis(ticker.millis());
     }
 
     /**
@@ -227,8 +163,8 @@
         wishes.forEach((target, w) -> {
             if (w.isLeaving()) {
                 out.put(target.value(), "leaves");
-            } else if (!w.wantsRequests(now)) {
-                out.put(target.value(), "rests for " + w.againMillis(now) + " ms");
+            } else if (w.isResting(now)) {
+                out.put(target.value(), "rests for " + w.restMillis(now) + " ms");
             }
         });
         return out;
--- a/serving/src/main/java/org/hallwall/serving/availability/TargetWish.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetWish.java
@@ -21,18 +21,8 @@
 /** What one start of a target has asked this instance for; guarded by {@link TargetAvailability}. */
 final class TargetWish {
 
-    /** How long the first request after a rest may go without an answer until another one is sent, in milliseconds. */
-    private static final long FIRST_MILLIS = 1_000;
-    /** The pause after a first request that was turned away with no time given, in milliseconds. */
-    private static final long AGAIN_MILLIS = 400;
-
     private boolean leaving;
     private long restUntil;
-    private long openAt;
-    /** Whether the next request goes alone, and nothing else until it has its answer. */
-    private boolean firstAlone;
-
-    private long nextFirstAt;
 
     void leaves() {
         leaving = true;
@@ -43,54 +33,20 @@
     }
 
     /** Takes a time of rest; a shorter one does not shorten a longer one. */
-    void rests(long until, long spreadMillis) {
-        if (until > restUntil) {
-            restUntil = until;
-            openAt = until + spreadMillis;
-        }
-        firstAlone = true;
-        nextFirstAt = openAt;
+    void rests(long until) {
+        restUntil = Math.max(restUntil, until);
     }
 
     boolean isResting(long now) {
         return now < restUntil;
     }
 
-    /** Says whether a request may be sent now. */
     boolean wantsRequests(long now) {
-        return !leaving && now >= openAt && (!firstAlone || now >= nextFirstAt);
-    }
-
-    /** Says how long until a request may be sent, in milliseconds; there is no such time for one that leaves. */
-    long againMillis(long now) {
-        return Math.max(0, (firstAlone ? Math.max(openAt, nextFirstAt) : openAt) - now);
-    }
-
-    /** Notes that a request is sent, and says whether it is the first one after a rest. */
-    boolean begin(long now) {
-        if (firstAlone) {
-            nextFirstAt = now + FIRST_MILLIS;
-        }
-        return firstAlone;
-    }
-
-    /** Notes that the first request was taken: all others may follow, unless the target has asked for rest again meanwhile. */
-    void firstTaken(long now) {
-        firstAlone = now < openAt;
-    }
-
-    /** Notes that the first request was turned away. */
-    void firstTurnedAway(long now) {
-        nextFirstAt = Math.max(openAt, now + AGAIN_MILLIS);
-    }
-
-    /** Notes that the first request ended with no answer: another one may find out. */
-    void firstDropped(long now) {
-        nextFirstAt = Math.max(openAt, now);
+        return !leaving && !isResting(now);
     }
 
-    /** Says whether nothing has to be remembered any more. */
-    boolean isOver(long now) {
-        return !leaving && !firstAlone && now >= openAt;
+    /** Says how long the rest still lasts, in milliseconds. */
+    long restMillis(long now) {
+        return Math.max(0, restUntil - now);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/availability/package-info.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/package-info.java
@@ -19,8 +19,8 @@
 /**
  * Whether a target wants work now: the one place that knows, and that every way to a target asks.
  *
- * <p>The way of a request: its candidates are the targets that want work ({@code TargetAvailability.wantsRequests}); the send takes a
- * {@code SendPermit} and asks it again when a connection is there; the answer's {@code TargetNotice} goes back into the same place.
- * Probes and orders ask {@code isResting} of it.
+ * <p>The way of a request: its candidates are the targets that want work ({@code TargetAvailability.wantsRequests}); the send asks the
+ * same once more when a connection is there; the answer's {@code TargetNotice} goes back into the same place. Probes and orders ask
+ * {@code isResting}.
  */
 package org.hallwall.serving.availability;
--- a/serving/src/main/java/org/hallwall/serving/relay/Candidates.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Candidates.java
@@ -26,7 +26,7 @@
 /** The targets that a request may go to at this moment: those that serve it and want work. */
 final class Candidates {
 
-    /** How far apart callers come back who are told the same moment, in milliseconds: the time of some first requests after a rest. */
+    /** How far apart callers come back who are told the same moment, in milliseconds: long enough that they are not one burst. */
     private static final long SPREAD_MILLIS = 250;
 
     private final EntryState state;
@@ -81,7 +81,7 @@
         long earliest = Long.MAX_VALUE;
         for (ServingTarget t : serving(request)) {
             if (!availability.isLeaving(t.instance())) {
-                earliest = Math.min(earliest, availability.againMillis(t.instance()));
+                earliest = Math.min(earliest, availability.restMillis(t.instance()));
             }
         }
         return earliest == 0 || earliest == Long.MAX_VALUE
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -31,7 +31,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.function.DoubleSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -81,15 +80,12 @@
     /** The pause between looks for targets that have ended, and between reports of them that were not taken, in milliseconds. */
     private static final long LOOK_MILLIS = 200;
 
-    private static final DoubleSupplier RANDOM =
-            () -> ThreadLocalRandom.current().nextDouble();
-
     private final EntryNodeSettings settings;
     private final ConfigurationReader reader;
     private final Ticker ticker = Ticker.SYSTEM;
     private final TargetDirectory directory = new TargetDirectory(ticker);
     private final EntryState state = new EntryState(directory);
-    private final TargetAvailability availability = new TargetAvailability(ticker, RANDOM);
+    private final TargetAvailability availability = new TargetAvailability(ticker);
     private final PeerCodec codec = new PeerCodec(ControlNode.kinds());
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new HashMap<>();
@@ -137,7 +133,8 @@
                 new CrashExchange(exchange::controllers, directory, this::reaches, client::refuses), io, ticker);
         RelayContext context = new RelayContext(
                 state,
-                new Candidates(state, availability, RANDOM),
+                new Candidates(
+                        state, availability, () -> ThreadLocalRandom.current().nextDouble()),
                 balancer,
                 client,
                 budget,
@@ -340,7 +337,6 @@
         }
         budget.entries(news.mostEntries());
         admission.entries(news.entries());
-        availability.entries(news.entries());
         exchange.entries(news.entries());
         if (!news.members().isEmpty()) {
             disconnectFrom(news.members());
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -33,7 +33,6 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.availability.NoticeReader;
-import org.hallwall.serving.availability.SendPermit;
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.availability.TargetNotice;
 import org.hallwall.serving.target.StartedTarget;
@@ -117,7 +116,7 @@
     }
 
     /**
-     * Sends one attempt, if the target wants requests: now, and still when a connection is there.
+     * Sends one attempt, if the target still wants requests when a connection is there.
      *
      * @param target the target
      * @param request the request
@@ -133,13 +132,20 @@
             String lastEventId,
             long remainingMillis,
             AnswerReader<T> answer) {
-        return Flux.defer(() -> {
-            SendPermit permit = availability.tryBegin(target.instance());
-            return permit == null
-                    ? Flux.error(AttemptFailure.unwilling("it wants no requests now"))
-                    : send(permit, target, request, headers(target, request, lastEventId, remainingMillis), answer)
-                            .doFinally(s -> permit.end());
-        });
+        AtomicBoolean sent = new AtomicBoolean();
+        return client.headers(headers(target, request, lastEventId, remainingMillis))
+                .request(request.method())
+                .uri("http://" + target.address() + request.uri())
+                .send((r, out) -> {
+                    // others may have been turned away while this one waited for its connection
+                    if (!availability.wantsRequests(target.instance())) {
+                        return Mono.error(AttemptFailure.unwilling("it wants no requests now"));
+                    }
+                    sent.set(true);
+                    return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
+                })
+                .response((head, body) -> read(target, request, head, body, answer))
+                .onErrorMap(e -> !(e instanceof AttemptFailure), e -> failure(e, sent.get()));
     }
 
     private Consumer<HttpHeaders> headers(
@@ -155,29 +161,7 @@
         };
     }
 
-    private <T> Flux<T> send(
-            SendPermit permit,
-            ServingTarget target,
-            RelayRequest request,
-            Consumer<HttpHeaders> headers,
-            AnswerReader<T> answer) {
-        AtomicBoolean sent = new AtomicBoolean();
-        return client.headers(headers)
-                .request(request.method())
-                .uri("http://" + target.address() + request.uri())
-                .send((r, out) -> {
-                    if (!permit.isStillWanted()) {
-                        return Mono.error(AttemptFailure.unwilling("it wanted no requests any more"));
-                    }
-                    sent.set(true);
-                    return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
-                })
-                .response((head, body) -> read(permit, target, request, head, body, answer))
-                .onErrorMap(e -> !(e instanceof AttemptFailure), e -> failure(e, sent.get()));
-    }
-
     private <T> Publisher<T> read(
-            SendPermit permit,
             ServingTarget target,
             RelayRequest request,
             HttpClientResponse head,
@@ -185,7 +169,7 @@
             AnswerReader<T> answer) {
         int status = head.status().code();
         TargetNotice notice = notices.read(target.instance(), status, head.responseHeaders());
-        permit.answered(status, notice);
+        availability.take(target.instance(), notice);
         String echoed = head.responseHeaders().get(names.attemptId());
         if (echoed != null && !echoed.equals(request.attemptId())) {
             return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "an answer to another request came"));
