--- a/log/src/main/java/org/hallwall/log/LogStartProbe.java
+++ b/log/src/main/java/org/hallwall/log/LogStartProbe.java
@@ -27,7 +27,7 @@
 /**
  * Knows whether all voters have just started. A voter that has started gives no vote for one election timeout, since a leader may
  * hold a lease by its answer from before. When all voters have started and none has heard a leader since, the old leader among
- * them, nobody can hold one, and the first election need not wait: after a loss of all power that is 0.8 to 1.6 s of service.
+ * them, nobody can hold one, and the first election need not wait: after a loss of all power service rests no longer than it must.
  */
 final class LogStartProbe {
 
--- a/log/src/main/java/org/hallwall/log/LogVoter.java
+++ b/log/src/main/java/org/hallwall/log/LogVoter.java
@@ -142,7 +142,7 @@
 
     /**
      * Waits until a quorum confirms that this voter leads. No clock takes part: a machine that was suspended believes its lease, since its steady
-     * clock stood still. Costs a round of heartbeats, 40 ms and a round trip at most, so it is for reads by operators.
+     * clock stood still. Costs a round of heartbeats, so it is for reads by operators.
      *
      * @return the commit index, with all that was accepted before the call applied here, or a {@link LogProposalException}
      */
--- a/serving/src/main/java/org/hallwall/serving/group/GroupFormation.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupFormation.java
@@ -221,8 +221,8 @@
     }
 
     /**
-     * Ends groups of which a domain has more than it should, when their engines and free ones can form a group that it lacks. On
-     * simulated days that is worth 0.017 of 0.954 for groups of 4 and 2, and 0.051 of 0.808 for 16 and 4.
+     * Ends groups of which a domain has more than it should, when their engines and free ones can form a group that it lacks:
+     * otherwise a large group that has ended never comes back where small ones have taken its engines.
      */
     private void retireFor(String domain, EngineModel lacking, int free, Map<InstanceId, Engine> engines) {
         int able = free;
--- a/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
@@ -49,7 +49,7 @@
     private static final Logger LOG = Logger.getLogger(GroupProbes.class);
     /** How long an engine may take to answer a probe; several times a round trip and the time of its answer. */
     private static final Duration TIMEOUT = Duration.ofMillis(250);
-    /** An answer within this time shows that this controller is fast enough to judge, in milliseconds; usual are 15. */
+    /** An answer within this time shows that this controller is fast enough to judge, in milliseconds. */
     private static final long QUICK_MILLIS = 100;
     /** Questions within this time share a round, in milliseconds; shorter than any silence after which entries ask. */
     private static final long SHARED_MILLIS = 50;
--- a/serving/src/main/java/org/hallwall/serving/group/PackingSearch.java
+++ b/serving/src/main/java/org/hallwall/serving/group/PackingSearch.java
@@ -33,20 +33,19 @@
  * <p>From the groups that there are it changes one domain after the other to the packing that is worth most beside the others,
  * until none gets better. A packing is worth what its groups add for callers of the whole fleet and of its failure domain, which
  * may be cut off and then serves alone, less what is expected to be lost: groups that lose a member and find no spare, loads, and
- * groups taken apart. Its constants were chosen on 60 simulated days each of {@code FOUR_AND_TWO} and {@code FOUR_AND_THREE}; the worth
- * that a value near by loses is given with those where it is more than 0.005.
+ * groups taken apart.
  */
 final class PackingSearch {
 
     /** The weight of callers who can only be served in their failure domain, against those served by the whole fleet. */
     private static final double ALONE_WEIGHT = 0.15;
-    /** The part of engines lost within the time in which a new one comes and loads, some 30 s; it sets the number of spares. Half of it loses 0.05, one and a half of it 0.02. */
+    /** The part of engines lost within the time in which a new one comes and loads; it sets the number of spares. */
     private static final double LOST_PART = 0.2;
     /** A group without a spare is missing for half of that time in the mean; the one of least worth gives its engines to others. */
     private static final double MISSING_PART = 0.5;
-    /** What the load of one engine costs, in parts of its worth over the same time: 12 to 16 s, in which it may serve on in a group. */
+    /** What the load of one engine costs, in parts of its worth over the same time, in which it may serve on in a group. */
     private static final double LOAD_PART = 0.25;
-    /** What taking a group apart costs, in parts of its worth over the same time: 4 s without it, and often a model to load again. A third of it loses 0.008. */
+    /** What taking a group apart costs, in parts of its worth over the same time: it is missing for a while, and often has a model to load again. */
     private static final double CHANGE_PART = 0.4;
     /** The least gain for which a domain's packing changes, in engines; keeps equal packings from alternating. */
     private static final double LEAST_GAIN = 0.02;
--- a/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/StagingPlan.java
@@ -40,8 +40,7 @@
  * model without the store.
  *
  * <p>An engine can join a group of the model of its last group at once, and of the model that its host holds in a second or two. So
- * once an engine has its model, its host loads another one: it can then serve either. On simulated days that is worth 0.017 of 0.954
- * for groups of 4 and 2 and 0.009 of 0.930 for 8 and 4; for 4 and 3 with few engines to spare it costs 0.020 of 0.829.
+ * once an engine has its model, its host loads another one: it can then serve either.
  */
 public final class StagingPlan {
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryAccount.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryAccount.java
@@ -29,7 +29,7 @@
  */
 final class RetryAccount {
 
-    /** Parts of a window that are counted apart; a window that begins inside a part loses that part's requests, 2.5 in 100. */
+    /** Parts of a window that are counted apart; a window that begins inside a part loses that part's requests. */
     private static final int PARTS = 40;
     /**
      * Parts by which a retry may reach its target after it was granted: a connection comes up in 350 ms or not at all. Retries that
--- a/serving/src/main/java/org/hallwall/serving/relay/StandingHeads.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StandingHeads.java
@@ -37,7 +37,7 @@
 
     private static final Logger LOG = Logger.getLogger(StandingHeads.class);
     /**
-     * How long the controller's answer is awaited, in milliseconds: some 10 ms for three hops and two new connections, and the
+     * How long the controller's answer is awaited, in milliseconds: three hops, two new connections, and the
      * scheduling of a control instance that has less than half a core.
      */
     private static final long ANSWER_MILLIS = 60;
