hallwall explain: a request that no target wanted shows what they had asked its entry for

A refusal names no target, and a rest may have been asked for long before it, so the story of such a request was its refusal alone. Now it holds the lines of the same entry in which targets ask for rest or say that they leave, up to the longest rest before. ExplainCommandTest.tellsWhichTargetsRest.

--- a/cli/src/main/java/org/hallwall/cli/RequestStory.java
+++ b/cli/src/main/java/org/hallwall/cli/RequestStory.java
@@ -45,6 +45,13 @@
     private static final Pattern DIGEST = Pattern.compile("(?:attempt \\d+ of|held back as) ([0-9a-f]{32})");
 
     private static final Pattern ANSWER = Pattern.compile(" from (\\S+?), first after");
+    /** What a request says that found no target because of what targets had asked for. */
+    private static final Pattern NONE_WANTS = Pattern.compile("no target is left, 0 of [0-9]+ want requests now");
+    /** What an entry writes when a target has asked it for that. */
+    private static final Pattern ASKED =
+            Pattern.compile("^targets: \\S+ (?:asks for \\d+ ms of rest|says that it leaves)");
+    /** How long before a request a target may have asked for rest; no longer one is obeyed. */
+    private static final Duration LONGEST_REST = Duration.ofMinutes(5);
     /** The controller's regular line on what serves. */
     private static final Pattern SERVES = Pattern.compile("^groups: .* serve, idle by fabric domain");
 
@@ -78,9 +85,13 @@
         Set<String> names = names(own);
         Set<String> digests = digests(own);
         List<LogLine> out = new ArrayList<>();
+        Set<String> refusing = processes(own);
         for (LogLine line : all) {
             boolean inTime = !line.at().isBefore(from) && !line.at().isAfter(to);
-            if (isOwn(line) || (inTime && isAbout(line, names)) || tellsOfCrashes(line, digests)) {
+            if (isOwn(line)
+                    || (inTime && isAbout(line, names))
+                    || tellsOfCrashes(line, digests)
+                    || refusing.contains(line.process()) && tellsOfRest(line, to)) {
                 out.add(line);
             }
         }
@@ -105,6 +116,24 @@
         return line.message().startsWith("crashes: ") && digests.stream().anyMatch(line.message()::contains);
     }
 
+    /** Each entry goes by what targets have asked itself for, up to the longest rest before. */
+    private static boolean tellsOfRest(LogLine line, Instant to) {
+        return ASKED.matcher(line.message()).find()
+                && !line.at().isAfter(to)
+                && !line.at().isBefore(to.minus(LONGEST_REST));
+    }
+
+    /** Gives the processes that refused the request since no target wants any. */
+    private static Set<String> processes(List<LogLine> own) {
+        Set<String> out = new LinkedHashSet<>();
+        for (LogLine line : own) {
+            if (NONE_WANTS.matcher(line.message()).find()) {
+                out.add(line.process());
+            }
+        }
+        return out;
+    }
+
     private static Set<String> digests(List<LogLine> own) {
         Set<String> out = new LinkedHashSet<>();
         for (LogLine line : own) {
--- a/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
@@ -96,6 +96,29 @@
         Assertions.assertTrue(story.get(2).contains("refused with 503"));
     }
 
+    /** What targets had asked this entry for is told, also if it was long before; what they asked another one for is not. */
+    @Test
+    void tellsWhichTargetsRest() throws IOException {
+        Path file = folder.resolve("all.log");
+        Files.writeString(
+                file,
+                String.join(
+                        "\n",
+                        "e-1 " + line("00:00:00", "targets: i-2/mx asks for 300000 ms of rest"),
+                        "e-1 " + line("00:04:00", "targets: i-3/mx says that it leaves, nothing more is sent to it"),
+                        "e-2 " + line("00:04:01", "targets: i-4/mx asks for 300000 ms of rest"),
+                        "e-1 "
+                                + line(
+                                        "00:04:30",
+                                        "request x: refused with 503, NOT_RUN: no target is left, 0 of 2 want requests now, the "
+                                                + "others rest or leave (configuration 7)")));
+        Assertions.assertEquals(ExitCode.SUCCESS, run("explain", "x", file.toString()));
+        List<String> story = out.toString(StandardCharsets.UTF_8).lines().toList();
+        Assertions.assertEquals(3, story.size(), story::toString);
+        Assertions.assertTrue(story.get(0).contains("i-2/mx asks for"));
+        Assertions.assertTrue(story.get(1).contains("i-3/mx says that it leaves"));
+    }
+
     private static String line(String time, String message) {
         return "{\"at\":\"2026-01-01T" + time + "Z\",\"level\":\"INFO\",\"part\":\"P\",\"message\":\"" + message
                 + "\"}";
