Sight: an entry tells which rate limit a target names, and how many do

The header is read into the notice of its target: plain decimals, the strictest of several, anything else counted and logged cut at 40 characters. A line when the limit changes, once a second for each target at most; a gauge; nothing is decided by it yet. NoticeReaderTest: 16 forms of the limit, 5 statuses.

--- a/serving/src/main/java/org/hallwall/serving/availability/NoticeReader.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/NoticeReader.java
@@ -38,16 +38,19 @@
 
     private final String leaving;
     private final String answeredBy;
+    private final String rateLimit;
 
     /**
      * Creates a reader.
      *
      * @param leaving the header by which a target says that it is about to end
      * @param answeredBy the header that names the target that has answered
+     * @param rateLimit the header that names the requests a second that a target takes from the whole system
      */
-    public NoticeReader(String leaving, String answeredBy) {
+    public NoticeReader(String leaving, String answeredBy, String rateLimit) {
         this.leaving = leaving;
         this.answeredBy = answeredBy;
+        this.rateLimit = rateLimit;
     }
 
     /**
@@ -75,13 +78,18 @@
         }
         List<String> leaves = headers.getAll(leaving);
         List<String> times = isTurnedAway(status) ? headers.getAll(HttpHeaderNames.RETRY_AFTER) : List.of();
-        if (leaves.isEmpty() && times.isEmpty()) {
+        List<String> limits = headers.getAll(rateLimit);
+        if (leaves.isEmpty() && times.isEmpty() && limits.isEmpty()) {
             return TargetNotice.NONE;
         }
-        return new TargetNotice(RestTime.longest(times), leaves.contains(LEAVES), unread(leaves, times));
+        return new TargetNotice(
+                RestTime.longest(times),
+                leaves.contains(LEAVES),
+                RateLimitHeader.strictest(limits),
+                unread(leaves, times, limits));
     }
 
-    private static String unread(List<String> leaves, List<String> times) {
+    private static String unread(List<String> leaves, List<String> times, List<String> limits) {
         List<String> out = new ArrayList<>();
         if (!leaves.stream().allMatch(LEAVES::equals)) {
             out.addAll(leaves);
@@ -89,6 +97,9 @@
         if (!RestTime.areTimes(times)) {
             out.addAll(times);
         }
+        if (!RateLimitHeader.areLimits(limits)) {
+            out.addAll(limits);
+        }
         if (out.isEmpty()) {
             return null;
         }
--- a/serving/src/main/java/org/hallwall/serving/availability/TargetAvailability.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetAvailability.java
@@ -81,6 +81,9 @@
             }
             w.leaves();
         }
+        if (notice.limit() != null && wish(target).names(notice.limit(), ticker.millis())) {
+            LOG.infof("targets: %s names a rate limit of %s", target, notice.limit());
+        }
         if (notice.restMillis() > 0) {
             rest(target, notice.restMillis());
         }
@@ -170,6 +173,15 @@
         return out;
     }
 
+    /**
+     * Counts the targets that have named a rate limit.
+     *
+     * @return how many are remembered
+     */
+    public synchronized int limited() {
+        return (int) wishes.values().stream().filter(w -> w.limit() != null).count();
+    }
+
     /**
      * Counts the targets that rest.
      *
--- a/serving/src/main/java/org/hallwall/serving/availability/TargetNotice.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetNotice.java
@@ -18,17 +18,49 @@
  */
 package org.hallwall.serving.availability;
 
+import org.hallwall.serving.permit.RateLimit;
+
 /**
  * What an answer says of its target, whatever it says of the request.
  *
  * @param restMillis for how long the target wants nothing from this instance, in milliseconds; zero if it does not say so
  * @param leaving whether the target is about to end
+ * @param limit the rate limit that it names; null if it names none that can be read
  * @param unread what was said and not understood, cut short; null if there is nothing of that kind
  */
-public record TargetNotice(long restMillis, boolean leaving, String unread) {
+public record TargetNotice(long restMillis, boolean leaving, RateLimit limit, String unread) {
 
     /** Nothing is said. */
-    public static final TargetNotice NONE = new TargetNotice(0, false, null);
+    public static final TargetNotice NONE = new TargetNotice(0, false, null, null);
+
+    /**
+     * Creates the notice of a target that backs off.
+     *
+     * @param millis for how long, in milliseconds
+     * @return the notice
+     */
+    public static TargetNotice backoff(long millis) {
+        return new TargetNotice(millis, false, null, null);
+    }
+
+    /**
+     * Creates the notice of a target that is about to end.
+     *
+     * @return the notice
+     */
+    public static TargetNotice draining() {
+        return new TargetNotice(0, true, null, null);
+    }
+
+    /**
+     * Creates the notice of a target that names a rate limit.
+     *
+     * @param limit the limit
+     * @return the notice
+     */
+    public static TargetNotice limited(RateLimit limit) {
+        return new TargetNotice(0, false, limit, null);
+    }
 
     /**
      * Tells it for logs.
@@ -38,6 +70,7 @@
     public String describe() {
         return (restMillis > 0 ? ", asks for " + restMillis + " ms of rest" : "")
                 + (leaving ? ", leaves" : "")
+                + (limit != null ? ", names a rate limit of " + limit : "")
                 + (unread != null ? ", says " + unread : "");
     }
 }
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/permit/RateLimit.java
@@ -0,0 +1,44 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.permit;
+
+import java.util.Locale;
+
+/**
+ * The requests that a target takes from the whole system.
+ *
+ * @param perSecond how many in a second; finite and not negative
+ */
+public record RateLimit(double perSecond) {
+
+    /**
+     * Says whether this limit allows less than another one.
+     *
+     * @param other the other limit; null for none
+     * @return true if it does
+     */
+    public boolean isStricterThan(RateLimit other) {
+        return other == null || perSecond < other.perSecond;
+    }
+
+    @Override
+    public String toString() {
+        return String.format(Locale.ROOT, "%.3f requests/s", perSecond);
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -90,7 +90,7 @@
                 .runOn(loops)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
         this.names = names;
-        this.notices = new NoticeReader(names.leaving(), names.answeredBy());
+        this.notices = new NoticeReader(names.leaving(), names.answeredBy(), names.rateLimit());
         this.availability = availability;
     }
 
--- a/serving/src/test/java/org/hallwall/serving/availability/NoticeReaderTest.java
+++ b/serving/src/test/java/org/hallwall/serving/availability/NoticeReaderTest.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.id.InstanceId;
+import org.hallwall.serving.permit.RateLimit;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,7 +31,7 @@
 class NoticeReaderTest {
 
     private static final InstanceId TARGET = new InstanceId("i-1/k");
-    private final NoticeReader reader = new NoticeReader("X-Leaving", "X-Answered-By");
+    private final NoticeReader reader = new NoticeReader("X-Leaving", "X-Answered-By", "X-Rate-Limit");
 
     private TargetNotice read(int status, String... headers) {
         HttpHeaders all = new DefaultHttpHeaders();
@@ -111,6 +112,42 @@
         Assertions.assertEquals(counts, n.leaving());
     }
 
+    /** A limit is a plain decimal number; of several the strictest counts, and what cannot be read limits nothing. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "2; 2; false",
+                "2.25; 2.25; false",
+                "0; 0; false",
+                "0.0; 0; false",
+                "0.001; 0.001; false",
+                "99999999999999999; 99999999999999999; false",
+                "3, 1.5; 1.5; false",
+                "'4 , x'; 4; true",
+                "-1; ; true",
+                "+1; ; true",
+                "1e3; ; true",
+                "NaN; ; true",
+                "Infinity; ; true",
+                "many; ; true",
+                "2/s; ; true",
+                "''; ; true",
+            })
+    void rateLimitsArePlainDecimals(String text, Double perSecond, boolean unread) {
+        TargetNotice n = read(200, "X-Rate-Limit", text);
+        Assertions.assertEquals(perSecond == null ? null : new RateLimit(perSecond), n.limit());
+        Assertions.assertEquals(unread, n.unread() != null, () -> "unread: " + n.unread());
+    }
+
+    /** A target in need may say so in any answer of its own. */
+    @ParameterizedTest
+    @CsvSource({"200", "404", "429", "500", "503"})
+    void anyAnswerMayNameALimit(int status) {
+        TargetNotice n = read(status, "X-Rate-Limit", "3", "X-Rate-Limit", "2", "Retry-After", "1");
+        Assertions.assertEquals(new RateLimit(2), n.limit());
+    }
+
     @Test
     void whatIsNotUnderstoodIsCutShort() {
         Assertions.assertEquals(
--- a/serving/src/test/java/org/hallwall/serving/availability/SimulatedRests.java
+++ b/serving/src/test/java/org/hallwall/serving/availability/SimulatedRests.java
@@ -245,7 +245,7 @@
         }
 
         private void turnAway(int t) {
-            availability.take(id(t), new TargetNotice(REST_MILLIS, false, null));
+            availability.take(id(t), TargetNotice.backoff(REST_MILLIS));
             firstAlone[t] = policy.ordinal() >= Policy.FIRST_ALONE.ordinal();
             if (policy.ordinal() >= Policy.SPREAD.ordinal()) {
                 waitsUntil[t] = now + REST_MILLIS + random.nextInt(SPREAD_MILLIS_AN_ENTRY * entries.size());
@@ -261,7 +261,7 @@
                     EXCHANGE_MILLIS,
                     () -> entries.stream()
                             .filter(e -> e != this && !e.availability.isResting(id(t)))
-                            .forEach(e -> e.availability.take(id(t), new TargetNotice(until - now, false, null))));
+                            .forEach(e -> e.availability.take(id(t), TargetNotice.backoff(until - now))));
         }
 
         private InstanceId id(int t) {
--- a/serving/src/test/java/org/hallwall/serving/availability/TargetAvailabilityTest.java
+++ b/serving/src/test/java/org/hallwall/serving/availability/TargetAvailabilityTest.java
@@ -29,13 +29,13 @@
 
     private static final InstanceId TARGET = new InstanceId("i-1/a");
     private static final InstanceId NEXT_START = new InstanceId("i-1/b");
-    private static final TargetNotice LEAVES = new TargetNotice(0, true, null);
+    private static final TargetNotice LEAVES = TargetNotice.draining();
 
     private long now = 1_000;
     private final TargetAvailability availability = new TargetAvailability(() -> now);
 
     private void rest(long millis) {
-        availability.take(TARGET, new TargetNotice(millis, false, null));
+        availability.take(TARGET, TargetNotice.backoff(millis));
     }
 
     @Test
@@ -103,7 +103,7 @@
     void peopleAreTold() {
         availability.take(NEXT_START, LEAVES);
         rest(2_000);
-        availability.take(TARGET, new TargetNotice(0, false, "soon"));
+        availability.take(TARGET, new TargetNotice(0, false, null, "soon"));
         Assertions.assertEquals(
                 "{i-1/a=rests for 2001 ms, i-1/b=leaves}",
                 availability.unwilling().toString());
--- a/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
@@ -28,7 +28,17 @@
 class ForwardedHeadersTest {
 
     private static final HeaderNames NAMES = new HeaderNames(
-            "attempt", "deadline", "expected", "workspace", "key", "not-run", "model", "last", "leaving", "by");
+            "attempt",
+            "deadline",
+            "expected",
+            "workspace",
+            "key",
+            "not-run",
+            "model",
+            "last",
+            "leaving",
+            "by",
+            "X-Rate-Limit");
 
     @ParameterizedTest
     @CsvSource({
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -67,7 +67,8 @@
             "X-Model",
             "Last-Event-Id",
             "X-Leaving",
-            "X-Answered-By");
+            "X-Answered-By",
+            "X-Rate-Limit");
 
     private static final long LOOK_MILLIS = 20;
 
--- a/simulation/src/main/java/org/hallwall/simulation/UnwillingHeads.java
+++ b/simulation/src/main/java/org/hallwall/simulation/UnwillingHeads.java
@@ -58,13 +58,13 @@
             return true;
         }
         if (trouble.leaving()) {
-            availability.take(group.head(), new TargetNotice(0, true, null));
+            availability.take(group.head(), TargetNotice.draining());
             return true;
         }
         if (random.nextDouble() >= TURNED_AWAY) {
             return true;
         }
-        availability.take(group.head(), new TargetNotice(trouble.restMillis(), false, null));
+        availability.take(group.head(), TargetNotice.backoff(trouble.restMillis()));
         return false;
     }
 
