The account of a rate limit goes by versions: a suspended entry no longer ends a newer limit

Cause: entries told the account the age of what they had heard, by their own clock. The steady clock of a suspended instance stands still, so a limit that had ended before the suspension looked as if it had ended just now, and the account ended a newer limit for all.

Change: an account counts the versions of a limit. A laxer statement counts only from an entry that knew the present version when it sent the request that was answered; a stricter one counts at once. What an entry repeats with its wants, and has not just heard, changes nothing.

--- a/serving/src/main/java/org/hallwall/serving/permit/EntryPermits.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/EntryPermits.java
@@ -123,21 +123,19 @@
     }
 
     private LimitedTarget learn(LimitReport report, long now) {
-        LimitStatement s = report.statement(now);
         LimitedTarget t = targets.get(report.target());
-        if (t == null && s.limit() == null) {
+        if (t == null && report.limit() == null) {
             return null;
         }
         if (t == null) {
-            t = new LimitedTarget(s);
+            t = new LimitedTarget(new LimitStatement(null, now, now));
             targets.put(report.target(), t);
-            LOG.infof("targets: %s has named a rate limit of %s to another entry", report.target(), s.limit());
-        } else if (t.take(s)) {
+        }
+        if (t.learn(report, now)) {
             LOG.infof(
                     "targets: %s has named %s to another entry",
-                    report.target(), t.isLimited() ? "a rate limit of " + s.limit() : "no rate limit any more");
+                    report.target(), t.isLimited() ? "a rate limit of " + report.limit() : "no rate limit any more");
         }
-        t.accountKnows(s);
         return t;
     }
 
@@ -245,7 +243,7 @@
         List<PermitAsk> out = new ArrayList<>();
         targets.forEach((target, t) -> {
             if (t.dueAt(now) <= now) {
-                out.add(new PermitAsk(t.statement().report(target, now), t.wanted(), t.takeUnused()));
+                out.add(new PermitAsk(t.report(target, now), t.isUntold(), t.wanted(), t.takeUnused()));
             }
         });
         if (!out.isEmpty()) {
@@ -264,6 +262,10 @@
         long now = ticker.millis();
         unansweredSince = Long.MAX_VALUE;
         for (PermitGrant g : grants) {
+            LimitedTarget told = targets.get(g.limit().target());
+            if (told != null) {
+                told.told();
+            }
             LimitedTarget t = learn(g.limit(), now);
             if (t != null) {
                 t.granted(g.permits(), askedAt, now);
--- a/serving/src/main/java/org/hallwall/serving/permit/LimitReport.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/LimitReport.java
@@ -21,23 +21,23 @@
 import org.hallwall.core.id.InstanceId;
 
 /**
- * A statement of a target on its rate limit, as processes tell it to each other.
+ * The limit of a target as processes tell it to each other. Ages and times of one process say little to another one that may have been
+ * suspended, so the order of statements goes by the version of the account.
  *
  * @param target the start of the target
- * @param perSecond the requests a second that it takes from all entries; null if it names no limit any more
- * @param askedAgoMillis the age of the request that was answered, in milliseconds
- * @param heardAgoMillis the age of the answer, in milliseconds
+ * @param perSecond the requests a second that it takes from all entries; null if it names no limit
+ * @param version from the account: the version of the limit; from an entry: the version that it knew when it sent the request
+ *     that was answered, or zero
+ * @param ageMillis how long ago the target said so, in milliseconds; for people only
  */
-public record LimitReport(InstanceId target, Double perSecond, long askedAgoMillis, long heardAgoMillis) {
+public record LimitReport(InstanceId target, Double perSecond, long version, long ageMillis) {
 
     /**
-     * Puts the statement on the own clock.
+     * Gives the limit.
      *
-     * @param now the own clock in milliseconds
-     * @return the statement
+     * @return the limit; null if there is none
      */
-    public LimitStatement statement(long now) {
-        return new LimitStatement(
-                perSecond == null ? null : new RateLimit(perSecond), now - askedAgoMillis, now - heardAgoMillis);
+    public RateLimit limit() {
+        return perSecond == null ? null : new RateLimit(perSecond);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/permit/LimitStatement.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/LimitStatement.java
@@ -20,20 +20,18 @@
 
 import java.util.Objects;
 
-import org.hallwall.core.id.InstanceId;
-
 /**
- * What an answer says of the rate limit of its target, and when that was.
+ * What an answer says of the rate limit of its target, and when that was, on the clock of the entry that heard it.
  *
  * @param limit the limit; null if the answer names none
- * @param askedAt when the request was sent that it answers, in milliseconds of the own clock
- * @param heardAt when it came, in milliseconds of the own clock
+ * @param askedAt when the request was sent that it answers, in milliseconds
+ * @param heardAt when it came, in milliseconds
  */
 public record LimitStatement(RateLimit limit, long askedAt, long heardAt) {
 
     /**
-     * Says whether this statement is in force instead of an earlier one. Answers may overtake each other, so a laxer statement counts
-     * only if it was surely made later, while a stricter one does no harm for the moment until the next answer.
+     * Says whether this statement is in force instead of an earlier one of the same entry. Answers may overtake each other, so a laxer
+     * statement counts only if it was surely made later, while a stricter one does no harm until the next answer.
      *
      * @param known the statement in force; null if there is none
      * @return true if this one replaces it
@@ -42,28 +40,26 @@
         if (known == null) {
             return limit != null;
         }
-        boolean stricter = limit != null && limit.isStricterThan(known.limit);
-        return stricter || isSameLimit(known) ? heardAt > known.heardAt : askedAt >= known.heardAt;
+        return isStricterThan(known.limit) || isSameLimit(known.limit) || askedAt >= known.heardAt;
     }
 
     /**
-     * Says whether another statement names the same limit.
+     * Says whether the statement names a stricter limit than another one.
      *
-     * @param other the other one; null counts as none
-     * @return true if it does, also if both name none
+     * @param other the other limit; null for none
+     * @return true if it does
      */
-    public boolean isSameLimit(LimitStatement other) {
-        return Objects.equals(limit, other == null ? null : other.limit);
+    boolean isStricterThan(RateLimit other) {
+        return limit != null && limit.isStricterThan(other);
     }
 
     /**
-     * Puts the statement into a form for other processes, whose clocks differ.
+     * Says whether the statement names the same limit.
      *
-     * @param target the start of the target
-     * @param now the own clock in milliseconds
-     * @return the statement with ages
+     * @param other the other limit; null for none
+     * @return true if it does, also if both name none
      */
-    public LimitReport report(InstanceId target, long now) {
-        return new LimitReport(target, limit == null ? null : limit.perSecond(), now - askedAt, now - heardAt);
+    boolean isSameLimit(RateLimit other) {
+        return Objects.equals(limit, other);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/permit/LimitedTarget.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/LimitedTarget.java
@@ -21,6 +21,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
+import org.hallwall.core.id.InstanceId;
+
 /** One target with a rate limit, as an entry sees it: its permits here and the requests that want one. Guarded by {@link EntryPermits}. */
 final class LimitedTarget {
 
@@ -37,7 +39,11 @@
     private final Deque<Long> leasedUntil = new ArrayDeque<>();
     private final Deque<Long> wantedUntil = new ArrayDeque<>();
     private LimitStatement statement;
-    private LimitStatement accountKnows;
+    private boolean untold;
+    private LimitStatement telling;
+    private RateLimit accountLimit;
+    private long accountVersion;
+    private long versionKnownAt;
     private int unused;
     private long askAt;
     private long ownFrom = Long.MAX_VALUE;
@@ -45,6 +51,7 @@
 
     LimitedTarget(LimitStatement statement) {
         this.statement = statement;
+        this.untold = isLimited();
     }
 
     LimitStatement statement() {
@@ -60,14 +67,45 @@
         if (!s.replaces(statement)) {
             return false;
         }
-        boolean changed = !s.isSameLimit(statement);
+        boolean changed = !s.isSameLimit(statement.limit());
         statement = s;
+        untold |= changed;
         return changed;
     }
 
-    /** Takes what the account knows. */
-    void accountKnows(LimitStatement s) {
-        accountKnows = s;
+    /**
+     * Takes what the account goes by. It holds for this entry too, unless that has just heard something else which the account was not told.
+     *
+     * @return whether the limit changes
+     */
+    boolean learn(LimitReport report, long now) {
+        boolean next = report.version() != accountVersion;
+        accountLimit = report.limit();
+        accountVersion = report.version();
+        versionKnownAt = next ? now : versionKnownAt;
+        boolean takes = !untold && !statement.isSameLimit(accountLimit);
+        if (takes) {
+            statement = new LimitStatement(accountLimit, now, now);
+        }
+        return takes;
+    }
+
+    /** Says whether the account is to be told what was heard. */
+    boolean isUntold() {
+        return untold;
+    }
+
+    /** Notes that the account has answered the last report. */
+    void told() {
+        untold &= statement != telling;
+    }
+
+    /** Reports the limit to the account, with the version that was known when the request was sent that was answered. */
+    LimitReport report(InstanceId target, long now) {
+        telling = statement;
+        long basedOn = statement.askedAt() >= versionKnownAt ? accountVersion : 0;
+        Double perSecond = isLimited() ? statement.limit().perSecond() : null;
+        return new LimitReport(target, perSecond, basedOn, now - statement.heardAt());
     }
 
     /** Notes a request that may want a permit. */
@@ -114,10 +152,10 @@
     /** Says when the account is to be asked, on the own clock; never if there is nothing to ask or to tell. */
     long dueAt(long now) {
         expire(now);
-        if (!isKnownToAccount()) {
-            return Math.max(now, askAt);
+        if (untold) {
+            return now;
         }
-        return wantedUntil.isEmpty() && unused == 0 ? Long.MAX_VALUE : Math.max(now, askAt);
+        return isKnownToAccount() && wantedUntil.isEmpty() && unused == 0 ? Long.MAX_VALUE : Math.max(now, askAt);
     }
 
     /** Gives the permits that were not used, once. */
@@ -145,7 +183,7 @@
 
     /** Says whether the account knows the same limit. */
     boolean isKnownToAccount() {
-        return statement.isSameLimit(accountKnows);
+        return statement.isSameLimit(accountLimit);
     }
 
     void dropOwn() {
--- a/serving/src/main/java/org/hallwall/serving/permit/PermitAccount.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/PermitAccount.java
@@ -68,6 +68,13 @@
         waitingUntil.values().removeIf(until -> until < now);
     }
 
+    /** Begins anew. */
+    void empty(long now) {
+        permits = 0;
+        filledAt = now;
+        waitingUntil.clear();
+    }
+
     /** Takes permits back that an entry has not used. */
     void giveBack(double rate, int unused) {
         permits = Math.min(burst(rate), permits + unused);
--- a/serving/src/main/java/org/hallwall/serving/permit/PermitAsk.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/PermitAsk.java
@@ -22,7 +22,8 @@
  * What an entry asks of the account of one target.
  *
  * @param limit what it knows of the target's limit
+ * @param heard whether it has heard so from the target since the account was told last
  * @param wanted how many permits it has requests for
  * @param unused how many permits it has let lapse since it asked last
  */
-public record PermitAsk(LimitReport limit, int wanted, int unused) {}
+public record PermitAsk(LimitReport limit, boolean heard, int wanted, int unused) {}
--- a/serving/src/main/java/org/hallwall/serving/permit/PermitLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/PermitLedger.java
@@ -22,6 +22,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 
 import org.hallwall.core.id.InstanceId;
@@ -40,6 +41,7 @@
     private static final long TELL_END_MILLIS = 10_000;
 
     private final Ticker ticker;
+    private long version;
     private final Map<InstanceId, Limited> targets = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -53,9 +55,11 @@
      * Creates a ledger without accounts.
      *
      * @param ticker the clock
+     * @param firstVersion what versions of limits begin after; another one for each ledger that there is or was
      */
-    public PermitLedger(Ticker ticker) {
+    public PermitLedger(Ticker ticker, long firstVersion) {
         this.ticker = ticker;
+        this.version = firstVersion;
     }
 
     /**
@@ -76,37 +80,48 @@
     private PermitGrant take(InstanceId entry, PermitAsk ask) {
         long now = ticker.millis();
         InstanceId target = ask.limit().target();
-        learn(target, ask.limit().statement(now));
+        if (ask.heard() || !targets.containsKey(target)) {
+            learn(ask.limit());
+        }
         Limited l = targets.get(target);
-        if (l == null || l.statement.limit() == null) {
-            LimitReport none = l == null ? ask.limit() : l.statement.report(target, now);
-            return new PermitGrant(none, ask.wanted(), 0);
+        if (l == null) {
+            return new PermitGrant(ask.limit(), ask.wanted(), 0);
+        }
+        if (l.limit == null) {
+            return new PermitGrant(l.report(target, now), ask.wanted(), 0);
         }
-        double rate = PermitAccount.rate(l.statement.limit());
+        double rate = PermitAccount.rate(l.limit);
         l.account.fill(rate, now);
         l.account.giveBack(rate, ask.unused());
         int permits = l.account.take(entry, ask.wanted());
         long retry = permits < ask.wanted() ? l.account.await(entry, rate, now) : 0;
-        return new PermitGrant(l.statement.report(target, now), permits, retry);
+        return new PermitGrant(l.report(target, now), permits, retry);
     }
 
     @Override
     public synchronized void take(InstanceId target, LimitStatement statement) {
-        learn(target, statement);
+        if (statement.limit() != null) {
+            learn(new LimitReport(target, statement.limit().perSecond(), 0, 0));
+        }
     }
 
-    private void learn(InstanceId target, LimitStatement statement) {
-        Limited l = targets.get(target);
-        if (!statement.replaces(l == null ? null : l.statement)) {
+    private void learn(LimitReport report) {
+        Limited l = targets.get(report.target());
+        long now = ticker.millis();
+        if (l == null) {
+            if (report.limit() != null) {
+                targets.put(report.target(), new Limited(report.limit(), ++version, now));
+            }
             return;
         }
-        long now = ticker.millis();
-        if (l == null || l.statement.limit() == null) {
-            targets.put(target, new Limited(new PermitAccount(now), statement));
+        if (Objects.equals(report.limit(), l.limit)) {
+            l.heardAt = Math.max(l.heardAt, now - report.ageMillis());
             return;
         }
-        l.account.fill(PermitAccount.rate(l.statement.limit()), now);
-        l.statement = statement;
+        boolean stricter = report.limit() != null && report.limit().isStricterThan(l.limit);
+        if (stricter || report.version() == l.version) {
+            l.set(report.limit(), ++version, now);
+        }
     }
 
     /**
@@ -118,8 +133,8 @@
         long now = ticker.millis();
         List<LimitReport> out = new ArrayList<>();
         targets.forEach((target, l) -> {
-            if (l.statement.limit() != null || now - l.statement.heardAt() < TELL_END_MILLIS) {
-                out.add(l.statement.report(target, now));
+            if (l.limit != null || now - l.heardAt < TELL_END_MILLIS) {
+                out.add(l.report(target, now));
             }
         });
         return out;
@@ -128,7 +143,7 @@
     @Override
     public synchronized boolean isLimited(InstanceId target) {
         Limited l = targets.get(target);
-        return l != null && l.statement.limit() != null;
+        return l != null && l.limit != null;
     }
 
     @Override
@@ -139,10 +154,10 @@
     @Override
     public synchronized boolean tryTake(InstanceId target) {
         Limited l = targets.get(target);
-        if (l == null || l.statement.limit() == null) {
+        if (l == null || l.limit == null) {
             return true;
         }
-        l.account.fill(PermitAccount.rate(l.statement.limit()), ticker.millis());
+        l.account.fill(PermitAccount.rate(l.limit), ticker.millis());
         return l.account.tryTakeAhead();
     }
 
@@ -160,8 +175,8 @@
         long now = ticker.millis();
         Map<String, String> out = new TreeMap<>();
         targets.forEach((target, l) -> {
-            if (l.statement.limit() != null) {
-                out.put(target.value(), l.statement.limit() + ", said " + (now - l.statement.heardAt()) + " ms ago");
+            if (l.limit != null) {
+                out.put(target.value(), l.limit + ", said " + (now - l.heardAt) + " ms ago");
             }
         });
         return out;
@@ -171,11 +186,30 @@
     private static final class Limited {
 
         private final PermitAccount account;
-        private LimitStatement statement;
+        private RateLimit limit;
+        private long version;
+        private long heardAt;
+
+        Limited(RateLimit limit, long version, long now) {
+            this.account = new PermitAccount(now);
+            this.limit = limit;
+            this.version = version;
+            this.heardAt = now;
+        }
+
+        void set(RateLimit next, long nextVersion, long now) {
+            if (limit != null) {
+                account.fill(PermitAccount.rate(limit), now);
+            } else {
+                account.empty(now);
+            }
+            limit = next;
+            version = nextVersion;
+            heardAt = now;
+        }
 
-        Limited(PermitAccount account, LimitStatement statement) {
-            this.account = account;
-            this.statement = statement;
+        LimitReport report(InstanceId target, long now) {
+            return new LimitReport(target, limit == null ? null : limit.perSecond(), version, now - heardAt);
         }
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/permit/package-info.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/package-info.java
@@ -28,7 +28,8 @@
  * <p>An entry that loses touch with the account sends a fixed part of its even share, one request at a time. A target that takes next
  * to nothing gets a request now and then all the same, since only its answers can tell that the limit has ended.
  *
- * <p>A statement of a target counts by when it was surely made ({@code LimitStatement}): a stricter one at once, a laxer one only if
- * its request was sent after the stricter one was heard. Entries learn statements from each other through the account.
+ * <p>A stricter statement of a target counts at once. A laxer one counts only if it was surely made later: at its entry, if its request was
+ * sent after the stricter one was heard ({@code LimitStatement}); at the account, if the entry knew the account's version of the limit
+ * when it sent the request. Entries learn limits from each other through the account.
  */
 package org.hallwall.serving.permit;
