Names: targets back off, drain and are rate-limited; retried requests; stalled heads

TargetWish is TargetCondition, ComeBacks RetriedRequests, StandingHeads StalledHeads, unwilling targets are unavailable ones, a rest is a backoff; comments say so with the usual terms. hallwall explain shows the rate limits that an entry had heard when a request found no target.

--- a/cli/src/main/java/org/hallwall/cli/RequestStory.java
+++ b/cli/src/main/java/org/hallwall/cli/RequestStory.java
@@ -45,13 +45,13 @@
     private static final Pattern DIGEST = Pattern.compile("(?:attempt \\d+ of|held back as) ([0-9a-f]{32})");
 
     private static final Pattern ANSWER = Pattern.compile(" from (\\S+?), first after");
-    /** What a request says that found no target because of what targets had asked for. */
-    private static final Pattern NONE_WANTS = Pattern.compile("no target is left, 0 of [0-9]+ want requests now");
-    /** What an entry writes when a target has asked it for that. */
+    /** What a request says that found no target because of what targets had said. */
+    private static final Pattern NONE_AVAILABLE = Pattern.compile("no target is left, 0 of [0-9]+ are available");
+    /** What an entry writes when a target says so. */
     private static final Pattern ASKED =
-            Pattern.compile("^targets: \\S+ (?:asks for \\d+ ms of rest|says that it leaves)");
-    /** How long before a request a target may have asked for rest; no longer one is obeyed. */
-    private static final Duration LONGEST_REST = Duration.ofMinutes(5);
+            Pattern.compile("^targets: \\S+ (?:backs off for \\d+ ms|is draining|names |has named )");
+    /** How long before a request a target may have said so; a limit may hold for longer. */
+    private static final Duration LONGEST_BACKOFF = Duration.ofMinutes(5);
     /** The controller's regular line on what serves. */
     private static final Pattern SERVES = Pattern.compile("^groups: .* serve, idle by fabric domain");
 
@@ -91,7 +91,7 @@
             if (isOwn(line)
                     || (inTime && isAbout(line, names))
                     || tellsOfCrashes(line, digests)
-                    || refusing.contains(line.process()) && tellsOfRest(line, to)) {
+                    || refusing.contains(line.process()) && tellsOfNotices(line, to)) {
                 out.add(line);
             }
         }
@@ -116,18 +116,18 @@
         return line.message().startsWith("crashes: ") && digests.stream().anyMatch(line.message()::contains);
     }
 
-    /** Each entry goes by what targets have asked itself for, up to the longest rest before. */
-    private static boolean tellsOfRest(LogLine line, Instant to) {
+    /** Each entry goes by what targets have told it. */
+    private static boolean tellsOfNotices(LogLine line, Instant to) {
         return ASKED.matcher(line.message()).find()
                 && !line.at().isAfter(to)
-                && !line.at().isBefore(to.minus(LONGEST_REST));
+                && !line.at().isBefore(to.minus(LONGEST_BACKOFF));
     }
 
-    /** Gives the processes that refused the request since no target wants any. */
+    /** Gives the processes that refused the request since no target was available. */
     private static Set<String> processes(List<LogLine> own) {
         Set<String> out = new LinkedHashSet<>();
         for (LogLine line : own) {
-            if (NONE_WANTS.matcher(line.message()).find()) {
+            if (NONE_AVAILABLE.matcher(line.message()).find()) {
                 out.add(line.process());
             }
         }
--- a/serving/src/main/java/org/hallwall/serving/availability/RestTime.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/BackoffTime.java
@@ -22,13 +22,13 @@
 import java.util.regex.Pattern;
 
 /**
- * The time for which a target asks to be left alone: seconds, with fractions. Dates are not read, since the clocks of instances differ by
- * more than a rest lasts.
+ * The time for which a target backs off: seconds, with fractions. Dates are not read, since the clocks of instances differ by
+ * more than such a time.
  */
-final class RestTime {
+final class BackoffTime {
 
     /**
-     * The longest rest that is obeyed, in milliseconds. Overload passes within minutes, and a target that asks for more by mistake is not
+     * The longest time that is obeyed, in milliseconds. Overload passes within minutes, and a target that asks for more by mistake is not
      * lost for longer; what it then answers counts anew.
      */
     static final long MOST_MILLIS = 300_000;
@@ -36,7 +36,7 @@
     private static final Pattern SECONDS = Pattern.compile("[0-9]{1,18}(\\.[0-9]{1,18})?");
     private static final double MILLIS_A_SECOND = 1_000;
 
-    private RestTime() {}
+    private BackoffTime() {}
 
     /**
      * Reads the longest time of some texts.
--- a/serving/src/main/java/org/hallwall/serving/availability/NoticeReader.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/NoticeReader.java
@@ -54,7 +54,7 @@
     }
 
     /**
-     * Says whether a status asks for no more requests now.
+     * Says whether a status turns a request away.
      *
      * @param status the status of an answer
      * @return true if it does
@@ -83,7 +83,7 @@
             return TargetNotice.NONE;
         }
         return new TargetNotice(
-                RestTime.longest(times),
+                BackoffTime.longest(times),
                 leaves.contains(LEAVES),
                 RateLimitHeader.strictest(limits),
                 unread(leaves, times, limits));
@@ -94,7 +94,7 @@
         if (!leaves.stream().allMatch(LEAVES::equals)) {
             out.addAll(leaves);
         }
-        if (!RestTime.areTimes(times)) {
+        if (!BackoffTime.areTimes(times)) {
             out.addAll(times);
         }
         if (!RateLimitHeader.areLimits(limits)) {
--- a/serving/src/main/java/org/hallwall/serving/availability/TargetAvailability.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetAvailability.java
@@ -29,11 +29,11 @@
 import org.jboss.logging.Logger;
 
 /**
- * Knows which targets want no work from this instance: those that asked it for rest, and those that said that they leave. All ways to a
- * target ask here, with no exception for the case that there is no other target.
+ * Knows to which targets this instance may send nothing: those that back off, those that are draining, and those with a rate limit for
+ * which there is no permit. All ways to a target ask here, with no exception for the case that there is no other target.
  *
- * <p>What is known belongs to one start of a target. That it leaves is final: no announcement takes it back, whichever is the later one,
- * since a target that leaves ends. Safe for all threads.
+ * <p>What is known belongs to one start of a target. Draining is final: no announcement takes it back, whichever is the later one,
+ * since a target that drains ends. Safe for all threads.
  */
 public final class TargetAvailability {
 
@@ -49,11 +49,11 @@
 
     private final Ticker ticker;
     private final RateLimiter limiter;
-    private final Map<InstanceId, TargetWish> wishes = new LinkedHashMap<>() {
+    private final Map<InstanceId, TargetCondition> conditions = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<InstanceId, TargetWish> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<InstanceId, TargetCondition> eldest) {
             return size() > MOST_REMEMBERED;
         }
     };
@@ -61,7 +61,7 @@
     private long unreadLineAt = Long.MIN_VALUE / 2;
 
     /**
-     * Creates it; all targets want work.
+     * Creates it; all targets are available.
      *
      * @param ticker the clock
      * @param limiter keeps the rate limits that targets name
@@ -100,28 +100,28 @@
         if (notice.unread() != null) {
             noteUnread(target, notice.unread());
         }
-        if (notice.leaving()) {
-            TargetWish w = wish(target);
-            if (!w.isLeaving()) {
-                LOG.infof("targets: %s says that it leaves, nothing more is sent to it", target);
+        if (notice.isDraining()) {
+            TargetCondition c = condition(target);
+            if (!c.isDraining()) {
+                LOG.infof("targets: %s is draining, nothing more is sent to it", target);
             }
-            w.leaves();
+            c.drains();
         }
         if (notice.limit() != null) {
             limiter.take(target, new LimitStatement(notice.limit(), askedAt, ticker.millis()));
         }
-        if (notice.restMillis() > 0) {
-            rest(target, notice.restMillis());
+        if (notice.backoffMillis() > 0) {
+            backOff(target, notice.backoffMillis());
         }
     }
 
-    private void rest(InstanceId target, long millis) {
+    private void backOff(InstanceId target, long millis) {
         long now = ticker.millis();
-        TargetWish w = wish(target);
-        if (!w.isResting(now)) {
-            LOG.infof("targets: %s asks for %d ms of rest", target, millis);
+        TargetCondition c = condition(target);
+        if (!c.isBackingOff(now)) {
+            LOG.infof("targets: %s backs off for %d ms", target, millis);
         }
-        w.rests(now + millis + ROUNDING_MILLIS);
+        c.backsOff(now + millis + ROUNDING_MILLIS);
     }
 
     private void noteUnread(InstanceId target, String text) {
@@ -133,8 +133,8 @@
         }
     }
 
-    private TargetWish wish(InstanceId target) {
-        return wishes.computeIfAbsent(target, t -> new TargetWish());
+    private TargetCondition condition(InstanceId target) {
+        return conditions.computeIfAbsent(target, t -> new TargetCondition());
     }
 
     /**
@@ -143,10 +143,10 @@
      * @param target the start of the target
      * @return true if it may
      */
-    public synchronized boolean wantsRequests(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        boolean wants = w == null || w.wantsRequests(ticker.millis());
-        return wants && limiter.hasPermit(target);
+    public synchronized boolean isAvailable(InstanceId target) {
+        TargetCondition c = conditions.get(target);
+        boolean available = c == null || c.isAvailable(ticker.millis());
+        return available && limiter.hasPermit(target);
     }
 
     /**
@@ -157,9 +157,9 @@
      * @return true if it may be sent
      */
     public synchronized boolean tryRequest(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        boolean wants = w == null || w.wantsRequests(ticker.millis());
-        return wants && limiter.tryTake(target);
+        TargetCondition c = conditions.get(target);
+        boolean available = c == null || c.isAvailable(ticker.millis());
+        return available && limiter.tryTake(target);
     }
 
     /**
@@ -169,7 +169,7 @@
      * @return true if it may be sent
      */
     public synchronized boolean tryControl(InstanceId target) {
-        return !isResting(target) && limiter.tryTake(target);
+        return !isBackingOff(target) && limiter.tryTake(target);
     }
 
     /**
@@ -179,7 +179,7 @@
      * @return true if it may
      */
     public synchronized boolean mayProbe(InstanceId target) {
-        return !isResting(target) && limiter.hasPermit(target);
+        return !isBackingOff(target) && limiter.hasPermit(target);
     }
 
     /**
@@ -193,83 +193,85 @@
     }
 
     /**
-     * Says whether a target is to be left alone altogether: by requests, probes and orders.
+     * Says whether a target backs off: it is sent neither requests nor probes nor orders.
      *
      * @param target the start of the target
-     * @return true as long as the rest lasts that it has asked this instance for
+     * @return true as long as the time lasts that it has named to this instance
      */
-    public synchronized boolean isResting(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        return w != null && w.isResting(ticker.millis());
+    public synchronized boolean isBackingOff(InstanceId target) {
+        TargetCondition c = conditions.get(target);
+        return c != null && c.isBackingOff(ticker.millis());
     }
 
     /**
-     * Says whether a target has said that it leaves.
+     * Says whether a target has said that it drains.
      *
      * @param target the start of the target
      * @return true if it has
      */
-    public synchronized boolean isLeaving(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        return w != null && w.isLeaving();
+    public synchronized boolean isDraining(InstanceId target) {
+        TargetCondition c = conditions.get(target);
+        return c != null && c.isDraining();
     }
 
     /**
-     * Says how long the rest of a target still lasts.
+     * Says for how long a target still backs off.
      *
      * @param target the start of the target
-     * @return milliseconds; zero if it does not rest
+     * @return milliseconds; zero if it does not
      */
-    public synchronized long restMillis(InstanceId target) {
-        TargetWish w = wishes.get(target);
-        return w == null ? 0 : w.restMillis(ticker.millis());
+    public synchronized long backoffMillis(InstanceId target) {
+        TargetCondition c = conditions.get(target);
+        return c == null ? 0 : c.backoffMillis(ticker.millis());
     }
 
     /**
      * Says when a request may be sent to a target.
      *
      * @param target the start of the target
-     * @return milliseconds; zero if it may be now, unless the target leaves
+     * @return milliseconds; zero if it may be now, unless the target is draining
      */
     public synchronized long retryMillis(InstanceId target) {
-        return Math.max(restMillis(target), limiter.retryMillis(target));
+        return Math.max(backoffMillis(target), limiter.retryMillis(target));
     }
 
     /**
-     * Lists the targets that want no requests now, for people.
+     * Lists the targets that back off or drain, for people.
      *
-     * @return what each is about, by target
+     * @return the condition of each, by target
      */
-    public synchronized Map<String, String> unwilling() {
+    public synchronized Map<String, String> unavailable() {
         long now = ticker.millis();
         Map<String, String> out = new TreeMap<>();
-        wishes.forEach((target, w) -> {
-            if (w.isLeaving()) {
-                out.put(target.value(), "leaves");
-            } else if (w.isResting(now)) {
-                out.put(target.value(), "rests for " + w.restMillis(now) + " ms");
+        conditions.forEach((target, c) -> {
+            if (c.isDraining()) {
+                out.put(target.value(), "draining");
+            } else if (c.isBackingOff(now)) {
+                out.put(target.value(), "backing off for " + c.backoffMillis(now) + " ms");
             }
         });
         return out;
     }
 
     /**
-     * Counts the targets that rest.
+     * Counts the targets that back off.
      *
      * @return how many
      */
-    public synchronized int resting() {
+    public synchronized int backingOff() {
         long now = ticker.millis();
-        return (int) wishes.values().stream().filter(w -> w.isResting(now)).count();
+        return (int)
+                conditions.values().stream().filter(c -> c.isBackingOff(now)).count();
     }
 
     /**
-     * Counts the targets that have said that they leave.
+     * Counts the targets that are draining.
      *
      * @return how many are remembered
      */
-    public synchronized int leaving() {
-        return (int) wishes.values().stream().filter(TargetWish::isLeaving).count();
+    public synchronized int draining() {
+        return (int)
+                conditions.values().stream().filter(TargetCondition::isDraining).count();
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/availability/TargetWish.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetCondition.java
@@ -18,35 +18,35 @@
  */
 package org.hallwall.serving.availability;
 
-/** What one start of a target has asked this instance for; guarded by {@link TargetAvailability}. */
-final class TargetWish {
+/** Whether one start of a target backs off or drains; guarded by {@link TargetAvailability}. */
+final class TargetCondition {
 
-    private boolean leaving;
-    private long restUntil;
+    private boolean draining;
+    private long backoffUntil;
 
-    void leaves() {
-        leaving = true;
+    void drains() {
+        draining = true;
     }
 
-    boolean isLeaving() {
-        return leaving;
+    boolean isDraining() {
+        return draining;
     }
 
-    /** Takes a time of rest; a shorter one does not shorten a longer one. */
-    void rests(long until) {
-        restUntil = Math.max(restUntil, until);
+    /** Takes a time to back off for; a shorter one does not shorten a longer one. */
+    void backsOff(long until) {
+        backoffUntil = Math.max(backoffUntil, until);
     }
 
-    boolean isResting(long now) {
-        return now < restUntil;
+    boolean isBackingOff(long now) {
+        return now < backoffUntil;
     }
 
-    boolean wantsRequests(long now) {
-        return !leaving && !isResting(now);
+    boolean isAvailable(long now) {
+        return !draining && !isBackingOff(now);
     }
 
-    /** Says how long the rest still lasts, in milliseconds. */
-    long restMillis(long now) {
-        return Math.max(0, restUntil - now);
+    /** Says for how long it still backs off, in milliseconds. */
+    long backoffMillis(long now) {
+        return Math.max(0, backoffUntil - now);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/availability/TargetNotice.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/TargetNotice.java
@@ -23,12 +23,12 @@
 /**
  * What an answer says of its target, whatever it says of the request.
  *
- * @param restMillis for how long the target wants nothing from this instance, in milliseconds; zero if it does not say so
- * @param leaving whether the target is about to end
+ * @param backoffMillis for how long the target backs off, in milliseconds; zero if it does not say so
+ * @param isDraining whether the target is about to end
  * @param limit the rate limit that it names; null if it names none that can be read
  * @param unread what was said and not understood, cut short; null if there is nothing of that kind
  */
-public record TargetNotice(long restMillis, boolean leaving, RateLimit limit, String unread) {
+public record TargetNotice(long backoffMillis, boolean isDraining, RateLimit limit, String unread) {
 
     /** Nothing is said. */
     public static final TargetNotice NONE = new TargetNotice(0, false, null, null);
@@ -68,8 +68,8 @@
      * @return text to go behind others; empty if nothing is said
      */
     public String describe() {
-        return (restMillis > 0 ? ", asks for " + restMillis + " ms of rest" : "")
-                + (leaving ? ", leaves" : "")
+        return (backoffMillis > 0 ? ", backs off for " + backoffMillis + " ms" : "")
+                + (isDraining ? ", draining" : "")
                 + (limit != null ? ", names a rate limit of " + limit : "")
                 + (unread != null ? ", says " + unread : "");
     }
--- a/serving/src/main/java/org/hallwall/serving/availability/package-info.java
+++ b/serving/src/main/java/org/hallwall/serving/availability/package-info.java
@@ -17,10 +17,10 @@
  * under the License.
  */
 /**
- * Whether a target wants work now: the one place that knows, and that every way to a target asks.
+ * Whether a target may be sent something now: the one place that knows, and that every way to a target asks.
  *
- * <p>The way of a request: its candidates are the targets that want work ({@code TargetAvailability.wantsRequests}); the send asks the
- * same once more when a connection is there; the answer's {@code TargetNotice} goes back into the same place. Probes and orders ask
- * {@code isResting}.
+ * <p>The way of a request: its candidates are the targets that are available ({@code TargetAvailability.isAvailable}); the send takes
+ * the right to do so when a connection is there ({@code tryRequest}); the answer's {@code TargetNotice} goes back into the same
+ * place. Probes and orders ask {@code tryControl}.
  */
 package org.hallwall.serving.availability;
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -357,8 +357,8 @@
         if (message instanceof FeedMessage.TrialQuestion m && crashes != null) {
             return crashes.trial(m.digest());
         }
-        if (message instanceof FeedMessage.StandingHead m && groups != null) {
-            return groups.standing(m);
+        if (message instanceof FeedMessage.StalledHead m && groups != null) {
+            return groups.stalled(m);
         }
         if (message instanceof FeedMessage.SuspectFinding m && groups != null) {
             return groups.confirm(m);
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -42,7 +42,7 @@
 
     private static final Logger LOG = Logger.getLogger(CrashWatch.class);
 
-    /** When a caller comes back if nobody can say more, in milliseconds: elections and cuts are over by then for the most part. */
+    /** When a caller retries if nobody can say more, in milliseconds: elections and cuts are over by then for the most part. */
     private static final long ALONE_MILLIS = 10_000;
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/decision/Mechanism.java
+++ b/serving/src/main/java/org/hallwall/serving/decision/Mechanism.java
@@ -30,7 +30,7 @@
     FAR_GROUPS,
     /** Streams that are refused count as demand for their model. */
     REFUSED_DEMAND,
-    /** Streams that come back after a refusal find less room than first ones. */
+    /** Streams that are retried after a refusal find less room than first ones. */
     RETURNS_LAST,
     /** Of two groups that are drawn the one with less in progress is chosen, instead of the least loaded of all. */
     TWO_CHOICES,
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -38,7 +38,7 @@
 import org.hallwall.serving.config.TargetService;
 import org.hallwall.serving.decision.Mechanisms;
 import org.hallwall.serving.target.FeedMessage.HeadFinding;
-import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.hallwall.serving.target.FeedMessage.SuspectFinding;
 import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.TargetDirectory.KnownTarget;
@@ -148,7 +148,7 @@
      * @param report the report
      * @return what was found; never an error
      */
-    public Mono<HeadFinding> standing(StandingHead report) {
+    public Mono<HeadFinding> stalled(StalledHead report) {
         return onDuty(report.group(), () -> probe(report));
     }
 
@@ -374,7 +374,7 @@
         }
     }
 
-    private Mono<HeadFinding> probe(StandingHead report) {
+    private Mono<HeadFinding> probe(StalledHead report) {
         if (!voter.holdsLease()) {
             return Mono.just(finding(report.group(), GroupLiveness.UNKNOWN));
         }
--- a/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupProbes.java
@@ -138,7 +138,7 @@
         }
         return gateway.answers(record, TIMEOUT)
                 .map(ok -> new Answer(id, ok, ticker.millis() - begunAt))
-                // one that rests has answered lately, and says nothing of how quick this controller is
+                // one that backs off has answered lately, and says nothing of how quick this controller is
                 .defaultIfEmpty(new Answer(id, true, Long.MAX_VALUE));
     }
 
--- a/serving/src/main/java/org/hallwall/serving/group/TargetGateway.java
+++ b/serving/src/main/java/org/hallwall/serving/group/TargetGateway.java
@@ -27,7 +27,7 @@
 public interface TargetGateway {
 
     /**
-     * Gives an order, unless the target rests.
+     * Gives an order, unless the target is not available.
      *
      * @param target the target
      * @param order the order
@@ -38,11 +38,11 @@
     Mono<OrderOutcome> order(TargetRecord target, TargetOrder order, long fencingToken, Duration timeout);
 
     /**
-     * Asks whether a target answers at all, unless it rests.
+     * Asks whether a target answers at all, unless it is not available.
      *
      * @param target the target
      * @param timeout how long an answer is awaited
-     * @return true if it answered; empty if it rests and was not asked; never an error
+     * @return true if it answered; empty if it is not available and was not asked; never an error
      */
     Mono<Boolean> answers(TargetRecord target, Duration timeout);
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/Admission.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Admission.java
@@ -31,8 +31,8 @@
 /**
  * Admits streams as long as their groups have room; used on the I/O thread only.
  *
- * <p>While the counts of all entries are known, the room is what all groups of the model have left. Requests that come back
- * after a refusal are admitted after those that come first. Together no more are served either way, but if those that come back
+ * <p>While the counts of all entries are known, the room is what all groups of the model have left. Retries
+ * after a refusal are admitted after those that come first. Together no more are served either way, but if retries
  * went first, they would fill the groups in a long overload, and everyone would be refused once and late. Without the counts each
  * entry has a window of its own for each model.
  */
--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -39,13 +39,13 @@
     }
 
     /**
-     * Creates the failure of an attempt that was not made, as its target wants no requests.
+     * Creates the failure of an attempt that was not made, as its target is not available.
      *
      * @param reason why
      * @return the failure
      */
-    public static AttemptFailure unwilling(String reason) {
-        return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.UNWILLING);
+    public static AttemptFailure unavailable(String reason) {
+        return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.UNAVAILABLE);
     }
 
     /**
@@ -108,8 +108,8 @@
     enum Kind {
         /** The request was not sent to it. */
         NOT_SENT,
-        /** It wants no requests, and this one was kept from it. */
-        UNWILLING,
+        /** It is not available, and the request was not sent to it. */
+        UNAVAILABLE,
         /** Nothing listens where it was. */
         NOBODY_THERE,
         /** Another target answered in its place. */
@@ -137,7 +137,7 @@
      * @return true if it did
      */
     public boolean hasReached() {
-        return kind != Kind.UNWILLING && !isUnreachable();
+        return kind != Kind.UNAVAILABLE && !isUnreachable();
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -126,7 +126,7 @@
         context.counters().attempt(f.verdict().name());
         if (f.verdict() != Verdict.NOT_RUN) {
             ran++;
-        } else if (f.kind() != AttemptFailure.Kind.UNWILLING) {
+        } else if (f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
             turnedAway++;
         }
         noteTarget(context.balancer().state(target), target, f);
--- a/serving/src/main/java/org/hallwall/serving/relay/Candidates.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Candidates.java
@@ -24,10 +24,10 @@
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.permit.EntryPermits;
 
-/** The targets that a request may go to at this moment: those that serve it and want work. */
+/** The targets that a request may go to at this moment: those that serve it and are available. */
 final class Candidates {
 
-    /** How far apart callers come back who are told the same moment, in milliseconds: long enough that they are not one burst. */
+    /** How far apart callers retry who are told the same moment, in milliseconds: long enough that they are not one burst. */
     private static final long SPREAD_MILLIS = 250;
 
     private final EntryState state;
@@ -39,7 +39,7 @@
      * Creates it.
      *
      * @param state the targets that serve
-     * @param availability which of them want work
+     * @param availability which of them are available
      * @param permits this entry's permits for targets with a rate limit
      * @param random draws from 0 to 1
      */
@@ -53,7 +53,7 @@
     /** Lists the targets that a request may be sent to now. */
     List<ServingTarget> of(RelayRequest request) {
         return serving(request).stream()
-                .filter(t -> availability.wantsRequests(t.instance()))
+                .filter(t -> availability.isAvailable(t.instance()))
                 .toList();
     }
 
@@ -76,7 +76,7 @@
             return;
         }
         List<ServingTarget> all = serving(request).stream()
-                .filter(t -> !availability.isLeaving(t.instance()) && !availability.isResting(t.instance()))
+                .filter(t -> !availability.isDraining(t.instance()) && !availability.isBackingOff(t.instance()))
                 .toList();
         boolean even = !unlimited(all).isEmpty();
         double sum = 0;
@@ -97,7 +97,7 @@
         return state.targets().of(request.service(), request.model());
     }
 
-    /** Says whether there are targets that serve a request, though they may want none now. */
+    /** Says whether there are targets that serve a request, though none may be available now. */
     boolean serveLater(RelayRequest request) {
         return !serving(request).isEmpty();
     }
@@ -105,28 +105,27 @@
     /** Tells why none is left, for logs and callers. */
     String describe(RelayRequest request) {
         List<ServingTarget> all = serving(request);
-        long want = all.stream()
-                .filter(t -> availability.wantsRequests(t.instance()))
-                .count();
+        long available =
+                all.stream().filter(t -> availability.isAvailable(t.instance())).count();
         return all.isEmpty()
                 ? "no target serves"
-                : "no target is left, " + want + " of " + all.size() + " want requests now, "
-                        + limited(all).size() + " are rate-limited, the others rest or leave";
+                : "no target is left, " + available + " of " + all.size() + " are available, "
+                        + limited(all).size() + " are rate-limited, the others back off or drain";
     }
 
     /**
-     * Says when a caller should come back whose request found no target, in milliseconds: when the first rest is over or the first permit
-     * is due. Until then nobody would take it, and where all leave or one is left that has failed, repair takes the usual time.
+     * Says when a caller should retry whose request found no target, in milliseconds: when the first target no longer backs off or the
+     * first permit is due. Until then nobody would take it, and where all drain or one is left that has failed, repair takes the usual time.
      */
-    long comeBackMillis(RelayRequest request) {
+    long retryAfterMillis(RelayRequest request) {
         long earliest = Long.MAX_VALUE;
         for (ServingTarget t : serving(request)) {
-            if (!availability.isLeaving(t.instance())) {
+            if (!availability.isDraining(t.instance())) {
                 earliest = Math.min(earliest, availability.retryMillis(t.instance()));
             }
         }
         return earliest == 0 || earliest == Long.MAX_VALUE
-                ? RelayContext.COME_BACK_MILLIS
+                ? RelayContext.RETRY_AFTER_MILLIS
                 : earliest + (long) (random.getAsDouble() * SPREAD_MILLIS);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -62,7 +62,7 @@
      *
      * @param controllers gives the link to the leader, or those to all if it is not known
      * @param directory all targets
-     * @param reaches asks whether a target answers; empty for one that rests and is not asked
+     * @param reaches asks whether a target answers; empty for one that is not available and is not asked
      * @param refuses asks whether the address of a target refuses a connection
      */
     CrashExchange(
@@ -78,7 +78,7 @@
 
     @Override
     public Mono<Boolean> answers(InstanceId target) {
-        // one that rests has answered lately; that it has ended since is found out by looking again
+        // one that backs off has answered lately; that it has ended since is found out by looking again
         return reaches.apply(target).defaultIfEmpty(true);
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -52,7 +52,7 @@
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
 import org.hallwall.serving.target.FeedMessage.HeadFinding;
-import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.serving.target.TargetRecord;
@@ -148,7 +148,7 @@
                 budget,
                 new ForwardedHeaders(names),
                 names,
-                new StandingHeads(this::ask, fleet::isInTouch, ticker),
+                new StalledHeads(this::ask, fleet::isInTouch, ticker),
                 admission,
                 new StreamWatch(),
                 new RelayCounts(registry),
@@ -227,7 +227,7 @@
     }
 
     /**
-     * Gives what is known of targets that want no work.
+     * Gives what is known of targets that are not available.
      *
      * @return the one place that knows
      */
@@ -379,7 +379,7 @@
     }
 
     /** Asks about a head; the control instance that controls the groups knows. */
-    private Mono<GroupLiveness> ask(StandingHead head) {
+    private Mono<GroupLiveness> ask(StalledHead head) {
         return Flux.fromIterable(exchange.controllers())
                 .flatMap(l -> finding(l, head)
                         .flatMap(f -> f.liveness() == GroupLiveness.SUSPECTED ? secondOpinion(l, f) : Mono.just(f)))
@@ -396,7 +396,7 @@
         });
     }
 
-    /** Asks the members that did not answer the controller, but for those that rest, tells it, and goes by its own finding if it does not answer. */
+    /** Asks the members that did not answer the controller, but for those that are not available, tells it, and goes by its own finding if it does not answer. */
     private Mono<HeadFinding> secondOpinion(PeerLink link, HeadFinding suspected) {
         List<InstanceId> asked =
                 suspected.suspects().stream().filter(availability::mayProbe).toList();
--- a/serving/src/main/java/org/hallwall/serving/relay/FirstConfiguration.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/FirstConfiguration.java
@@ -23,14 +23,14 @@
 import org.hallwall.core.time.Ticker;
 
 /**
- * Tells callers when to come back to an entry that knows no configuration yet. A caller comes back once, so an early return costs
+ * Tells callers when to retry at an entry that knows no configuration yet. A caller retries once, so an early return costs
  * the request: after a loss of all power entries listen some two seconds before the control instances have started and elected.
  */
 final class FirstConfiguration {
 
     /** How long after it listens an entry usually knows its configuration, in milliseconds, when all instances start together. */
     private static final long USUAL_MILLIS = 1_900;
-    /** The shortest time after which callers come back, in milliseconds. */
+    /** The shortest time after which callers retry, in milliseconds. */
     private static final long LEAST_MILLIS = 300;
     /** The time over which returns are spread, in milliseconds: heads announce themselves within a heartbeat of 1.2 s. */
     private static final double SPREAD_MILLIS = 1_000;
@@ -51,8 +51,8 @@
         this.listensSince = ticker.millis();
     }
 
-    /** Gives the time after which a caller should come back, in milliseconds. */
-    long comeBackMillis() {
+    /** Gives the time after which a caller should retry, in milliseconds. */
+    long retryAfterMillis() {
         long left = listensSince + USUAL_MILLIS - ticker.millis();
         return Math.max(LEAST_MILLIS, left) + (long) (random.getAsDouble() * SPREAD_MILLIS);
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/PlainRun.java
@@ -113,6 +113,6 @@
             return Mono.error(new RelayRefusal(504, verdict, reason, 0));
         }
         return Mono.error(
-                RelayRefusal.after(verdict, reason, context.candidates().comeBackMillis(request)));
+                RelayRefusal.after(verdict, reason, context.candidates().retryAfterMillis(request)));
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -31,7 +31,7 @@
  * @param budget bounds repeats
  * @param headers copies headers
  * @param names the names of the headers
- * @param standing judges heads whose streams stand still
+ * @param stalled judges heads whose streams stand still
  * @param admission bounds the streams in progress
  * @param watch looks at streams in progress
  * @param counters counts outcomes
@@ -46,20 +46,20 @@
         RetryBudget budget,
         ForwardedHeaders headers,
         HeaderNames names,
-        StandingHeads standing,
+        StalledHeads stalled,
         Admission admission,
         StreamWatch watch,
         RelayCounts counters,
         CrashWatch crashes,
         Ticker ticker) {
 
-    /** When a caller comes back whose request found no target, in milliseconds: about the time in which a group is repaired. */
-    static final long COME_BACK_MILLIS = 250;
+    /** When a caller retries whose request found no target, in milliseconds: about the time in which a group is repaired. */
+    static final long RETRY_AFTER_MILLIS = 250;
     /**
-     * When a caller comes back whose request found all groups full, in milliseconds: a stream's life, and the time in which lost
+     * When a caller retries whose request found all groups full, in milliseconds: a stream's life, and the time in which lost
      * groups are formed again. Callers wait up to a third of the time they have left.
      */
-    static final long FULL_COME_BACK_MILLIS = 1_200;
+    static final long FULL_RETRY_AFTER_MILLIS = 1_200;
 
     /**
      * Gives the time.
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
@@ -27,7 +27,7 @@
 
     private final int status;
     private final Verdict verdict;
-    private final long comeBackMillis;
+    private final long retryAfterMillis;
 
     /**
      * Creates a refusal.
@@ -35,24 +35,24 @@
      * @param status the HTTP status
      * @param verdict whether the request may have run
      * @param reason why, for the caller and the log
-     * @param comeBackMillis when to come back, in milliseconds; zero if the caller is not told
+     * @param retryAfterMillis when to retry, in milliseconds; zero if the caller is not told
      */
-    public RelayRefusal(int status, Verdict verdict, String reason, long comeBackMillis) {
+    public RelayRefusal(int status, Verdict verdict, String reason, long retryAfterMillis) {
         super(reason, null, false, false);
         this.status = status;
         this.verdict = verdict;
-        this.comeBackMillis = comeBackMillis;
+        this.retryAfterMillis = retryAfterMillis;
     }
 
     /**
-     * Refuses a request that has not run and may come back.
+     * Refuses a request that has not run and may be retried.
      *
      * @param reason why
-     * @param comeBackMillis when to come back, in milliseconds
+     * @param retryAfterMillis when to retry, in milliseconds
      * @return the refusal
      */
-    public static RelayRefusal notRun(String reason, long comeBackMillis) {
-        return new RelayRefusal(503, Verdict.NOT_RUN, reason, comeBackMillis);
+    public static RelayRefusal notRun(String reason, long retryAfterMillis) {
+        return new RelayRefusal(503, Verdict.NOT_RUN, reason, retryAfterMillis);
     }
 
     /**
@@ -60,11 +60,13 @@
      *
      * @param verdict whether it may have run
      * @param reason why
-     * @param comeBackMillis when to come back if it has not run, in milliseconds
+     * @param retryAfterMillis when to retry if it has not run, in milliseconds
      * @return the refusal
      */
-    public static RelayRefusal after(Verdict verdict, String reason, long comeBackMillis) {
-        return verdict == Verdict.NOT_RUN ? notRun(reason, comeBackMillis) : new RelayRefusal(502, verdict, reason, 0);
+    public static RelayRefusal after(Verdict verdict, String reason, long retryAfterMillis) {
+        return verdict == Verdict.NOT_RUN
+                ? notRun(reason, retryAfterMillis)
+                : new RelayRefusal(502, verdict, reason, 0);
     }
 
     /**
@@ -86,11 +88,11 @@
     }
 
     /**
-     * Gives the time to come back.
+     * Gives the time to retry.
      *
      * @return milliseconds; zero if the caller is not told
      */
-    public long comeBackMillis() {
-        return comeBackMillis;
+    public long retryAfterMillis() {
+        return retryAfterMillis;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -65,13 +65,13 @@
 
     /** How long connections may take to close; what is in progress was finished before. */
     private static final Duration CLOSE = Duration.ofMillis(200);
-    /** When a caller comes back whom another entry can serve at once, in milliseconds. */
+    /** When a caller retries whom another entry can serve at once, in milliseconds. */
     private static final long ELSEWHERE_MILLIS = 20;
 
     private final RelayContext context;
     private final FirstConfiguration firstConfiguration;
     private final AtomicInteger inFlight = new AtomicInteger();
-    private final ComeBacks comeBacks = new ComeBacks();
+    private final RetriedRequests retriedRequests = new RetriedRequests();
     private DisposableServer server;
     private volatile boolean stopping;
     private volatile boolean takingNothing;
@@ -160,7 +160,7 @@
         }
         RouteTable routes = context.state().routes();
         if (routes.configuration().version() == 0) {
-            throw RelayRefusal.notRun("no configuration is known yet", firstConfiguration.comeBackMillis());
+            throw RelayRefusal.notRun("no configuration is known yet", firstConfiguration.retryAfterMillis());
         }
         HttpHeaders headers = req.requestHeaders();
         checkHead(routes, headers, req.uri());
@@ -178,7 +178,7 @@
         }
         long now = context.now();
         long callersTime = callersTime(headers, route);
-        boolean again = comeBacks.isBack(route, callersTime);
+        boolean again = retriedRequests.isRetry(route, callersTime);
         long deadlineAt = now + Math.min(route.timeoutMillis(), callersTime);
         int most = routes.configuration().limits().bodyBytes();
         String service = route.service(ThreadLocalRandom.current().nextDouble());
@@ -279,13 +279,13 @@
         List<ServingTarget> targets = candidates.of(r);
         if (targets.isEmpty() && candidates.serveLater(r)) {
             context.admission().refuse(r);
-            return Mono.error(RelayRefusal.notRun(candidates.describe(r), candidates.comeBackMillis(r)));
+            return Mono.error(RelayRefusal.notRun(candidates.describe(r), candidates.retryAfterMillis(r)));
         }
         boolean permitted = context.balancer().chooseWithRoom(candidates.limited(targets), Set.of()) != null;
         AdmissionWindow window = context.admission().enter(r, candidates.unlimited(targets), permitted);
         if (window == null) {
             String reason = context.admission().describe(r, targets);
-            return Mono.error(RelayRefusal.notRun(reason, RelayContext.FULL_COME_BACK_MILLIS));
+            return Mono.error(RelayRefusal.notRun(reason, RelayContext.FULL_RETRY_AFTER_MILLIS));
         }
         StreamRun run = new StreamRun(
                 context,
@@ -334,8 +334,8 @@
                 e.getMessage(),
                 context.state().routes().configuration().version());
         context.counters().refusal(e.status());
-        if (e.comeBackMillis() > 0) {
-            res.header(HttpHeaderNames.RETRY_AFTER, Double.toString(e.comeBackMillis() / 1_000.0));
+        if (e.retryAfterMillis() > 0) {
+            res.header(HttpHeaderNames.RETRY_AFTER, Double.toString(e.retryAfterMillis() / 1_000.0));
         }
         byte[] body = (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8);
         res.status(e.status());
--- a/serving/src/main/java/org/hallwall/serving/relay/ComeBacks.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetriedRequests.java
@@ -24,10 +24,10 @@
 import org.hallwall.serving.config.Route;
 
 /**
- * Recognises requests that were refused once and come back: their caller has less time left than a first attempt has. Used on
+ * Recognises requests that were refused before and are retried: their caller has less time left than a first attempt has. Used on
  * the I/O thread only.
  */
-final class ComeBacks {
+final class RetriedRequests {
 
     /** A request with less than this part of the usual time has been here or at another entry before. */
     private static final double USUAL_PART = 0.97;
@@ -39,9 +39,9 @@
      *
      * @param route its route
      * @param timeMillis the time that its caller has left
-     * @return true if it has likely come back
+     * @return true if it is likely a retry
      */
-    boolean isBack(Route route, long timeMillis) {
+    boolean isRetry(Route route, long timeMillis) {
         long most = longest.merge(route.name(), timeMillis, Math::max);
         // a few callers are more patient than others; what the route allows is the usual time then
         return timeMillis < Math.min(most, route.timeoutMillis()) * USUAL_PART;
--- a/serving/src/main/java/org/hallwall/serving/relay/StandingHeads.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StalledHeads.java
@@ -24,7 +24,7 @@
 import java.util.function.Function;
 
 import org.hallwall.core.time.Ticker;
-import org.hallwall.serving.target.FeedMessage.StandingHead;
+import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.hallwall.serving.target.GroupLiveness;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
@@ -33,9 +33,9 @@
  * Tells heads whose group has lost a member from heads that work long on what they were given. Both look alike to an entry, but
  * a stream that leaves a working head costs its prompt a second time. Used on the I/O thread only.
  */
-public final class StandingHeads {
+public final class StalledHeads {
 
-    private static final Logger LOG = Logger.getLogger(StandingHeads.class);
+    private static final Logger LOG = Logger.getLogger(StalledHeads.class);
     /**
      * How long the controller's answer is awaited, in milliseconds: three hops, two new connections, and the
      * scheduling of a control instance that has less than half a core.
@@ -54,7 +54,7 @@
     /** How long a question is remembered, in milliseconds; longer than any silence. */
     private static final long FORGET_MILLIS = 10_000;
 
-    private final Function<StandingHead, Mono<GroupLiveness>> controller;
+    private final Function<StalledHead, Mono<GroupLiveness>> controller;
     private final BooleanSupplier inTouch;
     private final Ticker ticker;
     private final Map<String, Question> questions = new HashMap<>();
@@ -66,8 +66,7 @@
      * @param inTouch whether the group controller has answered anything lately
      * @param ticker the clock
      */
-    public StandingHeads(
-            Function<StandingHead, Mono<GroupLiveness>> controller, BooleanSupplier inTouch, Ticker ticker) {
+    public StalledHeads(Function<StalledHead, Mono<GroupLiveness>> controller, BooleanSupplier inTouch, Ticker ticker) {
         this.controller = controller;
         this.inTouch = inTouch;
         this.ticker = ticker;
@@ -81,7 +80,7 @@
      * @param patienceMillis the silence after which the controller is asked
      * @return true if it lost a member, or if it is silent for long and nobody knows why
      */
-    boolean shouldLeave(StandingHead head, long silentSince, long patienceMillis) {
+    boolean shouldLeave(StalledHead head, long silentSince, long patienceMillis) {
         long now = ticker.millis();
         long silence = now - silentSince;
         Question q = questions.get(head.group());
@@ -108,7 +107,7 @@
      *
      * @param head the head
      */
-    void report(StandingHead head) {
+    void report(StalledHead head) {
         long now = ticker.millis();
         Question q = questions.get(head.group());
         if (q == null || now - q.askedAt >= REPORT_MILLIS) {
@@ -116,7 +115,7 @@
         }
     }
 
-    private void ask(StandingHead head, long now) {
+    private void ask(StalledHead head, long now) {
         questions.values().removeIf(q -> now - q.askedAt > FORGET_MILLIS);
         Question q = new Question(now);
         questions.put(head.group(), q);
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRoom.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRoom.java
@@ -23,7 +23,7 @@
 
     /** The part of the slots up to which streams are admitted: above it the next ones would wait for a slot. */
     private static final double ROOM = 0.95;
-    /** The same for streams that come back. */
+    /** The same for retried streams. */
     private static final double ROOM_AGAIN = 0.85;
 
     private StreamRoom() {}
@@ -33,7 +33,7 @@
      *
      * @param running the streams in progress at all groups of its model
      * @param slots the slots of those groups, fewer for slower ones
-     * @param again whether it comes back after a refusal
+     * @param again whether it is retried after a refusal
      * @return true if it has room
      */
     public static boolean holds(double running, double slots, boolean again) {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamWatch.java
@@ -29,7 +29,7 @@
 /** Looks at all streams in progress at short intervals with one timer; used on the I/O thread only. */
 public final class StreamWatch {
 
-    /** How often standing streams are looked for, in milliseconds; a fraction of the shortest patience. */
+    /** How often stalled streams are looked for, in milliseconds; a fraction of the shortest patience. */
     private static final long LOOK_MILLIS = 20;
 
     private final Set<Runnable> watched = new LinkedHashSet<>();
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -76,7 +76,7 @@
      *
      * @param loops the I/O threads
      * @param names the names of the headers that the relay sets
-     * @param availability which targets want work
+     * @param availability which targets are available
      * @param ticker the clock
      */
     public TargetClient(LoopResources loops, HeaderNames names, TargetAvailability availability, Ticker ticker) {
@@ -105,10 +105,10 @@
      *
      * @param target the start of the target
      * @param address its address
-     * @return true if the connection is refused; false if it comes up, nobody says a word, or the target rests and was not asked
+     * @return true if the connection is refused; false if it comes up, nobody says a word, or the target backs off and was not asked
      */
     Mono<Boolean> refuses(InstanceId target, NetAddress address) {
-        if (availability.isResting(target)) {
+        if (availability.isBackingOff(target)) {
             return Mono.just(false);
         }
         return knocker.host(address.host())
@@ -122,7 +122,7 @@
     }
 
     /**
-     * Sends one attempt, if the target still wants requests when a connection is there.
+     * Sends one attempt, if the target is still available when a connection is there.
      *
      * @param target the target
      * @param request the request
@@ -143,9 +143,9 @@
                 .request(request.method())
                 .uri("http://" + target.address() + request.uri())
                 .send((r, out) -> {
-                    // others may have been turned away while this one waited for its connection
+                    // others may have been answered while this one waited for its connection
                     if (!availability.tryRequest(target.instance())) {
-                        return Mono.error(AttemptFailure.unwilling("it wants no requests now"));
+                        return Mono.error(AttemptFailure.unavailable("it is not available now"));
                     }
                     sentAt.set(ticker.millis());
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -45,7 +45,7 @@
                 .add(61, News.class)
                 .add(62, MembersQuestion.class)
                 .add(63, Members.class)
-                .add(64, StandingHead.class)
+                .add(64, StalledHead.class)
                 .add(65, JoinRequest.class)
                 .add(66, HeadFinding.class)
                 .add(67, LoadReport.class)
@@ -156,10 +156,10 @@
      * @param group the group's name
      * @param epoch the group's epoch
      */
-    record StandingHead(InstanceId head, String group, long epoch) implements FeedMessage {}
+    record StalledHead(InstanceId head, String group, long epoch) implements FeedMessage {}
 
     /**
-     * Answers the report of a standing head.
+     * Answers the report of a stalled head.
      *
      * @param group the group's name
      * @param liveness what the group controller found; unknown from an instance that does not control groups
--- a/simulation/src/main/java/org/hallwall/simulation/Trouble.java
+++ b/simulation/src/main/java/org/hallwall/simulation/Trouble.java
@@ -26,7 +26,7 @@
  * @param darkAtMillis when a whole fabric domain goes silent; negative for never
  * @param darkForMillis for how long it does
  * @param endsMillis the time after which nothing more happens
- * @param unwilling when heads want no work
+ * @param unavailable when heads back off or drain
  */
 public record Trouble(
         long lossEveryMillis,
@@ -34,8 +34,8 @@
         long darkAtMillis,
         long darkForMillis,
         long endsMillis,
-        UnwillingTrouble unwilling) {
+        UnavailableTrouble unavailable) {
 
     /** Nothing happens. */
-    public static final Trouble NONE = new Trouble(0, 0, -1, 0, 0, UnwillingTrouble.NONE);
+    public static final Trouble NONE = new Trouble(0, 0, -1, 0, 0, UnavailableTrouble.NONE);
 }
