--- a/serving/src/test/java/org/hallwall/serving/permit/SimulatedEntry.java
+++ b/serving/src/test/java/org/hallwall/serving/permit/SimulatedEntry.java
@@ -210,6 +210,12 @@
         }
     }
 
+    void toldShares(int target, double limit) {
+        if (shares != null) {
+            shares.take(target(target), new LimitStatement(new RateLimit(limit), clock(), clock()));
+        }
+    }
+
     void step() {
         long due = isRunning() && shares == null && !asking ? permits.dueMillis() : -1;
         if (due != 0 || clock() < notBefore) {
--- a/serving/src/test/java/org/hallwall/serving/permit/SimulatedSystem.java
+++ b/serving/src/test/java/org/hallwall/serving/permit/SimulatedSystem.java
@@ -19,9 +19,11 @@
 package org.hallwall.serving.permit;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiFunction;
 
 import org.hallwall.core.id.InstanceId;
@@ -41,6 +43,7 @@
     private final List<InstanceId> ids = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final double perSecond;
+    private final Set<Integer> heard = new HashSet<>();
     private double[] weights;
     private int ledgers;
     private PermitLedger ledger;
@@ -159,6 +162,7 @@
             if (now % TELL_MILLIS == 0 && ledger != null) {
                 List<LimitReport> limits = ledger.limits();
                 entries.forEach(e -> e.told(limits));
+                tellShares();
             }
             entries.forEach(SimulatedEntry::step);
             double expected = perSecond * STEP_MILLIS / 1_000;
@@ -169,6 +173,18 @@
         }
     }
 
+    /** The other ways to divide a limit learn as soon as the product's what any entry has heard. */
+    private void tellShares() {
+        for (int t = 0; t < targets.size(); t++) {
+            double limit = targets.get(t).named(now);
+            if (limit >= 0 && heard.contains(t)) {
+                for (SimulatedEntry e : entries) {
+                    e.toldShares(t, limit);
+                }
+            }
+        }
+    }
+
     private void request() {
         double sum = 0;
         for (double w : weights) {
@@ -194,6 +210,7 @@
             targets.get(target).arrived(now, counts);
             later(answerMillis, () -> {
                 double limit = targets.get(target).named(now);
+                heard.add(target);
                 later(1 + random.nextInt(4), () -> entry.answered(life, target, limit, askedAt));
             });
         });
--- a/simulation/src/main/java/org/hallwall/simulation/SimulatedDay.java
+++ b/simulation/src/main/java/org/hallwall/simulation/SimulatedDay.java
@@ -169,6 +169,7 @@
     }
 
     private void offer(SimulatedStream s) {
+        heads.arrived(fleet.open(s.kind.model()));
         List<GroupRun> open = open(s);
         int slots = open.stream().mapToInt(GroupRun::slots).sum();
         int running = open.stream().mapToInt(GroupRun::running).sum();
--- a/simulation/src/main/java/org/hallwall/simulation/UnavailableHeads.java
+++ b/simulation/src/main/java/org/hallwall/simulation/UnavailableHeads.java
@@ -18,20 +18,27 @@
  */
 package org.hallwall.simulation;
 
+import java.util.List;
+
 import org.apache.commons.rng.UniformRandomProvider;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.availability.TargetNotice;
-import org.hallwall.serving.permit.RateLimiter;
+import org.hallwall.serving.permit.EntryPermits;
+import org.hallwall.serving.permit.PermitLedger;
+import org.hallwall.serving.permit.RateLimit;
 
 /** Heads that are not available for a time, by what they answer, and what callers' entries know of it. */
 final class UnavailableHeads {
 
+    private static final InstanceId ENTRY = new InstanceId("entry");
     /** The part of streams that such a head turns away. */
     private static final double TURNED_AWAY = 0.9;
 
     private final UnavailableTrouble trouble;
     private final UniformRandomProvider random;
+    private final PermitLedger ledger;
+    private final EntryPermits permits;
     private final TargetAvailability availability;
     private long now;
     private long at;
@@ -39,13 +46,25 @@
     UnavailableHeads(UnavailableTrouble trouble, UniformRandomProvider random) {
         this.trouble = trouble;
         this.random = random;
-        this.availability = new TargetAvailability(() -> now, RateLimiter.UNLIMITED);
+        this.ledger = new PermitLedger(() -> now, 0);
+        this.permits = new EntryPermits(() -> now, random::nextDouble);
+        this.availability = new TargetAvailability(() -> now, permits);
     }
 
     /** Lets time pass; the second figure is the time since callers come, in milliseconds. */
     void pass(long clock, long sinceCallers) {
         now = clock;
         at = sinceCallers;
+        if (permits.dueMillis() == 0) {
+            permits.take(ledger.take(ENTRY, permits.asks()), now);
+        }
+    }
+
+    /** Notes a stream that may go to one of some groups, so that permits are asked for. */
+    void arrived(List<GroupRun> groups) {
+        if (trouble.perSecond() > 0 && !groups.isEmpty()) {
+            permits.want(groups.get(random.nextInt(groups.size())).head());
+        }
     }
 
     /** Says whether a head may be sent a stream, by what it has answered so far. */
@@ -55,6 +74,9 @@
 
     /** Sends a stream to a head and says whether it takes it. */
     boolean takes(GroupRun group) {
+        if (trouble.perSecond() > 0) {
+            return takesWithinLimit(group.head());
+        }
         if (!isUnavailable(group.head())) {
             return true;
         }
@@ -69,6 +91,16 @@
         return false;
     }
 
+    private boolean takesWithinLimit(InstanceId head) {
+        if (!availability.tryRequest(head)) {
+            return false;
+        }
+        boolean limited = isUnavailable(head);
+        RateLimit limit = new RateLimit(trouble.perSecond());
+        availability.takeAnswer(head, limited ? TargetNotice.limited(limit) : TargetNotice.NONE, now);
+        return true;
+    }
+
     private boolean isUnavailable(InstanceId head) {
         boolean time = at >= trouble.atMillis() && at < trouble.atMillis() + trouble.forMillis();
         // which ones are struck depends on the name alone, so that it does not draw from the day's chance
