--- a/core/src/main/java/org/hallwall/core/verdict/RefusalException.java
+++ b/core/src/main/java/org/hallwall/core/verdict/RefusalException.java
@@ -32,12 +32,12 @@
     private final transient List<String> faults;
 
     /**
-     * Creates a refusal that says when to come back.
+     * Creates a refusal that says when to retry.
      *
      * @param type the kind of refusal
      * @param verdict whether the request may have run
      * @param detail one sentence for the caller
-     * @param retryAfter when to come back; zero if coming back makes no sense
+     * @param retryAfter when to retry; zero if a retry makes no sense
      */
     public RefusalException(ProblemType type, Verdict verdict, String detail, Duration retryAfter) {
         this(type, verdict, detail, retryAfter, List.of());
@@ -49,7 +49,7 @@
      * @param type the kind of refusal
      * @param verdict whether the request may have run
      * @param detail one sentence for the caller
-     * @param retryAfter when to come back; zero if coming back makes no sense
+     * @param retryAfter when to retry; zero if a retry makes no sense
      * @param faults each fault with its path
      */
     public RefusalException(
@@ -62,7 +62,7 @@
     }
 
     /**
-     * Creates a refusal of a request that did not run and that need not come back.
+     * Creates a refusal of a request that did not run and that need not be retried.
      *
      * @param type the kind of refusal
      * @param detail one sentence for the caller
@@ -90,7 +90,7 @@
     }
 
     /**
-     * Says when to come back.
+     * Says when to retry.
      *
      * @return the delay; zero if coming back makes no sense
      */
--- a/entry/src/main/java/org/hallwall/entry/routing/Dispatcher.java
+++ b/entry/src/main/java/org/hallwall/entry/routing/Dispatcher.java
@@ -47,7 +47,7 @@
     private static final long REFRESH_MILLIS = 100;
     private static final long FAILED_MILLIS = 1_000;
     private static final int SLOW_PROBE = 16;
-    /** When a caller comes back whom a full ring has refused: the ring empties in well under a second. */
+    /** When a caller retries whom a full ring has refused: the ring empties in well under a second. */
     private static final Duration OVERLOADED_WAIT = Duration.ofSeconds(1);
 
     private static final Duration NO_GROUP_WAIT = Duration.ofSeconds(2);
--- a/load/src/main/java/org/hallwall/load/LoadOutcome.java
+++ b/load/src/main/java/org/hallwall/load/LoadOutcome.java
@@ -29,7 +29,7 @@
  * @param firstTokenNanos from the time it was due to its first token; zero if none came
  * @param wholeNanos from the time it was due to its end
  * @param gapsNanos the gaps between batches of tokens
- * @param retryAfter whether a refusal says when to come back
+ * @param retryAfter whether a refusal says when to retry
  */
 record LoadOutcome(
         LoadRequest request,
--- a/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
@@ -31,7 +31,7 @@
  * @param lastEventId the last event that the caller has
  * @param leaving set by a target that is about to end
  * @param answeredBy set by a target that turns a request away, to its own name
- * @param rateLimit set by a target in need, to the requests a second that it takes from the whole system
+ * @param rateLimit set by a target that limits its rate, to the requests a second that it takes from the whole system
  */
 public record HeaderNames(
         String attemptId,
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -75,7 +75,7 @@
                 deadlineAt);
     }
 
-    /** Digests what a caller sends again when it comes back: the same caller, method, path and body. */
+    /** Digests what a caller sends again when it retries: the same caller, method, path and body. */
     RequestDigest digestBy(RequestDigester digester, HeaderNames names) {
         return digester.of(headers.get(names.workspace()), headers.get(HttpHeaderNames.HOST), method.name(), uri, body);
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -27,7 +27,7 @@
     private static final long MOST_PAUSE_MILLIS = 3_000;
 
     /**
-     * How long a target is left alone for whose address another one answers, in milliseconds, unless it announces something new. Most
+     * How long a target gets no requests for whose address another one answers, in milliseconds, unless it announces something new. Most
      * such targets are gone for good; one that is not, because its answer was spoilt, is lost to this entry for so long.
      */
     private static final long DISPLACED_MILLIS = 30_000;
