An entry takes sums of loads that tell no limits, as an instance of an earlier version sends them

Seen in the code, in no run: during an upgrade the sums of a control instance of an earlier version have no list of limits, and each exchange, five a second, would have ended in a logged error after the sums were taken. The list is empty then. FeedMessageTest reads both forms.

--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -190,7 +190,13 @@
      * @param running the requests in progress of all entries by target
      * @param limits the rate limits that targets have named to any entry
      */
-    record LoadSums(boolean controls, Map<String, Integer> running, List<LimitReport> limits) implements FeedMessage {}
+    record LoadSums(boolean controls, Map<String, Integer> running, List<LimitReport> limits) implements FeedMessage {
+
+        /** Takes the sums of an instance of an earlier version, which tells no limits, for those of a fleet without limits. */
+        public LoadSums {
+            limits = limits == null ? List.of() : limits;
+        }
+    }
 
     /**
      * Asks for permits to send requests to targets with a rate limit.
