--- a/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
@@ -90,7 +90,7 @@
                                 "request x: refused with 503, NOT_RUN: held back as " + digest + ": [i-2/mx]")));
         Assertions.assertEquals(ExitCode.SUCCESS, run("explain", "x", file.toString()));
         List<String> story = out.toString(StandardCharsets.UTF_8).lines().toList();
-        Assertions.assertEquals(4, story.size(), story::toString);
+        Assertions.assertEquals(3, story.size(), story::toString);
         Assertions.assertTrue(story.get(0).contains("i-2/mx has ended"));
         Assertions.assertTrue(story.get(1).contains("is held back"));
         Assertions.assertTrue(story.get(2).contains("refused with 503"));
