Entries record, log and count the targets that they cannot connect to

What callers saw can have three causes (lost links of the entry, lost targets, an outdated view), and the logs held lines of single requests only: no line told which targets an entry had lost and since when. Now each entry logs a loss and its end, lists the targets with the time since the first failure in its dump and counts them in hallwall_targets_unreachable. No decision uses it. A response clears a loss only if its request was sent after the last failure: streams that go on over old connections do not show that new ones can be established.

--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -48,6 +48,7 @@
 import org.hallwall.serving.crash.CrashWatch;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.permit.EntryPermits;
+import org.hallwall.serving.reachability.TargetReachability;
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
@@ -92,6 +93,7 @@
     private final EntryPermits permits =
             new EntryPermits(ticker, () -> ThreadLocalRandom.current().nextDouble());
     private final TargetAvailability availability = new TargetAvailability(ticker, permits);
+    private final TargetReachability reachability = new TargetReachability(ticker);
     private final PeerCodec codec = new PeerCodec(ControlNode.messageTypes());
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new HashMap<>();
@@ -136,7 +138,7 @@
         this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.loadExchange = new LoadExchange(io, balancer, fleet, permits, links::values);
         this.permitExchange = new PermitExchange(io, permits, loadExchange::controllers, ticker);
-        TargetClient client = new TargetClient(loops, names, availability, ticker);
+        TargetClient client = new TargetClient(loops, names, availability, reachability, ticker);
         this.crashWatch = new CrashWatch(
                 new CrashExchange(loadExchange::controllers, directory, this::probe, client::refusesConnections),
                 io,
@@ -241,6 +243,15 @@
         return availability;
     }
 
+    /**
+     * Returns which targets this entry can connect to.
+     *
+     * @return the reachability of targets
+     */
+    public TargetReachability reachability() {
+        return reachability;
+    }
+
     /**
      * Returns the permits of this entry for targets with a rate limit.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -36,6 +36,7 @@
 import org.hallwall.serving.availability.NoticeParser;
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.availability.TargetNotice;
+import org.hallwall.serving.reachability.TargetReachability;
 import org.hallwall.serving.target.TargetIds;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -69,6 +70,7 @@
     private final HeaderNames names;
     private final NoticeParser noticeParser;
     private final TargetAvailability availability;
+    private final TargetReachability reachability;
     private final Ticker ticker;
 
     /**
@@ -77,9 +79,15 @@
      * @param loops the I/O threads
      * @param names the header names
      * @param availability the availability of targets
+     * @param reachability records which targets can be connected to
      * @param ticker the clock
      */
-    public TargetClient(LoopResources loops, HeaderNames names, TargetAvailability availability, Ticker ticker) {
+    public TargetClient(
+            LoopResources loops,
+            HeaderNames names,
+            TargetAvailability availability,
+            TargetReachability reachability,
+            Ticker ticker) {
         ConnectionProvider pool = ConnectionProvider.builder("targets")
                 .maxConnections(MAX_CONNECTIONS_PER_TARGET)
                 .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
@@ -97,6 +105,7 @@
         this.names = names;
         this.noticeParser = new NoticeParser(names.leaving(), names.answeredBy(), names.rateLimit());
         this.availability = availability;
+        this.reachability = reachability;
         this.ticker = ticker;
     }
 
@@ -152,7 +161,9 @@
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
                 .response((head, body) -> readResponse(target, request, sentAt.get(), head, body, reader))
-                .onErrorMap(e -> !(e instanceof AttemptFailure), e -> toFailure(e, sentAt.get() != NOT_SENT));
+                .onErrorMap(
+                        e -> !(e instanceof AttemptFailure),
+                        e -> toFailure(target.instance(), e, sentAt.get() != NOT_SENT));
     }
 
     private Consumer<HttpHeaders> targetHeaders(
@@ -176,6 +187,7 @@
             ByteBufFlux body,
             ResponseReader<T> reader) {
         int status = head.status().code();
+        reachability.recordContact(target.instance(), sentAt);
         TargetNotice notice = noticeParser.parse(target.instance(), status, head.responseHeaders());
         String echoed = head.responseHeaders().get(names.attemptId());
         boolean expected = request.attemptId().equals(echoed) && status != MISDIRECTED;
@@ -204,9 +216,12 @@
         return e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
     }
 
-    private static AttemptFailure toFailure(Throwable e, boolean sent) {
+    private AttemptFailure toFailure(InstanceId target, Throwable e, boolean sent) {
         String reason = e.getClass().getSimpleName() + ": " + e.getMessage();
         if (!sent) {
+            if (e instanceof ConnectException) {
+                reachability.recordConnectFailure(target, reason);
+            }
             return isConnectionRefused(e) ? AttemptFailure.connectionRefused(reason) : AttemptFailure.notSent(reason);
         }
         // a malformed response comes from a running target; otherwise the next connection attempt detects the crash
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -48,6 +48,7 @@
 import org.hallwall.serving.permit.EntryPermits;
 import org.hallwall.serving.permit.PermitAllocator;
 import org.hallwall.serving.permit.PermitDemand;
+import org.hallwall.serving.reachability.TargetReachability;
 import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.GroupMembership;
@@ -81,6 +82,7 @@
     private final PermitAllocator allocator = new PermitAllocator(Ticker.SYSTEM, 0);
     private final EntryPermits permits = new EntryPermits(Ticker.SYSTEM, () -> 0);
     private final TargetAvailability availability = new TargetAvailability(Ticker.SYSTEM, permits);
+    private final TargetReachability reachability = new TargetReachability(Ticker.SYSTEM);
     private final List<StalledHead> stalledHeads = new CopyOnWriteArrayList<>();
     private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
     private final AtomicLong sequence = new AtomicLong();
@@ -116,7 +118,7 @@
                 state,
                 new CandidateTargets(state, availability, permits, () -> 0),
                 balancer,
-                new TargetClient(loops, NAMES, availability, Ticker.SYSTEM),
+                new TargetClient(loops, NAMES, availability, reachability, Ticker.SYSTEM),
                 budget,
                 new ForwardedHeaders(NAMES),
                 NAMES,
