--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -48,6 +48,7 @@
 import org.hallwall.serving.crash.CrashWatch;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.permit.EntryPermits;
+import org.hallwall.serving.reachability.AddressTranslator;
 import org.hallwall.serving.reachability.TargetReachability;
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
@@ -120,10 +121,15 @@
      * @param settings the settings
      * @param names the header names
      * @param reader the configuration parser
+     * @param addresses translates the addresses of targets
      * @param registry the registry for the metrics
      */
     public EntryNode(
-            EntryNodeSettings settings, HeaderNames names, ConfigurationReader reader, PrometheusRegistry registry) {
+            EntryNodeSettings settings,
+            HeaderNames names,
+            ConfigurationReader reader,
+            AddressTranslator addresses,
+            PrometheusRegistry registry) {
         this.settings = settings;
         this.reader = reader;
         this.retryBudget = new RetryBudget(
@@ -138,7 +144,7 @@
         this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.loadExchange = new LoadExchange(io, balancer, fleet, permits, links::values);
         this.permitExchange = new PermitExchange(io, permits, loadExchange::controllers, ticker);
-        TargetClient client = new TargetClient(loops, names, availability, reachability, ticker);
+        TargetClient client = new TargetClient(loops, names, availability, reachability, addresses, ticker);
         this.crashWatch = new CrashWatch(
                 new CrashExchange(loadExchange::controllers, directory, this::probe, client::refusesConnections),
                 io,
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -36,6 +36,7 @@
 import org.hallwall.serving.availability.NoticeParser;
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.availability.TargetNotice;
+import org.hallwall.serving.reachability.AddressTranslator;
 import org.hallwall.serving.reachability.TargetReachability;
 import org.hallwall.serving.target.TargetIds;
 import org.reactivestreams.Publisher;
@@ -71,6 +72,7 @@
     private final NoticeParser noticeParser;
     private final TargetAvailability availability;
     private final TargetReachability reachability;
+    private final AddressTranslator addresses;
     private final Ticker ticker;
 
     /**
@@ -80,6 +82,7 @@
      * @param names the header names
      * @param availability the availability of targets
      * @param reachability records which targets can be connected to
+     * @param addresses translates the addresses of targets
      * @param ticker the clock
      */
     public TargetClient(
@@ -87,6 +90,7 @@
             HeaderNames names,
             TargetAvailability availability,
             TargetReachability reachability,
+            AddressTranslator addresses,
             Ticker ticker) {
         ConnectionProvider pool = ConnectionProvider.builder("targets")
                 .maxConnections(MAX_CONNECTIONS_PER_TARGET)
@@ -106,6 +110,7 @@
         this.noticeParser = new NoticeParser(names.leaving(), names.answeredBy(), names.rateLimit());
         this.availability = availability;
         this.reachability = reachability;
+        this.addresses = addresses;
         this.ticker = ticker;
     }
 
@@ -120,9 +125,10 @@
         if (availability.isBackingOff(target)) {
             return Mono.just(false);
         }
+        NetAddress translated = addresses.translate(address);
         return probeClient
-                .host(address.host())
-                .port(address.port())
+                .host(translated.host())
+                .port(translated.port())
                 .connect()
                 .map(c -> {
                     c.dispose();
@@ -151,7 +157,7 @@
         AtomicLong sentAt = new AtomicLong(NOT_SENT);
         return client.headers(targetHeaders(target, request, lastEventId, remainingMillis))
                 .request(request.method())
-                .uri("http://" + target.address() + request.uri())
+                .uri("http://" + addresses.translate(target.address()) + request.uri())
                 .send((r, out) -> {
                     // availability may have changed while the request waited for a connection
                     if (!availability.tryAcquireForRequest(target.instance())) {
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -48,6 +48,7 @@
 import org.hallwall.serving.permit.EntryPermits;
 import org.hallwall.serving.permit.PermitAllocator;
 import org.hallwall.serving.permit.PermitDemand;
+import org.hallwall.serving.reachability.AddressTranslator;
 import org.hallwall.serving.reachability.TargetReachability;
 import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.hallwall.serving.target.GroupLiveness;
@@ -118,7 +119,7 @@
                 state,
                 new CandidateTargets(state, availability, permits, () -> 0),
                 balancer,
-                new TargetClient(loops, NAMES, availability, reachability, Ticker.SYSTEM),
+                new TargetClient(loops, NAMES, availability, reachability, AddressTranslator.IDENTITY, Ticker.SYSTEM),
                 budget,
                 new ForwardedHeaders(NAMES),
                 NAMES,
