--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -70,6 +70,7 @@
     private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
     private final EntryReports entryReports;
     private final LoadSummary loadSummary;
+    private final EntryDirectory entryDirectory;
     private final PermitAllocator permits;
     private final TargetFeed feed;
     private final TargetDirectory directory;
@@ -97,6 +98,7 @@
         this.reader = reader;
         this.entryReports = new EntryReports(settings.firstStart(), ticker);
         this.loadSummary = new LoadSummary(ticker);
+        this.entryDirectory = new EntryDirectory(new SecureRandom(), ticker);
         this.permits = permits;
         this.feed = new TargetFeed(ticker);
         this.directory = new TargetDirectory(ticker);
@@ -221,6 +223,15 @@
         return crashLedger;
     }
 
+    /**
+     * Returns the status of the entries; kept while this instance controls the groups.
+     *
+     * @return the entry directory
+     */
+    public EntryDirectory entryDirectory() {
+        return entryDirectory;
+    }
+
     /**
      * Returns the directory of all targets.
      *
@@ -348,6 +359,10 @@
                             ? new FeedMessage.LoadTotals(true, loadSummary.update(from, m.running()), permits.limits())
                             : new FeedMessage.LoadTotals(false, Map.of(), List.of()));
         }
+        if (message instanceof FeedMessage.EntryStatus m) {
+            boolean leading = voter != null && voter.holdsLease();
+            return Mono.just(new FeedMessage.EntryList(leading, leading ? entryDirectory.update(from, m) : List.of()));
+        }
         if (message instanceof FeedMessage.PermitRequest m) {
             boolean leading = voter != null && voter.holdsLease();
             return Mono.just(new FeedMessage.Permits(leading, leading ? permits.allocate(from, m.asks()) : List.of()));
--- a/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
@@ -43,6 +43,13 @@
     private volatile int inProgress;
     private long lastShrinkAt = Long.MIN_VALUE / 2;
 
+    /** Returns a window with one place taken that belongs to no model, for a stream that another entry admits. */
+    static AdmissionWindow unlimited() {
+        AdmissionWindow out = new AdmissionWindow();
+        out.acquire();
+        return out;
+    }
+
     /**
      * Acquires a place if the window permits it.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -27,6 +27,7 @@
 
     private final Verdict verdict;
     private final Kind kind;
+    private final long retryAfterMillis;
 
     /**
      * Creates the failure of an attempt that was not sent.
@@ -82,6 +83,17 @@
         return new AttemptFailure(Verdict.NOT_RUN, reason, Kind.MISDIRECTED);
     }
 
+    /**
+     * Creates the failure of an attempt that another entry refused or could not complete.
+     * @param verdict whether a target may have run the request
+     * @param reason the message
+     * @param retryAfterMillis the Retry-After time of the entry, in milliseconds; zero for none
+     * @return the failure
+     */
+    public static AttemptFailure refusedByEntry(Verdict verdict, String reason, long retryAfterMillis) {
+        return new AttemptFailure(verdict, reason, Kind.RESPONDED, retryAfterMillis);
+    }
+
     /**
      * Creates the failure of an attempt to which the target responded.
      *
@@ -93,9 +105,14 @@
     }
 
     private AttemptFailure(Verdict verdict, String reason, Kind kind) {
+        this(verdict, reason, kind, 0);
+    }
+
+    private AttemptFailure(Verdict verdict, String reason, Kind kind, long retryAfterMillis) {
         super(reason, null, false, false);
         this.verdict = verdict;
         this.kind = kind;
+        this.retryAfterMillis = retryAfterMillis;
     }
 
     /** How an attempt failed. */
@@ -152,6 +169,15 @@
         return kind == Kind.MISDIRECTED;
     }
 
+    /**
+     * Returns the Retry-After time of the entry that refused the request.
+     *
+     * @return the time in milliseconds; zero for none
+     */
+    public long retryAfterMillis() {
+        return retryAfterMillis;
+    }
+
     /**
      * Returns the verdict.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -33,6 +33,8 @@
     private static final Logger LOG = Logger.getLogger(Attempts.class);
     /** Maximum number of attempts that targets may reject, without running them, before the request fails. */
     private static final int MAX_REJECTIONS = 3;
+    /** Maximum number of other entries to which a request is forwarded, one after the other. */
+    private static final int MAX_FORWARDS = 2;
 
     private final RelayContext context;
     private final RelayRequest request;
@@ -42,36 +44,71 @@
     private int runCount;
     private int rejections;
     private int sendCount;
+    private int unreachableCount;
+    private int forwardCount;
+    private long retryAfterMillis;
     private RequestDigest digest;
 
     Attempts(RelayContext context, RelayRequest request) {
         this.context = context;
         this.request = request;
         this.digest = request.digest();
+        this.runCount = request.priorRuns();
     }
 
-    /** Selects an untried target and records the attempt; returns null if none is left. */
-    ServingTarget nextTarget() {
-        ServingTarget target = chooseTarget();
-        if (target != null) {
-            triedTargets.add(target.instance());
+    /** Selects an untried recipient and records the attempt; returns null if none is left. */
+    NextHop nextHop() {
+        NextHop hop = chooseHop();
+        if (hop == null) {
+            return null;
+        }
+        triedTargets.add(hop.target().instance());
+        if (hop.isEntry()) {
+            forwardCount++;
+            context.metrics().countForward(true);
+            LOG.infof(
+                    "request %s: forwarded to entry %s in %s, %d attempts before",
+                    request.attemptId(), hop.target().instance(), hop.target().failureDomain(), sendCount);
+        } else {
             context.metrics().countSend(request.service(), sendCount > 0);
-            sendCount++;
         }
-        return target;
+        sendCount++;
+        return hop;
     }
 
-    /**
-     * Selects an untried target; returns null if none is left. Targets with a rate limit are preferred, since an unused
-     * permit expires soon.
-     */
-    ServingTarget chooseTarget() {
+    /** Selects an untried recipient; returns null if none is left. */
+    NextHop chooseHop() {
         List<ServingTarget> candidates = context.candidates().available(request);
+        EntryForwarder forwarder = context.forwarder();
+        if (forwarder.shouldForward(request, candidates, triedTargets, unreachableCount)) {
+            NextHop entry = forwardCount < MAX_FORWARDS ? forwarder.select(triedTargets) : null;
+            if (entry != null || forwarder.isPartitioned()) {
+                return entry;
+            }
+        }
+        ServingTarget target = chooseTarget(candidates);
+        return target == null ? null : new TargetHop(target, context.balancer().state(target), context.client());
+    }
+
+    /** Selects a target. Those with a rate limit are preferred, since an unused permit expires soon. */
+    private ServingTarget chooseTarget(List<ServingTarget> candidates) {
         ServingTarget permitted =
                 context.balancer().chooseWithFreeSlot(context.candidates().withRateLimit(candidates), triedTargets);
         return permitted != null ? permitted : context.balancer().choose(candidates, triedTargets);
     }
 
+    /** Describes why no recipient is left, for logs and clients. */
+    String describeNoHop() {
+        return context.forwarder().isPartitioned()
+                ? "this entry has lost its links to the targets, and no other entry is left"
+                : context.candidates().describe(request);
+    }
+
+    /** Returns the Retry-After time of a request that has not run, in milliseconds. */
+    long retryAfterMillis() {
+        return retryAfterMillis > 0 ? retryAfterMillis : context.candidates().retryAfterMillis(request);
+    }
+
     /** Returns whether the request may run again after the current attempt. */
     boolean mayRetry() {
         return request.route().isRetryable() && runCount + 1 < request.route().maxAttempts();
@@ -90,14 +127,16 @@
     }
 
     /** Records that the current attempt was aborted without a response. */
-    void abandon(ServingTarget target) {
+    void abandon(NextHop hop) {
         verdict = verdict.combineWith(Verdict.MAY_HAVE_RUN);
-        markAbandoned(target);
+        markAbandoned(hop);
     }
 
     /** Records that the current attempt was abandoned while the target may still run it. */
-    void markAbandoned(ServingTarget target) {
-        context.crashWatch().recordAbandoned(target.instance(), digest());
+    void markAbandoned(NextHop hop) {
+        if (!hop.isEntry()) {
+            context.crashWatch().recordAbandoned(hop.target().instance(), digest());
+        }
     }
 
     /** Records that the target of the current attempt has responded. */
@@ -116,21 +155,26 @@
     /**
      * Records a failed attempt and decides whether the request is retried.
      *
-     * @param target the target
+     * @param hop the recipient
      * @param f the failure
      * @param events the number of events received before
      * @param charged whether the retry was already charged to the budget
      * @return the decision
      */
-    RetryDecision recordFailure(ServingTarget target, AttemptFailure f, long events, boolean charged) {
+    RetryDecision recordFailure(NextHop hop, AttemptFailure f, long events, boolean charged) {
+        ServingTarget target = hop.target();
         context.metrics().countAttempt(f.verdict().name());
         if (f.verdict() != Verdict.NOT_RUN) {
             runCount++;
         } else if (f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
             rejections++;
         }
-        updateTargetState(context.balancer().state(target), target, f);
-        updateCrashWatch(target, f);
+        retryAfterMillis = Math.max(retryAfterMillis, f.retryAfterMillis());
+        updateTargetState(hop.state(), target, f);
+        if (!hop.isEntry()) {
+            unreachableCount += f.isUnreachable() ? 1 : 0;
+            updateCrashWatch(hop, f);
+        }
         verdict = verdict.combineWith(f.verdict());
         RetryDecision decision = decide(f, charged);
         context.metrics().countRetryDecision(request.service(), decision);
@@ -158,7 +202,8 @@
         }
     }
 
-    private void updateCrashWatch(ServingTarget target, AttemptFailure f) {
+    private void updateCrashWatch(NextHop hop, AttemptFailure f) {
+        ServingTarget target = hop.target();
         switch (f.kind()) {
             case CONNECTION_REFUSED:
                 context.crashWatch().recordCrash(target.instance());
@@ -168,7 +213,7 @@
                 context.crashWatch().recordDisconnect(target.instance(), digest());
                 break;
             case ABANDONED:
-                markAbandoned(target);
+                markAbandoned(hop);
                 break;
             default:
                 // not sent, or the target has responded
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -30,6 +30,8 @@
     private static final double ATTEMPT_TIMEOUT_FACTOR = 0.8;
 
     private static final long MIN_ATTEMPT_TIMEOUT_MILLIS = 60;
+    /** Attempt timeouts after which another entry is abandoned; it retries within them itself. */
+    private static final long ENTRY_TIMEOUT_FACTOR = 2;
 
     private final RelayContext context;
     private final RelayRequest request;
@@ -53,18 +55,17 @@
         if (remainingMillis <= 0) {
             return fail("the deadline has passed");
         }
-        ServingTarget target = attempts.nextTarget();
-        if (target == null) {
-            return fail(context.candidates().describe(request));
+        NextHop hop = attempts.nextHop();
+        if (hop == null) {
+            return fail(attempts.describeNoHop());
         }
-        TargetState state = context.balancer().state(target);
+        TargetState state = hop.state();
         state.requestStarted();
-        return context.client()
-                .send(
-                        target,
+        return hop.send(
                         request,
                         null,
                         remainingMillis,
+                        attempts.runCount(),
                         (head, body) -> body.aggregate()
                                 .asByteArray()
                                 .defaultIfEmpty(new byte[0])
@@ -74,23 +75,24 @@
                                         bytes)))
                 .next()
                 .switchIfEmpty(Mono.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response ended prematurely")))
-                .timeout(Duration.ofMillis(attemptTimeoutMillis(remainingMillis)))
+                .timeout(Duration.ofMillis(attemptTimeoutMillis(hop, remainingMillis)))
                 .onErrorMap(e -> e instanceof AttemptFailure
                         ? e
                         : AttemptFailure.abandoned("no response within the attempt timeout"))
-                .doOnCancel(() -> attempts.markAbandoned(target))
+                .doOnCancel(() -> attempts.markAbandoned(hop))
                 .doFinally(s -> state.requestEnded())
                 .flatMap(a -> checkResponse(state, a))
-                .onErrorResume(AttemptFailure.class, f -> retryOrFail(target, f));
+                .onErrorResume(AttemptFailure.class, f -> retryOrFail(hop, f));
     }
 
     /** Returns the timeout of the attempt; shorter than the deadline if the request can be retried. */
-    private long attemptTimeoutMillis(long remainingMillis) {
+    private long attemptTimeoutMillis(NextHop hop, long remainingMillis) {
         if (!attempts.mayRetry()) {
             return remainingMillis;
         }
         long timeoutMillis = (long) (request.route().latencyObjectiveMillis() * ATTEMPT_TIMEOUT_FACTOR);
-        return Math.min(remainingMillis, Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, timeoutMillis));
+        long factor = hop.isEntry() ? ENTRY_TIMEOUT_FACTOR : 1;
+        return Math.min(remainingMillis, factor * Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, timeoutMillis));
     }
 
     private Mono<BufferedResponse> checkResponse(TargetState state, BufferedResponse response) {
@@ -104,8 +106,8 @@
         return Mono.error(new AttemptFailure(Verdict.RAN, "the target responded with status " + response.status()));
     }
 
-    private Mono<BufferedResponse> retryOrFail(ServingTarget target, AttemptFailure f) {
-        return attempts.recordFailure(target, f, 0, false).isRetry()
+    private Mono<BufferedResponse> retryOrFail(NextHop hop, AttemptFailure f) {
+        return attempts.recordFailure(hop, f, 0, false).isRetry()
                 ? Mono.defer(this::startAttempt)
                 : fail(f.getMessage());
     }
@@ -118,7 +120,6 @@
         if (verdict != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
             return Mono.error(new RelayRefusal(504, verdict, reason, 0));
         }
-        return Mono.error(
-                RelayRefusal.fromVerdict(verdict, reason, context.candidates().retryAfterMillis(request)));
+        return Mono.error(RelayRefusal.fromVerdict(verdict, reason, attempts.retryAfterMillis()));
     }
 }
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
@@ -0,0 +1,161 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.verdict.Verdict;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/** Sends requests to other entries. A request that cannot have reached a target is reported as not run. */
+final class EntryClient {
+
+    /** Entries are near each other; another one is tried after this time. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 250;
+
+    private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(10);
+    private static final int MAX_CONNECTIONS_PER_ENTRY = 128;
+    private static final int MAX_HEAD_BYTES = 65_536;
+
+    private final HttpClient client;
+    private final HeaderNames names;
+    private final InstanceId self;
+    private final EntryState state;
+
+    /**
+     * Creates a client.
+     *
+     * @param loops the I/O threads
+     * @param names the header names
+     * @param self this entry
+     * @param state the active configuration
+     */
+    EntryClient(LoopResources loops, HeaderNames names, InstanceId self, EntryState state) {
+        ConnectionProvider pool = ConnectionProvider.builder("entries")
+                .maxConnections(MAX_CONNECTIONS_PER_ENTRY)
+                .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
+                .maxIdleTime(MAX_IDLE_TIME)
+                .lifo()
+                .build();
+        this.client = HttpClient.create(pool)
+                .runOn(loops)
+                .disableRetry(true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .httpResponseDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES));
+        this.names = names;
+        this.self = self;
+        this.state = state;
+    }
+
+    /**
+     * Sends one attempt.
+     *
+     * @param entry the entry
+     * @param request the request
+     * @param lastEventId the last event that the client has received, or null
+     * @param remainingMillis the time until the deadline, in milliseconds
+     * @param runCount the number of targets that may have run the request before
+     * @param reader reads the response of a target
+     * @param <T> the type of the result
+     * @return the result, or an {@link AttemptFailure}
+     */
+    <T> Flux<T> send(
+            ServingTarget entry,
+            RelayRequest request,
+            String lastEventId,
+            long remainingMillis,
+            int runCount,
+            TargetClient.ResponseReader<T> reader) {
+        AtomicBoolean sent = new AtomicBoolean();
+        return client.headers(headers(request, lastEventId, remainingMillis, runCount))
+                .request(request.method())
+                .uri("http://" + entry.address() + request.uri())
+                .send((r, out) -> {
+                    sent.set(true);
+                    return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
+                })
+                .response((head, body) -> readResponse(entry, request, head, body, reader))
+                .onErrorMap(e -> !(e instanceof AttemptFailure), e -> toFailure(entry, e, sent.get()));
+    }
+
+    private Consumer<HttpHeaders> headers(
+            RelayRequest request, String lastEventId, long remainingMillis, int runCount) {
+        return h -> {
+            h.set(request.headers());
+            h.set(names.deadlineMillis(), Math.max(1, remainingMillis));
+            h.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+            if (lastEventId != null) {
+                h.set(names.lastEventId(), lastEventId);
+            }
+            ForwardHeaders.write(
+                    h,
+                    new ForwardHeaders.Forwarded(
+                            self,
+                            request.service(),
+                            request.priority(),
+                            request.likelyRetry(),
+                            runCount,
+                            state.routes().configuration().version()));
+        };
+    }
+
+    private <T> Publisher<T> readResponse(
+            ServingTarget entry,
+            RelayRequest request,
+            HttpClientResponse head,
+            ByteBufFlux body,
+            TargetClient.ResponseReader<T> reader) {
+        Verdict refused = ForwardHeaders.readVerdict(head.responseHeaders());
+        if (refused != null) {
+            long retryAfterMillis =
+                    RelayRefusal.parseRetryAfter(head.responseHeaders().get(HttpHeaderNames.RETRY_AFTER));
+            return body.aggregate()
+                    .asString()
+                    .defaultIfEmpty("")
+                    .flatMapMany(text -> Flux.error(AttemptFailure.refusedByEntry(
+                            refused,
+                            "entry " + entry.instance() + " responded with "
+                                    + head.status().code() + ": " + text.trim(),
+                            retryAfterMillis)));
+        }
+        if (!request.attemptId().equals(head.responseHeaders().get(names.attemptId()))) {
+            return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response belongs to another request"));
+        }
+        return reader.read(head, body);
+    }
+
+    private static AttemptFailure toFailure(ServingTarget entry, Throwable e, boolean sent) {
+        String reason = "entry " + entry.instance() + ", " + e.getClass().getSimpleName() + ": " + e.getMessage();
+        return sent ? new AttemptFailure(Verdict.MAY_HAVE_RUN, reason) : AttemptFailure.notSent(reason);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryHop.java
@@ -0,0 +1,46 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import reactor.core.publisher.Flux;
+
+/**
+ * An attempt at another entry, which sends the request to a target.
+ *
+ * @param target the entry
+ * @param state its recent outcomes
+ * @param client sends requests to entries
+ */
+record EntryHop(ServingTarget target, TargetState state, EntryClient client) implements NextHop {
+
+    @Override
+    public boolean isEntry() {
+        return true;
+    }
+
+    @Override
+    public <T> Flux<T> send(
+            RelayRequest request,
+            String lastEventId,
+            long remainingMillis,
+            int runCount,
+            TargetClient.ResponseReader<T> reader) {
+        return client.send(target, request, lastEventId, remainingMillis, runCount, reader);
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -49,7 +49,8 @@
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.permit.EntryPermits;
 import org.hallwall.serving.reachability.AddressTranslator;
-import org.hallwall.serving.reachability.TargetReachability;
+import org.hallwall.serving.reachability.TargetEndpoint;
+import org.hallwall.serving.reachability.TargetLinks;
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
@@ -94,7 +95,6 @@
     private final EntryPermits permits =
             new EntryPermits(ticker, () -> ThreadLocalRandom.current().nextDouble());
     private final TargetAvailability availability = new TargetAvailability(ticker, permits);
-    private final TargetReachability reachability = new TargetReachability(ticker);
     private final PeerCodec codec = new PeerCodec(ControlNode.messageTypes());
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new HashMap<>();
@@ -104,6 +104,8 @@
     private final PermitExchange permitExchange;
     private final RetryBudget retryBudget;
     private final CrashWatch crashWatch;
+    private final TargetLinks targetLinks;
+    private final EntryStatusExchange statusExchange;
     private final EventLoop io;
     private final RelayServer server;
     private final EventLoopThread feedThread;
@@ -144,7 +146,11 @@
         this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.loadExchange = new LoadExchange(io, balancer, fleet, permits, links::values);
         this.permitExchange = new PermitExchange(io, permits, loadExchange::controllers, ticker);
-        TargetClient client = new TargetClient(loops, names, availability, reachability, addresses, ticker);
+        this.targetLinks = TargetLinks.create(loops, addresses, this::endpoints, io, ticker);
+        this.statusExchange =
+                new EntryStatusExchange(io, settings, targetLinks, this::isReady, loadExchange::controllers, ticker);
+        targetLinks.detector().setListener(statusExchange::report);
+        TargetClient client = new TargetClient(loops, names, availability, targetLinks, ticker);
         this.crashWatch = new CrashWatch(
                 new CrashExchange(loadExchange::controllers, directory, this::probe, client::refusesConnections),
                 io,
@@ -166,6 +172,11 @@
                 new StreamMonitor(),
                 new RelayMetrics(registry),
                 crashWatch,
+                new EntryForwarder(
+                        targetLinks,
+                        statusExchange::availableEntries,
+                        new Balancer(settings.failureDomain(), new FleetLoad(ticker), settings.mechanisms(), ticker),
+                        new EntryClient(loops, names, settings.instance(), state)),
                 ticker);
         this.server = new RelayServer(context);
         this.feedThread = new EventLoopThread("feeds", RING_SIZE, TICK_MILLIS, () -> {});
@@ -181,11 +192,13 @@
         gateway = targets;
         try {
             server.open(settings.listen(), loops);
+            server.openForwarding(settings.forwarding(), loops);
         } catch (ProgramException e) {
             throw new IOException(e.getMessage(), e);
         }
         feedThread.start();
         loadExchange.start();
+        statusExchange.start();
         permits.onDue(permitExchange::trigger);
         crashCheck = io.scheduleAtFixedRate(
                 crashWatch::tick, CRASH_CHECK_INTERVAL_MILLIS, CRASH_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -250,12 +263,12 @@
     }
 
     /**
-     * Returns which targets this entry can connect to.
+     * Returns the links to the targets.
      *
-     * @return the reachability of targets
+     * @return the links
      */
-    public TargetReachability reachability() {
-        return reachability;
+    public TargetLinks targetLinks() {
+        return targetLinks;
     }
 
     /**
@@ -282,6 +295,7 @@
         LOG.infof("entry: %s is shutting down, %d requests in flight", settings.instance(), server.inFlight());
         stopping = true;
         server.beginDrain();
+        io.execute(statusExchange::report);
         long now = ticker.millis();
         long earliest = now + settings.drainNoticeMillis();
         long latest = now + settings.stopTimeoutMillis();
@@ -295,6 +309,7 @@
         LOG.infof("entry: %s terminates, %d requests aborted", settings.instance(), server.inFlight());
         followers.values().forEach(FeedFollower::close);
         loadExchange.close();
+        statusExchange.close();
         permitExchange.close();
         crashCheck.cancel(false);
         feedThread.close();
@@ -443,6 +458,14 @@
                 });
     }
 
+    /** Returns the targets that accept connections according to what they have announced and responded. */
+    private List<TargetEndpoint> endpoints() {
+        return state.targets().all().stream()
+                .filter(t -> !availability.isBackingOff(t.instance()) && !availability.isDraining(t.instance()))
+                .map(t -> new TargetEndpoint(t.instance(), t.address(), t.failureDomain()))
+                .toList();
+    }
+
     private Mono<Boolean> probe(InstanceId target) {
         TargetRecord record = directory.find(target);
         return record == null || gateway == null ? Mono.just(false) : gateway.probe(record, PROBE_TIMEOUT);
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
@@ -32,6 +32,7 @@
  * @param instance the id of this entry
  * @param failureDomain the failure domain of this entry
  * @param listen the address for client connections
+ * @param forwarding the address for requests from other entries
  * @param seeds the control instances to connect to first
  * @param firstStart whether this is the first start of the deployment
  * @param retryRatio retries allowed per request
@@ -46,6 +47,7 @@
         InstanceId instance,
         String failureDomain,
         NetAddress listen,
+        NetAddress forwarding,
         List<ControlMember> seeds,
         boolean firstStart,
         double retryRatio,
--- a/serving/src/main/java/org/hallwall/serving/relay/ForwardedHeaders.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ForwardedHeaders.java
@@ -67,6 +67,7 @@
         out.remove(names.key());
         out.remove(names.workspace());
         out.remove(names.expectedTarget());
+        ForwardHeaders.remove(out);
         if (workspace != null) {
             out.set(names.workspace(), workspace);
         }
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/NextHop.java
@@ -0,0 +1,52 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import reactor.core.publisher.Flux;
+
+/** The recipient of an attempt: a target, or another entry that sends the request to a target. */
+interface NextHop {
+
+    /** Returns the target, or the address of the entry in the form of a target without a group. */
+    ServingTarget target();
+
+    /** Returns the recent outcomes at this recipient. */
+    TargetState state();
+
+    /** Returns whether the recipient is an entry. */
+    boolean isEntry();
+
+    /**
+     * Sends one attempt.
+     *
+     * @param request the request
+     * @param lastEventId the last event that the client has received, or null
+     * @param remainingMillis the time until the deadline, in milliseconds
+     * @param runCount the number of targets that may have run the request before
+     * @param reader reads the response
+     * @param <T> the type of the result
+     * @return the result, or an {@link AttemptFailure}
+     */
+    <T> Flux<T> send(
+            RelayRequest request,
+            String lastEventId,
+            long remainingMillis,
+            int runCount,
+            TargetClient.ResponseReader<T> reader);
+}
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -36,6 +36,7 @@
  * @param streamMonitor checks active streams periodically
  * @param metrics the metrics
  * @param crashWatch blocks requests that crash targets
+ * @param forwarder selects requests for other entries
  * @param ticker the clock
  */
 public record RelayContext(
@@ -51,6 +52,7 @@
         StreamMonitor streamMonitor,
         RelayMetrics metrics,
         CrashWatch crashWatch,
+        EntryForwarder forwarder,
         Ticker ticker) {
 
     /** Retry-After if no target is available, in milliseconds; about the time to repair a group. */
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayMetrics.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayMetrics.java
@@ -33,6 +33,7 @@
     private final Counter sends;
     private final Counter retryDecisions;
     private final Counter heldBackRequests;
+    private final Counter forwards;
     private final Histogram firstByte;
 
     /**
@@ -71,6 +72,11 @@
                 .help("Requests refused because targets have ended under them, by service")
                 .labelNames("service")
                 .register(registry);
+        forwards = Counter.builder()
+                .name("hallwall_relay_forwards")
+                .help("Requests sent to or received from other entries, by direction")
+                .labelNames("direction")
+                .register(registry);
         firstByte = Histogram.builder()
                 .name("hallwall_relay_first_seconds")
                 .help("Time to the first byte of an answer")
@@ -98,6 +104,10 @@
         heldBackRequests.labelValues(service).inc();
     }
 
+    void countForward(boolean isSender) {
+        forwards.labelValues(isSender ? "sent" : "received").inc();
+    }
+
     void countRefusal(int status) {
         refusals.labelValues(Integer.toString(status)).inc();
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
@@ -25,6 +25,8 @@
 
     private static final long serialVersionUID = 1L;
 
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     private final int status;
     private final Verdict verdict;
     private final long retryAfterMillis;
@@ -69,6 +71,20 @@
                 : new RelayRefusal(502, verdict, reason, 0);
     }
 
+    /**
+     * Parses the Retry-After header of a refusal by another entry.
+     *
+     * @param text the value of the header, or null
+     * @return the time in milliseconds; zero if there is none
+     */
+    static long parseRetryAfter(String text) {
+        try {
+            return text == null ? 0 : Math.max(0, (long) (Double.parseDouble(text) * MILLIS_PER_SECOND));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     /**
      * Returns the status.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -41,6 +41,7 @@
  * @param digest the digest that identifies retries of the request; null if there are no crash suspects
  * @param receivedAt the time of arrival, in milliseconds
  * @param deadlineAt the deadline of the response, in milliseconds
+ * @param forward how another entry has forwarded the request; null if it comes from the client
  */
 public record RelayRequest(
         String attemptId,
@@ -55,7 +56,18 @@
         boolean likelyRetry,
         RequestDigest digest,
         long receivedAt,
-        long deadlineAt) {
+        long deadlineAt,
+        ForwardHeaders.Forwarded forward) {
+
+    /** Returns whether another entry has forwarded the request. */
+    boolean isForwarded() {
+        return forward != null;
+    }
+
+    /** Returns the number of targets that may have run the request before it was received. */
+    int priorRuns() {
+        return forward == null ? 0 : forward.runCount();
+    }
 
     /** Returns a copy with a digest. */
     RelayRequest withDigest(RequestDigest newDigest) {
@@ -72,7 +84,8 @@
                 likelyRetry,
                 newDigest,
                 receivedAt,
-                deadlineAt);
+                deadlineAt,
+                forward);
     }
 
     /** Computes the digest over the parts that a retry repeats: workspace, host, method, path and body. */
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -70,12 +71,16 @@
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
     /** Retry-After of requests that another entry can serve immediately, in milliseconds. */
     private static final long OTHER_ENTRY_RETRY_MILLIS = 20;
+    /** Maximum number of requests from other entries in progress; protects the clients of this one. */
+    private static final int MAX_FORWARDED = 200;
 
     private final RelayContext context;
     private final StartupRetryDelay startupRetryDelay;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicInteger forwardedInFlight = new AtomicInteger();
     private final RetryDetector retryDetector = new RetryDetector();
     private DisposableServer server;
+    private DisposableServer forwardingServer;
     private volatile boolean draining;
     private volatile boolean rejecting;
 
@@ -104,10 +109,28 @@
                 .runOn(loops)
                 .idleTimeout(IDLE_TIMEOUT)
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES))
-                .handle(this::handle);
+                .handle((req, res) -> handle(req, res, false));
         server = HttpServerBinder.bind(http, address);
     }
 
+    /**
+     * Starts listening for requests that other entries forward.
+     *
+     * @param address the listen address
+     * @param loops the I/O threads
+     * @throws ProgramException if the port cannot be opened
+     */
+    public void openForwarding(NetAddress address, LoopResources loops) throws ProgramException {
+        HttpServer http = HttpServer.create()
+                .host(address.host())
+                .port(address.port())
+                .runOn(loops)
+                .idleTimeout(IDLE_TIMEOUT)
+                .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES))
+                .handle((req, res) -> handle(req, res, true));
+        forwardingServer = HttpServerBinder.bind(http, address);
+    }
+
     /**
      * Returns the port.
      *
@@ -141,23 +164,31 @@
         if (server != null) {
             server.disposeNow(CLOSE_TIMEOUT);
         }
+        if (forwardingServer != null) {
+            forwardingServer.disposeNow(CLOSE_TIMEOUT);
+        }
     }
 
-    private Publisher<Void> handle(HttpServerRequest req, HttpServerResponse res) {
+    private Publisher<Void> handle(HttpServerRequest req, HttpServerResponse res, boolean forwarded) {
         inFlight.incrementAndGet();
+        AtomicInteger counter = forwarded ? forwardedInFlight : new AtomicInteger();
+        counter.incrementAndGet();
         if (draining) {
             res.keepAlive(false);
         }
         Mono<Void> response;
         try {
-            response = accept(req, res);
+            response = forwarded ? acceptForwarded(req, res) : accept(req, res);
         } catch (RelayRefusal e) {
             response = sendRefusal(req, res, e);
         }
-        return response.doFinally(s -> inFlight.decrementAndGet());
+        return response.doFinally(s -> {
+            inFlight.decrementAndGet();
+            counter.decrementAndGet();
+        });
     }
 
-    private Mono<Void> accept(HttpServerRequest req, HttpServerResponse res) throws RelayRefusal {
+    private RouteTable activeRoutes() throws RelayRefusal {
         if (rejecting) {
             throw RelayRefusal.notRun("this entry is shutting down", OTHER_ENTRY_RETRY_MILLIS);
         }
@@ -165,30 +196,38 @@
         if (routes.configuration().version() == 0) {
             throw RelayRefusal.notRun("no configuration has been received yet", startupRetryDelay.retryAfterMillis());
         }
-        HttpHeaders headers = req.requestHeaders();
-        checkHeadSize(routes, headers, req.uri());
-        Route route = routes.findRoute(headers.get(HttpHeaderNames.HOST), req.uri());
+        return routes;
+    }
+
+    private static Route findRoute(RouteTable routes, HttpServerRequest req) throws RelayRefusal {
+        Route route = routes.findRoute(req.requestHeaders().get(HttpHeaderNames.HOST), req.uri());
         if (route == null) {
             throw new RelayRefusal(404, Verdict.NOT_RUN, "no route matches this path", 0);
         }
+        return route;
+    }
+
+    private Mono<Void> accept(HttpServerRequest req, HttpServerResponse res) throws RelayRefusal {
+        RouteTable routes = activeRoutes();
+        HttpHeaders headers = req.requestHeaders();
+        checkHeadSize(routes, headers, req.uri());
+        Route route = findRoute(routes, req);
         WorkspaceKeys workspace =
                 routes.findWorkspace(headers.get(context.headerNames().key()));
         if (workspace == null && routes.requiresKeys() && !route.anonymous()) {
             throw new RelayRefusal(401, Verdict.NOT_RUN, "unknown key", 0);
         }
-        String attemptId = headers.get(context.headerNames().attemptId());
-        if (attemptId == null || attemptId.isEmpty()) {
-            throw new RelayRefusal(400, Verdict.NOT_RUN, "the request has no attempt id", 0);
-        }
+        String attemptId = attemptId(headers);
         long now = context.now();
         long timeoutMillis = callerTimeoutMillis(headers, route);
         boolean likelyRetry = retryDetector.isRetry(route, timeoutMillis);
         long deadlineAt = now + Math.min(route.timeoutMillis(), timeoutMillis);
-        int maxBodyBytes = routes.configuration().limits().maxBodyBytes();
         String service = route.selectService(ThreadLocalRandom.current().nextDouble());
         context.retryBudget().recordRequest(service);
-        return readBody(req, maxBodyBytes)
-                .map(body -> withDigest(new RelayRequest(
+        return relay(
+                req,
+                res,
+                body -> new RelayRequest(
                         attemptId,
                         req.method(),
                         req.uri(),
@@ -201,10 +240,72 @@
                         likelyRetry,
                         null,
                         now,
-                        deadlineAt)))
+                        deadlineAt,
+                        null));
+    }
+
+    /**
+     * Accepts a request from another entry, which has authenticated the client and charged the request to the retry
+     * budget.
+     */
+    private Mono<Void> acceptForwarded(HttpServerRequest req, HttpServerResponse res) throws RelayRefusal {
+        RouteTable routes = activeRoutes();
+        HttpHeaders headers = req.requestHeaders();
+        ForwardHeaders.Forwarded forward = ForwardHeaders.read(headers);
+        if (routes.configuration().version() < forward.configurationVersion()) {
+            throw RelayRefusal.notRun("this entry has an earlier configuration", OTHER_ENTRY_RETRY_MILLIS);
+        }
+        if (context.forwarder().isPartitioned()) {
+            throw RelayRefusal.notRun("this entry has lost its links to the targets", OTHER_ENTRY_RETRY_MILLIS);
+        }
+        if (forwardedInFlight.get() > MAX_FORWARDED) {
+            throw RelayRefusal.notRun("too many requests from other entries", RelayContext.OVERLOAD_RETRY_AFTER_MILLIS);
+        }
+        Route route = findRoute(routes, req);
+        String attemptId = attemptId(headers);
+        context.metrics().countForward(false);
+        LOG.infof(
+                "request %s: received from entry %s, %d runs before", attemptId, forward.sender(), forward.runCount());
+        long now = context.now();
+        long deadlineAt = now + Math.min(route.timeoutMillis(), callerTimeoutMillis(headers, route));
+        return relay(
+                req,
+                res,
+                body -> new RelayRequest(
+                        attemptId,
+                        req.method(),
+                        req.uri(),
+                        context.forwardedHeaders()
+                                .forRequest(
+                                        headers,
+                                        headers.get(context.headerNames().workspace())),
+                        body,
+                        route,
+                        forward.service(),
+                        headers.get(context.headerNames().model()),
+                        forward.priority(),
+                        forward.likelyRetry(),
+                        null,
+                        now,
+                        deadlineAt,
+                        forward));
+    }
+
+    private String attemptId(HttpHeaders headers) throws RelayRefusal {
+        String attemptId = headers.get(context.headerNames().attemptId());
+        if (attemptId == null || attemptId.isEmpty()) {
+            throw new RelayRefusal(400, Verdict.NOT_RUN, "the request has no attempt id", 0);
+        }
+        return attemptId;
+    }
+
+    private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
+        int maxBodyBytes = context.state().routes().configuration().limits().maxBodyBytes();
+        return readBody(req, maxBodyBytes)
+                .map(body -> withDigest(toRequest.apply(body)))
                 .flatMap(this::rejectIfHeldBack)
-                .flatMap(
-                        r -> route.kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r))
+                .flatMap(r ->
+                        r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r))
                 .onErrorResume(RelayRefusal.class, e -> sendRefusal(req, res, e));
     }
 
@@ -270,7 +371,9 @@
     }
 
     private Mono<Void> relayBuffered(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
-        context.candidates().recordArrival(r);
+        if (!isForwardedAtOnce(r)) {
+            context.candidates().recordArrival(r);
+        }
         return new BufferedRun(context, r)
                 .start()
                 .takeUntilOther(whenClosed(req))
@@ -283,18 +386,11 @@
 
     private Mono<Void> relayStream(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
         Channel channel = channel(req);
-        CandidateTargets candidates = context.candidates();
-        candidates.recordArrival(r);
-        List<ServingTarget> targets = candidates.available(r);
-        if (targets.isEmpty() && candidates.hasServingTargets(r)) {
-            context.admission().recordRefusal(r);
-            return Mono.error(RelayRefusal.notRun(candidates.describe(r), candidates.retryAfterMillis(r)));
-        }
-        boolean permitted = context.balancer().chooseWithFreeSlot(candidates.withRateLimit(targets), Set.of()) != null;
-        AdmissionWindow window = context.admission().tryAdmit(r, candidates.withoutRateLimit(targets), permitted);
-        if (window == null) {
-            String reason = context.admission().describe(r, targets);
-            return Mono.error(RelayRefusal.notRun(reason, RelayContext.OVERLOAD_RETRY_AFTER_MILLIS));
+        AdmissionWindow window;
+        try {
+            window = isForwardedAtOnce(r) ? AdmissionWindow.unlimited() : admit(r);
+        } catch (RelayRefusal e) {
+            return Mono.error(e);
         }
         StreamRun run = new StreamRun(
                 context,
@@ -321,6 +417,28 @@
                 });
     }
 
+    /** Returns whether a request is sent to another entry, which then also admits it. */
+    private boolean isForwardedAtOnce(RelayRequest r) {
+        return context.forwarder().shouldForward(r, context.candidates().available(r), Set.of(), 0);
+    }
+
+    private AdmissionWindow admit(RelayRequest r) throws RelayRefusal {
+        CandidateTargets candidates = context.candidates();
+        candidates.recordArrival(r);
+        List<ServingTarget> targets = candidates.available(r);
+        if (targets.isEmpty() && candidates.hasServingTargets(r)) {
+            context.admission().recordRefusal(r);
+            throw RelayRefusal.notRun(candidates.describe(r), candidates.retryAfterMillis(r));
+        }
+        boolean permitted = context.balancer().chooseWithFreeSlot(candidates.withRateLimit(targets), Set.of()) != null;
+        AdmissionWindow window = context.admission().tryAdmit(r, candidates.withoutRateLimit(targets), permitted);
+        if (window == null) {
+            throw RelayRefusal.notRun(
+                    context.admission().describe(r, targets), RelayContext.OVERLOAD_RETRY_AFTER_MILLIS);
+        }
+        return window;
+    }
+
     private static HttpHeaders copyHeaders(HttpServerResponse res, HttpHeaders from) {
         HttpHeaders out = res.responseHeaders();
         from.forEach(h -> out.add(h.getKey(), h.getValue()));
@@ -346,6 +464,9 @@
         if (e.retryAfterMillis() > 0) {
             res.header(HttpHeaderNames.RETRY_AFTER, Double.toString(e.retryAfterMillis() / 1_000.0));
         }
+        if (ForwardHeaders.isForwarded(req.requestHeaders())) {
+            ForwardHeaders.writeVerdict(res.responseHeaders(), e.verdict());
+        }
         byte[] body = (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8);
         res.status(e.status());
         res.header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
--- a/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ServingTargets.java
@@ -110,6 +110,15 @@
         return target.group() == null || target.group().isSameGroup(servingHeads.get(target.instance()));
     }
 
+    /**
+     * Returns all targets.
+     *
+     * @return the targets of all services
+     */
+    public List<ServingTarget> all() {
+        return byService.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Returns the number of targets.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -54,6 +54,8 @@
 
     private static final double PAUSE_GAPS = 2;
     private static final long MIN_STALL_TIMEOUT_MILLIS = 60;
+    /** Stall timeouts after which a stream leaves another entry, which moves it between targets itself. */
+    private static final double ENTRY_TIMEOUT_FACTOR = 4.5;
     /** Stall timeouts after which a stream leaves a target without a group, whose liveness cannot be queried. */
     private static final double UNGROUPED_TIMEOUT_FACTOR = 1.5;
 
@@ -114,7 +116,7 @@
                 "request %s: client disconnected after %d ms and %d events",
                 request.attemptId(), context.now() - request.receivedAt(), eventCount);
         if (current != null) {
-            attempts.markAbandoned(current.target);
+            attempts.markAbandoned(current.hop);
         }
         finish();
     }
@@ -129,17 +131,16 @@
             abort("the deadline has passed");
             return;
         }
-        ServingTarget target = attempts.nextTarget();
-        if (target == null) {
-            abort(context.candidates().describe(request));
+        NextHop hop = attempts.nextHop();
+        if (hop == null) {
+            abort(attempts.describeNoHop());
             return;
         }
-        Attempt a = new Attempt(target, now);
+        Attempt a = new Attempt(hop);
         current = a;
         progressAt = now;
         a.state.requestStarted();
-        a.subscription = context.client()
-                .send(target, request, lastEventId, remainingMillis, a::readResponse)
+        a.subscription = hop.send(request, lastEventId, remainingMillis, attempts.runCount(), a::readResponse)
                 .subscribe(a::onChunk, a::fail, a::complete);
     }
 
@@ -151,7 +152,7 @@
         long now = context.now();
         if (now >= request.deadlineAt()) {
             current.cancel();
-            attempts.abandon(current.target);
+            attempts.abandon(current.hop);
             abort("the deadline has passed");
             return;
         }
@@ -161,15 +162,24 @@
             return;
         }
         long lastProgressAt = Math.max(progressAt, a.state.lastProgressAt());
-        if (now - lastProgressAt > stallTimeoutMillis(a)
-                && shouldAbandon(a, lastProgressAt, now)
-                && canRetryElsewhere(a, now)) {
+        boolean stalled = now - lastProgressAt > stallTimeoutMillis(a);
+        if (stalled && !a.hop.isEntry()) {
+            context.forwarder().detector().suspectSilence();
+        }
+        if (stalled && shouldAbandon(a, lastProgressAt, now) && canRetryElsewhere(a, now)) {
             retryCharged = true;
             a.fail(AttemptFailure.abandoned("no event for " + (now - lastProgressAt) + " ms"));
         }
     }
 
     private boolean shouldAbandon(Attempt a, long lastProgressAt, long now) {
+        if (a.hop.isEntry()) {
+            return now - lastProgressAt > stallTimeoutMillis(a) * ENTRY_TIMEOUT_FACTOR;
+        }
+        if (context.forwarder().isPartitioned()) {
+            // the target may be working, but its events do not arrive here
+            return true;
+        }
         StalledHead stalledHead = toStalledHead(a.target);
         if (stalledHead == null) {
             return now - lastProgressAt > stallTimeoutMillis(a) * UNGROUPED_TIMEOUT_FACTOR;
@@ -182,9 +192,9 @@
         if (!attempts.mayRetry()) {
             return false;
         }
-        ServingTarget other = attempts.chooseTarget();
+        NextHop other = attempts.chooseHop();
         return other != null
-                && !context.balancer().state(other).isEjected(now)
+                && !other.state().isEjected(now)
                 && context.retryBudget().tryRetry(request.service());
     }
 
@@ -206,10 +216,10 @@
     }
 
     private void attemptFailed(Attempt a, AttemptFailure f) {
-        if (f.isUnreachable()) {
+        if (f.isUnreachable() && !a.hop.isEntry()) {
             reportUnreachable(a.target);
         }
-        if (attempts.recordFailure(a.target, f, eventCount, retryCharged).isRetry()) {
+        if (attempts.recordFailure(a.hop, f, eventCount, retryCharged).isRetry()) {
             retryCharged = false;
             resumptions += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
             startAttempt();
@@ -239,8 +249,7 @@
         } else if (attempts.verdict() != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
             head.tryEmitError(new RelayRefusal(504, attempts.verdict(), reason, 0));
         } else {
-            head.tryEmitError(RelayRefusal.fromVerdict(
-                    attempts.verdict(), reason, context.candidates().retryAfterMillis(request)));
+            head.tryEmitError(RelayRefusal.fromVerdict(attempts.verdict(), reason, attempts.retryAfterMillis()));
         }
     }
 
@@ -319,6 +328,7 @@
     /** An attempt at a target. */
     private final class Attempt {
 
+        private final NextHop hop;
         private final ServingTarget target;
         private final TargetState state;
         private final EventStreamDecoder decoder = new EventStreamDecoder();
@@ -327,9 +337,10 @@
         private HttpHeaders headers;
         private boolean ended;
 
-        Attempt(ServingTarget target, long now) {
-            this.target = target;
-            this.state = context.balancer().state(target);
+        Attempt(NextHop hop) {
+            this.hop = hop;
+            this.target = hop.target();
+            this.state = hop.state();
         }
 
         Publisher<Chunk> readResponse(HttpClientResponse response, ByteBufFlux body) {
@@ -346,6 +357,9 @@
             if (ended || done) {
                 return;
             }
+            if (!hop.isEntry()) {
+                context.forwarder().detector().recordReceived();
+            }
             if (chunk.buffered()) {
                 onBufferedResponse(chunk.bytes());
                 return;
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -21,12 +21,12 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.id.InstanceId;
@@ -36,8 +36,9 @@
 import org.hallwall.serving.availability.NoticeParser;
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.availability.TargetNotice;
-import org.hallwall.serving.reachability.AddressTranslator;
-import org.hallwall.serving.reachability.TargetReachability;
+import org.hallwall.serving.reachability.ConnectResult;
+import org.hallwall.serving.reachability.TargetConnector;
+import org.hallwall.serving.reachability.TargetLinks;
 import org.hallwall.serving.target.TargetIds;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -47,7 +48,6 @@
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
-import reactor.netty.tcp.TcpClient;
 
 /** HTTP client that sends attempts to targets over pooled connections. */
 public final class TargetClient {
@@ -67,12 +67,10 @@
     private static final long NOT_SENT = Long.MIN_VALUE;
 
     private final HttpClient client;
-    private final TcpClient probeClient;
     private final HeaderNames names;
     private final NoticeParser noticeParser;
     private final TargetAvailability availability;
-    private final TargetReachability reachability;
-    private final AddressTranslator addresses;
+    private final TargetLinks links;
     private final Ticker ticker;
 
     /**
@@ -81,17 +79,11 @@
      * @param loops the I/O threads
      * @param names the header names
      * @param availability the availability of targets
-     * @param reachability records which targets can be connected to
-     * @param addresses translates the addresses of targets
+     * @param links the links to the targets
      * @param ticker the clock
      */
     public TargetClient(
-            LoopResources loops,
-            HeaderNames names,
-            TargetAvailability availability,
-            TargetReachability reachability,
-            AddressTranslator addresses,
-            Ticker ticker) {
+            LoopResources loops, HeaderNames names, TargetAvailability availability, TargetLinks links, Ticker ticker) {
         ConnectionProvider pool = ConnectionProvider.builder("targets")
                 .maxConnections(MAX_CONNECTIONS_PER_TARGET)
                 .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
@@ -103,14 +95,10 @@
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .httpResponseDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES));
-        this.probeClient = TcpClient.create(ConnectionProvider.newConnection())
-                .runOn(loops)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
         this.names = names;
         this.noticeParser = new NoticeParser(names.leaving(), names.answeredBy(), names.rateLimit());
         this.availability = availability;
-        this.reachability = reachability;
-        this.addresses = addresses;
+        this.links = links;
         this.ticker = ticker;
     }
 
@@ -125,16 +113,9 @@
         if (availability.isBackingOff(target)) {
             return Mono.just(false);
         }
-        NetAddress translated = addresses.translate(address);
-        return probeClient
-                .host(translated.host())
-                .port(translated.port())
-                .connect()
-                .map(c -> {
-                    c.dispose();
-                    return false;
-                })
-                .onErrorResume(e -> Mono.just(isConnectionRefused(e)));
+        return links.connector()
+                .connect(address, Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
+                .map(r -> r == ConnectResult.REFUSED);
     }
 
     /**
@@ -154,11 +135,26 @@
             String lastEventId,
             long remainingMillis,
             ResponseReader<T> reader) {
+        return Flux.defer(() -> {
+            ScheduledFuture<?> suspicion = links.detector().suspectUnlessConnected();
+            return send(target, request, lastEventId, remainingMillis, reader, suspicion)
+                    .doFinally(s -> suspicion.cancel(false));
+        });
+    }
+
+    private <T> Flux<T> send(
+            ServingTarget target,
+            RelayRequest request,
+            String lastEventId,
+            long remainingMillis,
+            ResponseReader<T> reader,
+            ScheduledFuture<?> suspicion) {
         AtomicLong sentAt = new AtomicLong(NOT_SENT);
         return client.headers(targetHeaders(target, request, lastEventId, remainingMillis))
                 .request(request.method())
-                .uri("http://" + addresses.translate(target.address()) + request.uri())
+                .uri("http://" + links.addresses().translate(target.address()) + request.uri())
                 .send((r, out) -> {
+                    suspicion.cancel(false);
                     // availability may have changed while the request waited for a connection
                     if (!availability.tryAcquireForRequest(target.instance())) {
                         return Mono.error(AttemptFailure.unavailable("the target is no longer available"));
@@ -193,7 +189,8 @@
             ByteBufFlux body,
             ResponseReader<T> reader) {
         int status = head.status().code();
-        reachability.recordContact(target.instance(), sentAt);
+        links.reachability().recordContact(target.instance(), sentAt);
+        links.detector().recordReceived();
         TargetNotice notice = noticeParser.parse(target.instance(), status, head.responseHeaders());
         String echoed = head.responseHeaders().get(names.attemptId());
         boolean expected = request.attemptId().equals(echoed) && status != MISDIRECTED;
@@ -218,17 +215,16 @@
         return reader.read(head, body);
     }
 
-    private static boolean isConnectionRefused(Throwable e) {
-        return e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
-    }
-
     private AttemptFailure toFailure(InstanceId target, Throwable e, boolean sent) {
         String reason = e.getClass().getSimpleName() + ": " + e.getMessage();
         if (!sent) {
             if (e instanceof ConnectException) {
-                reachability.recordConnectFailure(target, reason);
+                links.reachability().recordConnectFailure(target, reason);
+                links.detector().suspect();
             }
-            return isConnectionRefused(e) ? AttemptFailure.connectionRefused(reason) : AttemptFailure.notSent(reason);
+            return TargetConnector.isRefused(e)
+                    ? AttemptFailure.connectionRefused(reason)
+                    : AttemptFailure.notSent(reason);
         }
         // a malformed response comes from a running target; otherwise the next connection attempt detects the crash
         return e instanceof IOException
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -57,7 +57,9 @@
                 .register(72, TrialRequest.class)
                 .register(73, TrialAnswer.class)
                 .register(74, PermitRequest.class)
-                .register(75, Permits.class);
+                .register(75, Permits.class)
+                .register(76, EntryStatus.class)
+                .register(77, EntryList.class);
     }
 
     /**
@@ -231,6 +233,46 @@
      */
     record Permits(boolean controls, List<PermitGrant> grants) implements FeedMessage {}
 
+    /**
+     * Reports the status of an entry to the control instance that controls the groups; answered by an {@link EntryList}.
+     *
+     * @param failureDomain the failure domain of the entry
+     * @param forwarding the address at which it accepts requests from other entries
+     * @param available whether it reaches targets and accepts requests
+     * @param unreachableTargets the number of targets that it cannot connect to
+     * @param wantsEntries whether it requests the other available entries
+     */
+    record EntryStatus(
+            String failureDomain,
+            NetAddress forwarding,
+            boolean available,
+            int unreachableTargets,
+            boolean wantsEntries)
+            implements FeedMessage {}
+
+    /**
+     * Answers the status of an entry.
+     *
+     * @param controls whether the answering instance controls the groups; only that one keeps the status of entries
+     * @param entries available entries, or an empty list if none was requested
+     */
+    record EntryList(boolean controls, List<AvailableEntry> entries) implements FeedMessage {
+
+        /** Replaces a missing list by an empty one. */
+        public EntryList {
+            entries = entries == null ? List.of() : entries;
+        }
+    }
+
+    /**
+     * An entry that accepts requests from other entries.
+     *
+     * @param instance the entry
+     * @param failureDomain its failure domain
+     * @param forwarding the address at which it accepts them
+     */
+    record AvailableEntry(InstanceId instance, String failureDomain, NetAddress forwarding) {}
+
     /**
      * Reports crashed targets with the requests they were running, and suspects that a target has answered.
      *
--- a/serving/src/test/java/org/hallwall/serving/relay/AdmissionControlTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/AdmissionControlTest.java
@@ -60,7 +60,8 @@
                 likelyRetry,
                 null,
                 0,
-                1_000);
+                1_000,
+                null);
     }
 
     @ParameterizedTest
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -49,7 +49,7 @@
 import org.hallwall.serving.permit.PermitAllocator;
 import org.hallwall.serving.permit.PermitDemand;
 import org.hallwall.serving.reachability.AddressTranslator;
-import org.hallwall.serving.reachability.TargetReachability;
+import org.hallwall.serving.reachability.TargetLinks;
 import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.GroupMembership;
@@ -83,7 +83,6 @@
     private final PermitAllocator allocator = new PermitAllocator(Ticker.SYSTEM, 0);
     private final EntryPermits permits = new EntryPermits(Ticker.SYSTEM, () -> 0);
     private final TargetAvailability availability = new TargetAvailability(Ticker.SYSTEM, permits);
-    private final TargetReachability reachability = new TargetReachability(Ticker.SYSTEM);
     private final List<StalledHead> stalledHeads = new CopyOnWriteArrayList<>();
     private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
     private final AtomicLong sequence = new AtomicLong();
@@ -115,11 +114,12 @@
         crashes = new CrashWatch(crashPeers, io, Ticker.SYSTEM);
         io.scheduleAtFixedRate(crashes::tick, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         crashes.applyUpdate(new SuspectUpdate(new byte[RequestDigester.KEY_BYTES], 1, true, List.of(), List.of()));
+        TargetLinks links = TargetLinks.create(loops, AddressTranslator.IDENTITY, List::of, io, Ticker.SYSTEM);
         server = new RelayServer(new RelayContext(
                 state,
                 new CandidateTargets(state, availability, permits, () -> 0),
                 balancer,
-                new TargetClient(loops, NAMES, availability, reachability, AddressTranslator.IDENTITY, Ticker.SYSTEM),
+                new TargetClient(loops, NAMES, availability, links, Ticker.SYSTEM),
                 budget,
                 new ForwardedHeaders(NAMES),
                 NAMES,
@@ -128,6 +128,8 @@
                 new StreamMonitor(),
                 new RelayMetrics(new PrometheusRegistry()),
                 crashes,
+                new EntryForwarder(
+                        links, List::of, balancer, new EntryClient(loops, NAMES, new InstanceId("entry"), state)),
                 Ticker.SYSTEM));
         server.open(new NetAddress("127.0.0.1", 0), loops);
         state.applyConfiguration(configuration(objectiveMillis));
