A refused connection counts as a crash only if other targets of the failure domain are reached

The reports are replicated, so that popular requests could be held back at all entries.

Cause: one process's own view decided. A refusal shows that the address does not accept connections from here, no more.

Change: before a refusal, or a probe without an answer, counts as a crash, the entry connects to up to three other targets of the same failure domain (of any, where it has none); if none accepts, nothing is recorded. An announced restart counts as before. A partitioned entry also gives the group controller no second opinion about silent members.

Not covered: a failure domain whose targets all end at once is confirmed only by their restarts.

--- a/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
@@ -42,6 +42,14 @@
      */
     Mono<Boolean> refusesConnections(InstanceId target);
 
+    /**
+     * Checks whether this entry can connect to other targets of the same failure domain.
+     *
+     * @param target the target's start
+     * @return false if there are such targets and none accepts a connection; never fails
+     */
+    Mono<Boolean> reachesNeighbours(InstanceId target);
+
     /**
      * Returns whether a target has restarted without announcing its shutdown.
      *
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -64,6 +64,7 @@
     private final List<CrashedTarget> unreportedCrashes = new ArrayList<>();
     private final Set<RequestDigest> unreportedSurvivors = new LinkedHashSet<>();
     private final Set<InstanceId> probing = new HashSet<>();
+    private final Set<InstanceId> confirming = new HashSet<>();
     private final Map<RequestDigest, Long> nextTrialRequestAt = new HashMap<>();
     private final Map<InstanceId, Long> nextProbeAt = new HashMap<>();
     private boolean reporting;
@@ -210,7 +211,7 @@
                     .subscribe(responding -> io.execute(() -> {
                         probing.remove(target);
                         if (!responding) {
-                            recordCrash(target);
+                            confirmCrash(target);
                         }
                     }));
         }
@@ -228,6 +229,34 @@
         }
     }
 
+    /**
+     * Records that a target refuses connections.
+     *
+     * @param target the target's start
+     */
+    public void recordRefusal(InstanceId target) {
+        confirmCrash(target);
+    }
+
+    /**
+     * Records a crash if this entry reaches other targets of the same failure domain. Otherwise its links to them may
+     * be lost, and the target may be running.
+     */
+    private void confirmCrash(InstanceId target) {
+        if (!failures.targets().contains(target) || !confirming.add(target)) {
+            return;
+        }
+        peers.reachesNeighbours(target)
+                .subscribe(reached -> io.execute(() -> {
+                    confirming.remove(target);
+                    if (reached) {
+                        recordCrash(target);
+                    } else {
+                        LOG.infof("crashes: target %s is unreachable, and so are its neighbours", target);
+                    }
+                }));
+    }
+
     /**
      * Records that a target has crashed.
      *
@@ -297,7 +326,7 @@
                 .subscribe(refused -> io.execute(() -> {
                     probing.remove(target);
                     if (refused) {
-                        recordCrash(target);
+                        confirmCrash(target);
                     }
                 }));
     }
--- a/serving/src/main/java/org/hallwall/serving/reachability/PartitionDetector.java
+++ b/serving/src/main/java/org/hallwall/serving/reachability/PartitionDetector.java
@@ -31,6 +31,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 
+import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.time.Ticker;
 import org.jboss.logging.Logger;
@@ -157,6 +158,28 @@
         }
     }
 
+    /**
+     * Checks whether other targets accept connections.
+     *
+     * @param target the target to leave out
+     * @param failureDomain the failure domain whose targets are checked; targets of others if it has none
+     * @return false if there are other targets and none of those checked accepts a connection; never fails
+     */
+    public Mono<Boolean> reachesOthers(InstanceId target, String failureDomain) {
+        List<TargetEndpoint> others = new ArrayList<>(targets.get());
+        others.removeIf(t -> t.instance().equals(target));
+        List<TargetEndpoint> near = others.stream()
+                .filter(t -> t.failureDomain().equals(failureDomain))
+                .toList();
+        List<TargetEndpoint> checked = new ArrayList<>(near.isEmpty() ? others : near);
+        Collections.shuffle(checked, random);
+        return Flux.fromIterable(checked)
+                .take(PROBED_TARGETS)
+                .flatMap(this::probe)
+                .any(r -> r == ConnectResult.CONNECTED)
+                .map(reached -> reached || checked.isEmpty());
+    }
+
     private void verify() {
         if (probing) {
             return;
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -206,7 +206,7 @@
         ServingTarget target = hop.target();
         switch (f.kind()) {
             case CONNECTION_REFUSED:
-                context.crashWatch().recordCrash(target.instance());
+                context.crashWatch().recordRefusal(target.instance());
                 break;
             case CONNECTION_LOST:
                 disconnectedBy.add(target.instance());
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -56,6 +56,7 @@
     private final TargetDirectory directory;
     private final Function<InstanceId, Mono<Boolean>> probe;
     private final BiFunction<InstanceId, NetAddress, Mono<Boolean>> refusesConnections;
+    private final Function<InstanceId, Mono<Boolean>> reachesNeighbours;
 
     /**
      * Creates the exchange.
@@ -64,16 +65,19 @@
      * @param directory the announced targets
      * @param probe  probes a target; empty if the target is unavailable and was not probed
      * @param refusesConnections  checks whether the address of a target refuses connections
+     * @param reachesNeighbours checks whether other targets of the failure domain accept connections
      */
     CrashExchange(
             Supplier<Collection<PeerLink>> controllers,
             TargetDirectory directory,
             Function<InstanceId, Mono<Boolean>> probe,
-            BiFunction<InstanceId, NetAddress, Mono<Boolean>> refusesConnections) {
+            BiFunction<InstanceId, NetAddress, Mono<Boolean>> refusesConnections,
+            Function<InstanceId, Mono<Boolean>> reachesNeighbours) {
         this.controllers = controllers;
         this.directory = directory;
         this.probe = probe;
         this.refusesConnections = refusesConnections;
+        this.reachesNeighbours = reachesNeighbours;
     }
 
     @Override
@@ -91,6 +95,11 @@
                 : refusesConnections.apply(target, record.address());
     }
 
+    @Override
+    public Mono<Boolean> reachesNeighbours(InstanceId target) {
+        return reachesNeighbours.apply(target);
+    }
+
     @Override
     public boolean hasRestarted(InstanceId target) {
         TargetRecord record = directory.find(target);
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -152,7 +152,12 @@
         targetLinks.detector().setListener(statusExchange::report);
         TargetClient client = new TargetClient(loops, names, availability, targetLinks, ticker);
         this.crashWatch = new CrashWatch(
-                new CrashExchange(loadExchange::controllers, directory, this::probe, client::refusesConnections),
+                new CrashExchange(
+                        loadExchange::controllers,
+                        directory,
+                        this::probe,
+                        client::refusesConnections,
+                        this::reachesNeighbours),
                 io,
                 ticker);
         RelayContext context = new RelayContext(
@@ -441,6 +446,9 @@
      * result if the controller does not respond.
      */
     private Mono<HeadCheckResult> probeSuspects(PeerLink link, HeadCheckResult suspected) {
+        if (targetLinks.detector().isPartitioned()) {
+            return Mono.just(new HeadCheckResult(suspected.group(), GroupLiveness.UNKNOWN, List.of()));
+        }
         List<InstanceId> probed =
                 suspected.suspects().stream().filter(availability::canProbe).toList();
         if (probed.isEmpty()) {
@@ -466,6 +474,11 @@
                 .toList();
     }
 
+    private Mono<Boolean> reachesNeighbours(InstanceId target) {
+        TargetRecord record = directory.find(target);
+        return targetLinks.detector().reachesOthers(target, record == null ? null : record.failureDomain());
+    }
+
     private Mono<Boolean> probe(InstanceId target) {
         TargetRecord record = directory.find(target);
         return record == null || gateway == null ? Mono.just(false) : gateway.probe(record, PROBE_TIMEOUT);
--- a/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
@@ -384,6 +384,13 @@
                     () -> targets.stream().anyMatch(t -> !t.up && t.start().equals(target)));
         }
 
+        @Override
+        public Mono<Boolean> reachesNeighbours(InstanceId target) {
+            return later(
+                    NETWORK_DELAY_MILLIS * 2,
+                    () -> targets.stream().anyMatch(t -> t.up && !t.start().equals(target)));
+        }
+
         @Override
         public boolean hasRestarted(InstanceId target) {
             return false;
--- a/serving/src/test/java/org/hallwall/serving/relay/CrashExchangeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/CrashExchangeTest.java
@@ -41,10 +41,15 @@
     private final AtomicInteger probes = new AtomicInteger();
 
     private boolean refuses(boolean refused) {
-        CrashExchange exchange = new CrashExchange(List::of, directory, t -> Mono.just(true), (t, a) -> {
-            probes.incrementAndGet();
-            return Mono.just(refused);
-        });
+        CrashExchange exchange = new CrashExchange(
+                List::of,
+                directory,
+                t -> Mono.just(true),
+                (t, a) -> {
+                    probes.incrementAndGet();
+                    return Mono.just(refused);
+                },
+                t -> Mono.just(true));
         return exchange.refusesConnections(TARGET).block();
     }
 
--- a/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
@@ -53,6 +53,11 @@
         return Mono.just(!endedTargets.contains(target));
     }
 
+    @Override
+    public Mono<Boolean> reachesNeighbours(InstanceId target) {
+        return Mono.just(true);
+    }
+
     @Override
     public Mono<Boolean> refusesConnections(InstanceId target) {
         return Mono.just(endedTargets.contains(target));
