--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -140,6 +140,15 @@
         return server.port();
     }
 
+    /**
+     * Returns the port for requests from other entries.
+     *
+     * @return the port
+     */
+    public int forwardingPort() {
+        return forwardingServer.port();
+    }
+
     /**
      * Returns the number of requests in flight.
      *
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -49,7 +49,9 @@
 import org.hallwall.serving.permit.PermitAllocator;
 import org.hallwall.serving.permit.PermitDemand;
 import org.hallwall.serving.reachability.AddressTranslator;
+import org.hallwall.serving.reachability.TargetEndpoint;
 import org.hallwall.serving.reachability.TargetLinks;
+import org.hallwall.serving.target.FeedMessage.AvailableEntry;
 import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.GroupMembership;
@@ -83,6 +85,7 @@
     private final PermitAllocator allocator = new PermitAllocator(Ticker.SYSTEM, 0);
     private final EntryPermits permits = new EntryPermits(Ticker.SYSTEM, () -> 0);
     private final TargetAvailability availability = new TargetAvailability(Ticker.SYSTEM, permits);
+    private final List<AvailableEntry> availableEntries = new CopyOnWriteArrayList<>();
     private final List<StalledHead> stalledHeads = new CopyOnWriteArrayList<>();
     private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
     private final AtomicLong sequence = new AtomicLong();
@@ -114,7 +117,7 @@
         crashes = new CrashWatch(crashPeers, io, Ticker.SYSTEM);
         io.scheduleAtFixedRate(crashes::tick, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         crashes.applyUpdate(new SuspectUpdate(new byte[RequestDigester.KEY_BYTES], 1, true, List.of(), List.of()));
-        TargetLinks links = TargetLinks.create(loops, AddressTranslator.IDENTITY, List::of, io, Ticker.SYSTEM);
+        TargetLinks links = TargetLinks.create(loops, AddressTranslator.IDENTITY, this::endpoints, io, Ticker.SYSTEM);
         server = new RelayServer(new RelayContext(
                 state,
                 new CandidateTargets(state, availability, permits, () -> 0),
@@ -129,9 +132,13 @@
                 new RelayMetrics(new PrometheusRegistry()),
                 crashes,
                 new EntryForwarder(
-                        links, List::of, balancer, new EntryClient(loops, NAMES, new InstanceId("entry"), state)),
+                        links,
+                        () -> List.copyOf(availableEntries),
+                        balancer,
+                        new EntryClient(loops, NAMES, new InstanceId("entry"), state)),
                 Ticker.SYSTEM));
         server.open(new NetAddress("127.0.0.1", 0), loops);
+        server.openForwarding(new NetAddress("127.0.0.1", 0), loops);
         state.applyConfiguration(configuration(objectiveMillis));
     }
 
@@ -203,6 +210,24 @@
         state.refreshTargets();
     }
 
+    private List<TargetEndpoint> endpoints() {
+        return state.targets().all().stream()
+                .map(t -> new TargetEndpoint(t.instance(), t.address(), t.failureDomain()))
+                .toList();
+    }
+
+    /** Makes another entry available for requests that this one cannot send. */
+    void addEntry(String id, RelayFixture entry) {
+        availableEntries.add(new AvailableEntry(
+                new InstanceId(id), "a", new NetAddress("127.0.0.1", entry.server.forwardingPort())));
+    }
+
+    /** Activates a configuration with a higher version and the same content. */
+    void updateConfiguration(long version) {
+        Configuration c = state.routes().configuration();
+        state.applyConfiguration(new Configuration(version, c.routes(), c.services(), c.workspaces(), c.limits()));
+    }
+
     /** Returns the scripted peers of the crash watch. */
     ScriptedCrashPeers crashPeers() {
         return crashPeers;
