HeadLivenessQuery: the questions about silent heads leave EntryNode

The queries of the group controller and the second opinion on suspected members move to a class of their own, unchanged; a partitioned entry gives no opinion, as before. The bound on forwarded requests counts without an extra counter object. RelayTest, ForwardedRequestTest and PartitionedEntryTest.targets* pass.

--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -54,16 +54,11 @@
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
-import org.hallwall.serving.target.FeedMessage.HeadCheckResult;
-import org.hallwall.serving.target.FeedMessage.StalledHead;
-import org.hallwall.serving.target.GroupLiveness;
 import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.serving.target.TargetRecord;
 import org.hallwall.wire.PeerCodec;
-import org.hallwall.wire.PeerException;
 import org.hallwall.wire.PeerLink;
 import org.jboss.logging.Logger;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
@@ -75,8 +70,6 @@
     private static final long TICK_MILLIS = 1_000;
     /** Maximum number of links to control instances; the largest supported number of voters. */
     private static final int MAX_CONTROL_LINKS = 9;
-    /** Timeout of a query about a group head; covers the probes of the group controller and the round trip. */
-    private static final Duration HEAD_QUERY_TIMEOUT = Duration.ofMillis(400);
     /** Timeout of a probe that this entry sends to a target. */
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(150);
     /** Interval between checks of the number of requests in flight during shutdown, in milliseconds. */
@@ -160,6 +153,8 @@
                         this::reachesNeighbours),
                 io,
                 ticker);
+        HeadLivenessQuery headQuery =
+                new HeadLivenessQuery(loadExchange::controllers, availability, targetLinks.detector(), this::probe);
         RelayContext context = new RelayContext(
                 state,
                 new CandidateTargets(
@@ -172,7 +167,7 @@
                 retryBudget,
                 new ForwardedHeaders(names),
                 names,
-                new StalledHeads(this::queryHead, fleet::isControlReachable, ticker),
+                new StalledHeads(headQuery::query, fleet::isControlReachable, ticker),
                 admission,
                 new StreamMonitor(),
                 new RelayMetrics(registry),
@@ -421,51 +416,6 @@
         }
     }
 
-    /** Queries the group controller for the liveness of a head. */
-    private Mono<GroupLiveness> queryHead(StalledHead head) {
-        return Flux.fromIterable(loadExchange.controllers())
-                .flatMap(l -> callController(l, head)
-                        .flatMap(f -> f.liveness() == GroupLiveness.SUSPECTED ? probeSuspects(l, f) : Mono.just(f)))
-                .map(HeadCheckResult::liveness)
-                .filter(found -> found != GroupLiveness.UNKNOWN)
-                .next()
-                .defaultIfEmpty(GroupLiveness.UNKNOWN);
-    }
-
-    private static Mono<HeadCheckResult> callController(PeerLink link, FeedMessage message) {
-        return link.call(message, HEAD_QUERY_TIMEOUT)
-                .ofType(HeadCheckResult.class)
-                .onErrorResume(PeerException.class, e -> {
-                    LOG.debugf("entry: no response to %s, %s", message, e.getMessage());
-                    return Mono.empty();
-                });
-    }
-
-    /**
-     * Probes the suspected members that may be probed and reports the result to the controller. Falls back to its own
-     * result if the controller does not respond.
-     */
-    private Mono<HeadCheckResult> probeSuspects(PeerLink link, HeadCheckResult suspected) {
-        if (targetLinks.detector().isPartitioned()) {
-            return Mono.just(new HeadCheckResult(suspected.group(), GroupLiveness.UNKNOWN, List.of()));
-        }
-        List<InstanceId> probed =
-                suspected.suspects().stream().filter(availability::canProbe).toList();
-        if (probed.isEmpty()) {
-            return Mono.just(new HeadCheckResult(suspected.group(), GroupLiveness.UNKNOWN, List.of()));
-        }
-        return Flux.fromIterable(probed)
-                .filterWhen(id -> probe(id).defaultIfEmpty(true))
-                .collectList()
-                .flatMap(reached -> {
-                    List<InstanceId> silent = new ArrayList<>(probed);
-                    silent.removeAll(reached);
-                    GroupLiveness liveness = silent.isEmpty() ? GroupLiveness.WORKING : GroupLiveness.LOST;
-                    return callController(link, new FeedMessage.SuspectCheckResult(suspected.group(), reached, silent))
-                            .defaultIfEmpty(new HeadCheckResult(suspected.group(), liveness, List.of()));
-                });
-    }
-
     /** Returns the targets that accept connections according to what they have announced and responded. */
     private List<TargetEndpoint> endpoints() {
         return state.targets().all().stream()
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -180,8 +180,8 @@
 
     private Publisher<Void> handle(HttpServerRequest req, HttpServerResponse res, boolean forwarded) {
         inFlight.incrementAndGet();
-        AtomicInteger counter = forwarded ? forwardedInFlight : new AtomicInteger();
-        counter.incrementAndGet();
+        int forwardedCount = forwarded ? 1 : 0;
+        forwardedInFlight.addAndGet(forwardedCount);
         if (draining) {
             res.keepAlive(false);
         }
@@ -193,7 +193,7 @@
         }
         return response.doFinally(s -> {
             inFlight.decrementAndGet();
-            counter.decrementAndGet();
+            forwardedInFlight.addAndGet(-forwardedCount);
         });
     }
 
