--- a/log/src/main/java/org/hallwall/log/MembershipPolicy.java
+++ b/log/src/main/java/org/hallwall/log/MembershipPolicy.java
@@ -33,7 +33,9 @@
 
     /** A smaller set does not tolerate any failure. */
     private static final int MIN_VOTERS = 3;
-    /** Larger sets only make commits slower. */
+    /**
+     * Larger sets only make commits slower; above the eight control instances of the largest fleet.
+     */
     private static final int MAX_VOTERS = 9;
     /** How long a voter may be unresponsive before it can be removed; longer than a process restart. */
     private static final long REMOVAL_TIMEOUT_MILLIS = 3_000;
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -45,8 +45,9 @@
     static final int HOLD_THRESHOLD = 3;
 
     /**
-     * Crashes that hold a request even if another held request accounts for them, so that two crashing requests that always run together
-     * are both held.
+     * Crashes that hold a request even if another held request accounts for them, so that two crashing requests that
+     * always run together are both held. An innocent request that is not popular reaches no more targets anyway: a
+     * client tries twice, and each try is sent to two targets.
      */
     static final int UNCONDITIONAL_HOLD_THRESHOLD = 4;
 
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -45,7 +45,11 @@
     /** The shortest retry delay of a held request; covers most leader elections and short partitions. */
     private static final long MIN_RETRY_MILLIS = 10_000;
 
-    /** The interval at which a target with an unresolved failure is probed, since it may crash after this entry has disconnected. */
+    /**
+     * The interval at which a target with an unresolved failure is probed, since it may crash after this entry has
+     * disconnected, where no other process notices. Within the time for confirmation this costs up to five connections
+     * per abandoned request.
+     */
     private static final long PROBE_INTERVAL_MILLIS = 2_000;
 
     /** Bounds the burst of connections when a whole failure domain becomes unreachable. */
--- a/serving/src/main/java/org/hallwall/serving/crash/RecentResponses.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/RecentResponses.java
@@ -29,7 +29,11 @@
  */
 final class RecentResponses {
 
-    /** How long an answer exempts a request from suspicion. */
+    /**
+     * How long an answer exempts a request from suspicion, in milliseconds: several runs of a request that is always
+     * in progress on some targets. A request that begins to crash targets, because they run a new version, is held
+     * back only after this time.
+     */
     private static final long RETENTION_MILLIS = 10_000;
 
     private static final int MAX_REQUESTS = 2_048;
--- a/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
@@ -49,8 +49,9 @@
     private static final long HOUR_MILLIS = 60 * MINUTE_MILLIS;
 
     /**
-     * The delays before each trial, in milliseconds; every trial risks one target. The first releases a wrongly held request
-     * soon, the second allows for a fixed version of the targets.
+     * The delays before each trial, in milliseconds; every trial risks one target. The first releases a wrongly held
+     * request soon, the second allows for a fixed version of the targets. There is no third one, since the requests
+     * that were sent while the suspect became known count as retries too.
      */
     private static final long[] TRIAL_DELAYS_MILLIS = {MINUTE_MILLIS, 2 * HOUR_MILLIS};
 
--- a/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
@@ -36,7 +36,10 @@
  */
 final class UnresolvedFailures {
 
-    /** How long to wait for a crash to be confirmed by a refused connection or by the announcement of a restart. */
+    /**
+     * How long to wait for a crash to be confirmed, in milliseconds: by a refused connection, or by the announcement
+     * of a restart, which takes targets some seconds.
+     */
     private static final long CONFIRMATION_MILLIS = 10_000;
 
     private static final int MAX_REQUESTS = 2_048;
--- a/serving/src/main/java/org/hallwall/serving/permit/LimitedTarget.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/LimitedTarget.java
@@ -27,13 +27,15 @@
 final class LimitedTarget {
 
     /**
-     * How long a permit is valid, in milliseconds from the time at which it was requested. The sum over all entries exceeds the limit by at
-     * most the permits of one lease.
+     * How long a permit is valid, in milliseconds from the time at which it was requested: an entry receives a few
+     * requests in it. The sum over all entries exceeds the limit by at most the permits of one lease.
      */
     static final long LEASE_MILLIS = 1_000;
     /** How long a request counts as demand. */
     private static final long DEMAND_MILLIS = 1_000;
-    /** Maximum demand that is reported. */
+    /**
+     * Maximum demand that is reported; the allocator holds no more permits than an entry can use within a lease.
+     */
     private static final int MAX_DEMAND = 64;
 
     private final Deque<Long> permitExpiry = new ArrayDeque<>();
--- a/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AdmissionWindow.java
@@ -36,7 +36,10 @@
     private static final long MIN_SHRINK_INTERVAL_MILLIS = 300;
     /** Maximum window, in multiples of the equal share of this entry; allows for uneven distribution of clients. */
     private static final double MAX_SHARES = 4;
-    /** Minimum window, in multiples of the equal share of this entry. */
+    /**
+     * Minimum window, in multiples of the equal share of this entry; failure domains have few or many entries for
+     * their clients.
+     */
     private static final double MIN_SHARES = 1.2;
 
     private double window = Double.MAX_VALUE;
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -47,7 +47,10 @@
 final class CrashExchange implements CrashPeers {
 
     private static final Logger LOG = Logger.getLogger(CrashExchange.class);
-    /** Timeout of a crash report; covers a commit on slow disks. */
+    /**
+     * Timeout of a crash report; covers a commit on slow disks. The next attempt follows within a fraction of a
+     * second.
+     */
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(900);
     /** Timeout of a trial request, for which the client waits; covers a commit. */
     private static final Duration TRIAL_TIMEOUT = Duration.ofMillis(300);
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -70,7 +70,9 @@
     private static final long TICK_MILLIS = 1_000;
     /** Maximum number of links to control instances; the largest supported number of voters. */
     private static final int MAX_CONTROL_LINKS = 9;
-    /** Timeout of a probe that this entry sends to a target. */
+    /**
+     * Timeout of a probe that this entry sends to a target; several round trips and the time of the response.
+     */
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(150);
     /** Interval between checks of the number of requests in flight during shutdown, in milliseconds. */
     private static final long STOP_POLL_MILLIS = 50;
--- a/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
@@ -26,7 +26,9 @@
 /** Splits a byte stream into server-sent events and buffers the last, incomplete one. */
 public final class EventStreamDecoder {
 
-    /** Maximum size of an event, in bytes. */
+    /**
+     * Maximum size of an event, in bytes; targets send a few hundred.
+     */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private static final String ID_FIELD = "id:";
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -58,8 +58,8 @@
     /** Retry-After if no target is available, in milliseconds; about the time to repair a group. */
     static final long NO_TARGET_RETRY_AFTER_MILLIS = 250;
     /**
-     * Retry-After if all groups are full, in milliseconds; about the duration of a stream. Clients wait for at most a
-     * third of their remaining time.
+     * Retry-After if all groups are full, in milliseconds; about the duration of a stream, in which lost groups are
+     * also formed again. Clients wait for at most a third of their remaining time.
      */
     static final long OVERLOAD_RETRY_AFTER_MILLIS = 1_200;
 
