Logs of failed attempts name the prompt parts that a request shares with others

Callers lost streams at targets that ended one after the other. A line of a failed attempt named the digest of the whole request only, so that requests with a prompt part in common could not be told from unrelated ones, and the hypothesis that a part is to blame could not be counted. Now the line ends with the ids of the parts but the last, at most 16, which is the request's own. No decision uses them.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -39,6 +39,8 @@
      */
     static final int MAX_FORWARDS = 4;
 
+    private static final int MAX_LOGGED_PARTS = 16;
+
     private final RelayContext context;
     private final RelayRequest request;
     private final Set<InstanceId> triedTargets = new HashSet<>();
@@ -182,7 +184,7 @@
         RetryDecision decision = decide(f, charged);
         context.metrics().countRetryDecision(request.service(), decision);
         LOG.infof(
-                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); attempt %d of %s",
+                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); attempt %d of %s%s",
                 request.attemptId(),
                 target.instance(),
                 target.group() == null ? "-" : target.group().name(),
@@ -193,10 +195,20 @@
                 decision,
                 context.retryBudget().describe(request.service()),
                 sendCount,
-                digest());
+                digest(),
+                describePromptParts());
         return decision;
     }
 
+    private String describePromptParts() {
+        List<String> parts = request.sharedPromptParts(context.headerNames());
+        if (parts.isEmpty()) {
+            return "";
+        }
+        boolean all = parts.size() <= MAX_LOGGED_PARTS;
+        return " with prompt parts " + (all ? parts : parts.subList(0, MAX_LOGGED_PARTS) + " of " + parts.size());
+    }
+
     private void updateTargetState(TargetState state, ServingTarget target, AttemptFailure f) {
         if (f.isMisdirected()) {
             state.markDisplaced(target, context.now());
--- a/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/HeaderNames.java
@@ -31,6 +31,7 @@
  * @param lastEventId the last event that the client has received
  * @param leaving set by targets that are shutting down
  * @param answeredBy set by targets that reject a request, to their own name
+ * @param promptParts the parts of the prompt, in order
  * @param rateLimit set by targets with a rate limit, to the requests per second that they accept from all entries
  */
 public record HeaderNames(
@@ -44,4 +45,5 @@
         String lastEventId,
         String leaving,
         String answeredBy,
+        String promptParts,
         String rateLimit) {}
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -18,6 +18,8 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -88,6 +90,11 @@
                 forward);
     }
 
+    /** Returns the ids of the prompt parts that other requests may share. */
+    List<String> sharedPromptParts(HeaderNames names) {
+        return PromptPartsHeader.sharedIds(headers.getAll(names.promptParts()));
+    }
+
     /** Computes the digest over the parts that a retry repeats: workspace, host, method, path and body. */
     RequestDigest computeDigest(RequestDigester digester, HeaderNames names) {
         return digester.digest(
--- a/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ForwardedHeadersTest.java
@@ -38,6 +38,7 @@
             "last",
             "leaving",
             "by",
+            "parts",
             "X-Rate-Limit");
 
     @ParameterizedTest
@@ -54,6 +55,7 @@
         "attempt, true",
         "model, true",
         "last, true",
+        "parts, true",
         "accept, true",
         "x-anything, true"
     })
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -75,6 +75,7 @@
             "Last-Event-Id",
             "X-Leaving",
             "X-Answered-By",
+            "X-Prompt-Parts",
             "X-Rate-Limit");
 
     private static final long CHECK_INTERVAL_MILLIS = 20;
