--- a/serving/src/test/java/org/hallwall/serving/relay/PromptPartsHeaderTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/PromptPartsHeaderTest.java
@@ -70,7 +70,8 @@
 
     @Test
     void hundredsOfPartsAreRead() {
-        List<String> ids = IntStream.range(0, 500).mapToObj(Integer::toHexString).toList();
+        List<String> ids =
+                IntStream.range(0, 500).mapToObj(Integer::toHexString).toList();
         String header = Stream.concat(ids.stream(), Stream.of("ffff"))
                 .map(id -> id + ":7")
                 .collect(Collectors.joining(","));
