--- a/cli/src/main/java/org/hallwall/cli/RequestTrace.java
+++ b/cli/src/main/java/org/hallwall/cli/RequestTrace.java
@@ -41,8 +41,9 @@
     /** Target and group of a failed attempt: "attempt at TARGET of GROUP failed". */
     private static final Pattern FAILED_ATTEMPT = Pattern.compile("attempt at (\\S+?)(?: of (\\S+))? failed");
 
-    /** Digest that identifies retries of a request: "attempt 2 of DIGEST", "held back as DIGEST:". */
-    private static final Pattern DIGEST = Pattern.compile("(?:attempt \\d+ of|held back as) ([0-9a-f]{32})");
+    /** Digest that identifies retries of a request, or a prompt part that is held: "attempt 2 of DIGEST", "held back as DIGEST:". */
+    private static final Pattern DIGEST =
+            Pattern.compile("(?:attempt \\d+ of|held back as) ([0-9a-f]{32}|part-[0-9a-f]+)");
 
     /** Target that sent the response: "from TARGET, first after". */
     private static final Pattern RESPONSE = Pattern.compile(" from (\\S+?), first after");
--- a/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
@@ -96,6 +96,26 @@
         Assertions.assertTrue(trace.get(2).contains("refused with 503"));
     }
 
+    /** A request is held because of a prompt part that crashed targets in other requests. */
+    @Test
+    void explainsHeldPromptPart() throws IOException {
+        Path file = folder.resolve("all.log");
+        Files.writeString(
+                file,
+                String.join(
+                        "\n",
+                        jsonLine("00:00:00", "crashes: target i-2/mx has ended under 1 requests: [part-5c1e]"),
+                        jsonLine("00:00:01", "crashes: target i-9/mx has ended under 1 requests: [part-91bd]"),
+                        jsonLine("00:00:02", "crashes: prompt part part-5c1e is held back: [i-2/mx] ended under it"),
+                        jsonLine(
+                                "00:30:00", "request x: refused with 503, NOT_RUN: held back as part-5c1e: [i-2/mx]")));
+        Assertions.assertEquals(ExitCode.SUCCESS, run("explain", "x", file.toString()));
+        List<String> trace = out.toString(StandardCharsets.UTF_8).lines().toList();
+        Assertions.assertEquals(3, trace.size(), trace::toString);
+        Assertions.assertTrue(trace.get(0).contains("i-2/mx has ended"));
+        Assertions.assertTrue(trace.get(1).contains("is held back"));
+    }
+
     /** Earlier target notices to the rejecting entry are included; notices to another entry are not. */
     @Test
     void explainsUnavailableTargets() throws IOException {
--- a/integration/src/test/java/org/hallwall/integration/StoredDataTest.java
+++ b/integration/src/test/java/org/hallwall/integration/StoredDataTest.java
@@ -37,7 +37,7 @@
 import org.hallwall.serving.crash.CrashCommand;
 import org.hallwall.serving.crash.CrashLedger;
 import org.hallwall.serving.crash.CrashedTarget;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.crash.Suspect;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -108,7 +108,7 @@
                 new InstanceId("target-2"),
                 new InstanceId("target-3"),
                 new InstanceId("target-4"));
-        assertEquals(List.of(new Suspect(new RequestDigest("digest-1"), targets, true)), List.copyOf(ledger.held()));
+        assertEquals(List.of(new Suspect(new Fingerprint("digest-1"), targets, true)), List.copyOf(ledger.held()));
         assertArrayEquals(new byte[] {9, 8, 7}, ledger.key());
         assertArrayEquals(bytes, ledger.snapshot());
     }
@@ -117,8 +117,8 @@
     void crashCommand() throws IOException {
         byte[] bytes = Files.readAllBytes(STORED.resolve("suspects-command"));
         CrashCommand command = CrashCommand.read(bytes);
-        CrashedTarget crashed = new CrashedTarget(new InstanceId("target-5"), List.of(new RequestDigest("digest-2")));
-        assertEquals(CrashCommand.report(2000, List.of(crashed), List.of(new RequestDigest("digest-1"))), command);
+        CrashedTarget crashed = new CrashedTarget(new InstanceId("target-5"), List.of(new Fingerprint("digest-2")));
+        assertEquals(CrashCommand.report(2000, List.of(crashed), List.of(new Fingerprint("digest-1"))), command);
         assertArrayEquals(bytes, command.bytes());
     }
 
--- a/serving/src/main/java/org/hallwall/serving/control/CrashService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/CrashService.java
@@ -24,7 +24,7 @@
 import org.hallwall.log.LogVoter;
 import org.hallwall.serving.crash.CrashCommand;
 import org.hallwall.serving.crash.CrashLedger;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.crash.RequestDigester;
 import org.hallwall.serving.target.FeedMessage.CrashReport;
 import org.hallwall.serving.target.FeedMessage.CrashReportResult;
@@ -94,7 +94,7 @@
     }
 
     /** Returns whether a trial of a held-back request is granted. */
-    Mono<TrialAnswer> requestTrial(RequestDigest digest) {
+    Mono<TrialAnswer> requestTrial(Fingerprint digest) {
         if (!voter.holdsLease()) {
             return Mono.just(new TrialAnswer(false, false, 0));
         }
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashCommand.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashCommand.java
@@ -35,7 +35,7 @@
  * @param trial a held request that a caller has sent again
  */
 public record CrashCommand(
-        long at, byte[] key, List<CrashedTarget> ended, List<RequestDigest> survived, RequestDigest trial) {
+        long at, byte[] key, List<CrashedTarget> ended, List<Fingerprint> survived, Fingerprint trial) {
 
     private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
 
@@ -58,7 +58,7 @@
      * @param survived suspects that a target has answered
      * @return the command
      */
-    public static CrashCommand report(long at, List<CrashedTarget> ended, List<RequestDigest> survived) {
+    public static CrashCommand report(long at, List<CrashedTarget> ended, List<Fingerprint> survived) {
         return new CrashCommand(at, null, ended, survived, null);
     }
 
@@ -69,7 +69,7 @@
      * @param digest the held request
      * @return the command
      */
-    public static CrashCommand trial(long at, RequestDigest digest) {
+    public static CrashCommand trial(long at, Fingerprint digest) {
         return new CrashCommand(at, null, List.of(), List.of(), digest);
     }
 
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -33,11 +33,12 @@
 import org.jboss.logging.Logger;
 
 /**
- * The replicated state machine of requests suspected of crashing targets. Deterministic: it reads no clock and does no I/O.
+ * The replicated state machine of requests and prompt parts suspected of crashing targets. Deterministic: it reads no clock and does no I/O.
  *
- * <p>A request is a suspect from the first target that crashes while running it until a target answers it. It is held back after
- * {@value #HOLD_THRESHOLD} crashes that are not attributed to another held request, so that requests that merely ran on the same targets
- * are not held.
+ * <p>A request or prompt part is a suspect from the first target that crashes while running it until a target answers it. It is held back
+ * after {@value #HOLD_THRESHOLD} crashes that are not attributed to others: to a suspect that is held already, or to one whose response the
+ * target had just begun to write when it crashed. Of suspects with the same evidence, the one that affects the fewest requests is held
+ * first. So neither requests that merely ran on the same targets nor parts that they share are held.
  */
 public final class CrashLedger {
 
@@ -45,7 +46,7 @@
     static final int HOLD_THRESHOLD = 3;
 
     /**
-     * Crashes that hold a request even if another held request accounts for them, so that two crashing requests that
+     * Crashes that hold a request, not a prompt part, even if another held request accounts for them, so that two crashing requests that
      * always run together are both held. An innocent request that is not popular reaches no more targets anyway: a
      * client tries twice, and each try is sent to two targets.
      */
@@ -62,7 +63,14 @@
 
     private static final Logger LOG = Logger.getLogger(CrashLedger.class);
 
-    private final Map<RequestDigest, ReplicatedSuspect> suspects = new HashMap<>();
+    private static final Comparator<ReplicatedSuspect> BY_EVIDENCE = Comparator.comparing(
+                    (ReplicatedSuspect s) -> s.begun().size())
+            .thenComparing(s -> s.targets().size())
+            .reversed()
+            .thenComparing(s -> s.digest().kind())
+            .thenComparing(ReplicatedSuspect::digest);
+
+    private final Map<Fingerprint, ReplicatedSuspect> suspects = new HashMap<>();
     private final Deque<Removal> removals = new ArrayDeque<>();
     private byte[] key;
     private long version;
@@ -87,10 +95,10 @@
 
     private void applyCrash(CrashedTarget e, long at) {
         List<ReplicatedSuspect> updated = new ArrayList<>();
-        for (RequestDigest d : e.running()) {
+        for (Fingerprint d : e.running()) {
             ReplicatedSuspect s = suspects.getOrDefault(d, ReplicatedSuspect.create(d, at));
-            if (!s.targets().contains(e.target())) {
-                updated.add(s.withCrash(e.target(), at, ++version));
+            if (!s.covers(e)) {
+                updated.add(s.withCrash(e, at, ++version));
             }
         }
         updated.forEach(s -> suspects.put(s.digest(), s));
@@ -98,18 +106,15 @@
         evictSurplus();
     }
 
-    /** Holds requests in descending order of crashes, since a held request accounts for crashes of the others. */
+    /** Holds suspects in descending order of evidence, since a held suspect accounts for crashes of the others. */
     private void holdEligible(List<ReplicatedSuspect> candidates, long at) {
-        candidates.sort(
-                Comparator.comparing((ReplicatedSuspect s) -> s.targets().size())
-                        .reversed()
-                        .thenComparing(ReplicatedSuspect::digest));
+        candidates.sort(BY_EVIDENCE);
         for (ReplicatedSuspect s : candidates) {
             if (!s.held() && shouldHold(s)) {
                 suspects.put(s.digest(), s.withHold(at, ++version));
                 LOG.warnf(
-                        "crashes: request %s is held back: %s ended under it, none survived it",
-                        s.digest(), s.targets());
+                        "crashes: %s %s is held back: %s ended under it, none survived it",
+                        s.digest().kind().label(), s.digest(), s.targets());
             }
         }
     }
@@ -118,27 +123,45 @@
         if (s.targets().size() < HOLD_THRESHOLD) {
             return false;
         }
+        boolean request = s.digest().kind() == Fingerprint.Kind.REQUEST;
+        if (request && s.targets().size() >= UNCONDITIONAL_HOLD_THRESHOLD) {
+            return true;
+        }
         Set<InstanceId> attributed = new HashSet<>();
-        suspects.values().stream().filter(ReplicatedSuspect::held).forEach(h -> attributed.addAll(h.targets()));
-        long unattributed =
-                s.targets().stream().filter(t -> !attributed.contains(t)).count();
-        return unattributed >= HOLD_THRESHOLD || s.targets().size() >= UNCONDITIONAL_HOLD_THRESHOLD;
+        for (ReplicatedSuspect other : suspects.values()) {
+            if (other.held() && !accountsForMoreThan(s, other)) {
+                attributed.addAll(other.targets());
+            }
+            if (!other.digest().equals(s.digest())) {
+                other.begun().stream().filter(t -> !s.isCloseTo(t)).forEach(attributed::add);
+            }
+        }
+        return s.targets().stream().filter(t -> !attributed.contains(t)).count() >= HOLD_THRESHOLD;
+    }
+
+    /** Returns whether a prompt part ran on all targets of another suspect that crashed, and on a further one. */
+    private static boolean accountsForMoreThan(ReplicatedSuspect s, ReplicatedSuspect other) {
+        return s.digest().kind() == Fingerprint.Kind.PROMPT_PART
+                && s.targets().size() > other.targets().size()
+                && s.targets().containsAll(other.targets());
     }
 
-    private void applySurvival(RequestDigest d, long at) {
+    private void applySurvival(Fingerprint d, long at) {
         ReplicatedSuspect s = suspects.get(d);
         if (s == null) {
             return;
         }
         remove(d);
         if (s.held()) {
-            LOG.warnf("crashes: request %s is no longer held back: a target has survived it", d);
+            LOG.warnf(
+                    "crashes: %s %s is no longer held back: a target has survived it",
+                    d.kind().label(), d);
             // the crashes attributed to it count against the other suspects again
             holdEligible(new ArrayList<>(suspects.values()), at);
         }
     }
 
-    private boolean applyTrial(RequestDigest d, long at) {
+    private boolean applyTrial(Fingerprint d, long at) {
         ReplicatedSuspect s = suspects.get(d);
         if (s == null) {
             return false;
@@ -146,13 +169,15 @@
         boolean due = s.isTrialDue(at);
         suspects.put(d, s.withRetry(at));
         if (due) {
-            LOG.warnf("crashes: request %s is granted trial %d since it is held back", d, s.trials() + 1);
+            LOG.warnf(
+                    "crashes: %s %s is granted trial %d since it is held back",
+                    d.kind().label(), d, s.trials() + 1);
         }
         return due;
     }
 
     private void removeExpired(long at) {
-        List<RequestDigest> expired = suspects.values().stream()
+        List<Fingerprint> expired = suspects.values().stream()
                 .filter(s -> at - s.seenAt() > EXPIRY_MILLIS)
                 .map(ReplicatedSuspect::digest)
                 .sorted()
@@ -165,7 +190,7 @@
         if (surplus <= 0) {
             return;
         }
-        List<RequestDigest> evicted = suspects.values().stream()
+        List<Fingerprint> evicted = suspects.values().stream()
                 .sorted(Comparator.comparing(ReplicatedSuspect::held)
                         .thenComparing(s -> s.targets().size())
                         .thenComparing(ReplicatedSuspect::seenAt)
@@ -176,7 +201,7 @@
         evicted.forEach(this::remove);
     }
 
-    private void remove(RequestDigest d) {
+    private void remove(Fingerprint d) {
         suspects.remove(d);
         removals.addLast(new Removal(++version, d));
         if (removals.size() > MAX_REMOVALS) {
@@ -217,7 +242,7 @@
                 .filter(s -> full || s.version() > after)
                 .map(ReplicatedSuspect::toSuspect)
                 .toList();
-        List<RequestDigest> removed = full
+        List<Fingerprint> removed = full
                 ? List.of()
                 : removals.stream()
                         .filter(r -> r.version() > after && !suspects.containsKey(r.digest()))
@@ -234,7 +259,7 @@
      * @param now the wall clock in milliseconds
      * @return the time in milliseconds, at most a day; zero if a trial is due
      */
-    public synchronized long millisUntilTrial(RequestDigest digest, long now) {
+    public synchronized long millisUntilTrial(Fingerprint digest, long now) {
         ReplicatedSuspect s = suspects.get(digest);
         return s == null ? 0 : Math.max(0, Math.min(s.nextTrialAt() - now, EXPIRY_MILLIS));
     }
@@ -246,7 +271,7 @@
      * @param now the wall clock in milliseconds
      * @return the time in milliseconds; zero if the request is not a suspect
      */
-    public synchronized long millisSinceSeen(RequestDigest digest, long now) {
+    public synchronized long millisSinceSeen(Fingerprint digest, long now) {
         ReplicatedSuspect s = suspects.get(digest);
         return s == null ? 0 : now - s.seenAt();
     }
@@ -287,7 +312,7 @@
         s.suspects().forEach(h -> suspects.put(h.digest(), h));
     }
 
-    private record Removal(long version, RequestDigest digest) {}
+    private record Removal(long version, Fingerprint digest) {}
 
     /** The stored form of the state. */
     private record Snapshot(byte[] key, long version, List<ReplicatedSuspect> suspects) {}
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
@@ -65,7 +65,7 @@
      * @param survived suspects that a target has answered
      * @return the version of the suspects that includes the report; empty if it was not committed, never an error
      */
-    Mono<Long> report(List<CrashedTarget> ended, List<RequestDigest> survived);
+    Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived);
 
     /**
      * Requests a trial of a held request.
@@ -73,7 +73,7 @@
      * @param digest the request
      * @return the decision; empty if no control instance answers, never an error
      */
-    Mono<TrialDecision> requestTrial(RequestDigest digest);
+    Mono<TrialDecision> requestTrial(Fingerprint digest);
 
     /**
      * The decision on a trial.
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.crash;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -31,12 +32,13 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 import org.jboss.logging.Logger;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 
 /**
- * Detects which requests were running on crashed targets, reports them to the replicated log, and holds back requests that have crashed too
- * many targets. Not thread-safe: used on the I/O thread, except for methods documented otherwise.
+ * Detects which requests and prompt parts were running on crashed targets, reports them to the replicated log, and holds back requests that
+ * have crashed too many targets or contain a prompt part that has. Not thread-safe: used on the I/O thread, except for methods documented otherwise.
  */
 public final class CrashWatch {
 
@@ -59,17 +61,38 @@
 
     private static final int MAX_UNREPORTED_SURVIVORS = 1_024;
 
+    /** Maximum number of fingerprints in the report on one target; known suspects are reported first. */
+    private static final int MAX_FINGERPRINTS_PER_CRASH = 1_024;
+
+    /**
+     * How long an answer exempts a request from suspicion, in milliseconds: several runs of a request that is always
+     * in progress on some targets. A request that begins to crash targets, because they run a new version, is held
+     * back only after this time.
+     */
+    private static final long REQUEST_EXEMPTION_MILLIS = 10_000;
+
+    /**
+     * How long an answer exempts a prompt part. A part that is in progress on several targets is answered more often
+     * than a request, and a part that begins to crash targets affects all requests that share it.
+     */
+    private static final long PROMPT_PART_EXEMPTION_MILLIS = 2_000;
+
+    private static final int MAX_RECENT_REQUESTS = 2_048;
+    private static final int MAX_RECENT_PROMPT_PARTS = 8_192;
+
     private final CrashPeers peers;
     private final Executor io;
     private final Ticker ticker;
     private final SuspectView suspectView = new SuspectView();
     private final UnresolvedFailures failures = new UnresolvedFailures();
-    private final RecentResponses recentResponses = new RecentResponses();
+    private final RecentResponses recentRequests = new RecentResponses(REQUEST_EXEMPTION_MILLIS, MAX_RECENT_REQUESTS);
+    private final RecentResponses recentPromptParts =
+            new RecentResponses(PROMPT_PART_EXEMPTION_MILLIS, MAX_RECENT_PROMPT_PARTS);
     private final List<CrashedTarget> unreportedCrashes = new ArrayList<>();
-    private final Set<RequestDigest> unreportedSurvivors = new LinkedHashSet<>();
+    private final Set<Fingerprint> unreportedSurvivors = new LinkedHashSet<>();
     private final Set<InstanceId> probing = new HashSet<>();
     private final Set<InstanceId> confirming = new HashSet<>();
-    private final Map<RequestDigest, Long> nextTrialRequestAt = new HashMap<>();
+    private final Map<Fingerprint, Long> nextTrialRequestAt = new HashMap<>();
     private final Map<InstanceId, Long> nextProbeAt = new HashMap<>();
     private boolean reporting;
     private volatile RequestDigester digester;
@@ -108,8 +131,16 @@
         // a suspect reported by another entry may have been answered here recently
         update.changed().stream()
                 .map(Suspect::digest)
-                .filter(d -> recentResponses.contains(d, now))
-                .forEach(this::recordAnswer);
+                .filter(d -> wasAnsweredRecently(d, now))
+                .forEach(d -> recordAnswered(List.of(d)));
+    }
+
+    private boolean wasAnsweredRecently(Fingerprint fingerprint, long now) {
+        return recent(fingerprint).contains(fingerprint, now);
+    }
+
+    private RecentResponses recent(Fingerprint fingerprint) {
+        return fingerprint.kind() == Fingerprint.Kind.REQUEST ? recentRequests : recentPromptParts;
     }
 
     /**
@@ -151,51 +182,73 @@
     /**
      * Returns whether a request is held back.
      *
-     * @param digest the request, or null if it was not digested
+     * @param features the request, or null if it was not digested
      * @param brokenOffBy targets that have just closed the connection of this request; they count as crashed without confirmation, to
      *     keep a retry from crashing another one
+     * @param brokenOffAtStart those of the targets that had not established the response, which count for the prompt parts as well
      * @return true if it must not be sent
      */
-    public boolean isHeld(RequestDigest digest, Set<InstanceId> brokenOffBy) {
-        return digest != null && suspectView.isHeld(digest, brokenOffBy);
+    public boolean isHeld(RequestFeatures features, Set<InstanceId> brokenOffBy, Set<InstanceId> brokenOffAtStart) {
+        return features != null
+                && (suspectView.isHeld(features.request(), brokenOffBy)
+                        || features.promptParts().stream().anyMatch(p -> suspectView.isHeld(p, brokenOffAtStart)));
+    }
+
+    private List<Fingerprint> heldFeatures(RequestFeatures features) {
+        return features.all().filter(f -> suspectView.isHeld(f, Set.of())).toList();
     }
 
     /**
-     * Checks whether a request may be sent. A held request may be sent if the control plane grants a trial.
+     * Checks whether a request may be sent. A held request may be sent if the control plane grants a trial of everything in it that is
+     * held.
      *
-     * @param digest the request, or null if it was not digested
+     * @param features the request, or null if it was not digested
      * @return empty if it may be sent; otherwise the time after which the caller should retry, in milliseconds
      */
-    public Mono<Long> holdBackMillis(RequestDigest digest) {
-        if (!isHeld(digest, Set.of())) {
+    public Mono<Long> holdBackMillis(RequestFeatures features) {
+        if (!isHeld(features, Set.of(), Set.of())) {
             return Mono.empty();
         }
-        long remaining = nextTrialRequestAt.getOrDefault(digest, 0L) - ticker.millis();
+        long now = ticker.millis();
+        List<Fingerprint> held = heldFeatures(features);
+        long remaining = held.stream()
+                .mapToLong(f -> nextTrialRequestAt.getOrDefault(f, 0L) - now)
+                .max()
+                .orElse(0);
         if (remaining > 0) {
             return Mono.just(remaining);
         }
-        // suppresses concurrent trial requests for the same digest
-        nextTrialRequestAt.put(digest, ticker.millis() + MIN_RETRY_MILLIS);
-        return peers.requestTrial(digest)
+        return Flux.fromIterable(held)
+                .concatMap(this::requestTrial)
+                .reduce(0L, Math::max)
+                .filter(retryMillis -> retryMillis > 0);
+    }
+
+    /** Requests a trial; emits zero if it is granted, otherwise the time until the next one may be requested. */
+    private Mono<Long> requestTrial(Fingerprint fingerprint) {
+        // suppresses concurrent trial requests for the same fingerprint
+        nextTrialRequestAt.put(fingerprint, ticker.millis() + MIN_RETRY_MILLIS);
+        return peers.requestTrial(fingerprint)
                 .defaultIfEmpty(new CrashPeers.TrialDecision(false, MIN_RETRY_MILLIS))
                 .publishOn(Schedulers.fromExecutor(io))
-                .flatMap(t -> {
+                .map(t -> {
                     long retryMillis = Math.max(MIN_RETRY_MILLIS, t.retryMillis());
-                    nextTrialRequestAt.put(digest, ticker.millis() + retryMillis);
-                    return t.granted() ? Mono.empty() : Mono.just(retryMillis);
+                    nextTrialRequestAt.put(fingerprint, ticker.millis() + retryMillis);
+                    return t.granted() ? 0 : retryMillis;
                 });
     }
 
     /**
      * Describes why a request is held back, for logs and error responses.
      *
-     * @param digest the request
+     * @param features the request
      * @return the crashed targets and the age of the last update
      */
-    public String describeHold(RequestDigest digest) {
-        long at = suspectView.updatedAt(digest);
+    public String describeHold(RequestFeatures features) {
+        Fingerprint held = heldFeatures(features).stream().findFirst().orElse(features.request());
+        long at = suspectView.updatedAt(held);
         String age = at == 0 ? "seen by this entry only" : "last updated here " + (ticker.millis() - at) + " ms ago";
-        return "held back as " + digest + ": " + new TreeSet<>(suspectView.crashedTargets(digest, Set.of()))
+        return "held back as " + held + ": " + new TreeSet<>(suspectView.crashedTargets(held, Set.of()))
                 + " ended under it and none has survived it, " + age + ", suspects of version " + version;
     }
 
@@ -203,13 +256,14 @@
      * Records that a target has closed the connection of a request, and probes whether the target has crashed.
      *
      * @param target the target's start
-     * @param digest the request, or null if the key is not known
+     * @param features the request, or null if the key is not known
+     * @param progress how much of the response the target had sent
      */
-    public void recordDisconnect(InstanceId target, RequestDigest digest) {
-        if (digest == null) {
+    public void recordDisconnect(InstanceId target, RequestFeatures features, ResponseProgress progress) {
+        if (features == null) {
             return;
         }
-        failures.add(target, digest, ticker.millis());
+        failures.add(target, features, progress, ticker.millis());
         if (probing.add(target)) {
             peers.isResponding(target)
                     .subscribe(responding -> io.execute(() -> {
@@ -225,11 +279,12 @@
      * Records that this entry has abandoned a request, for example after a timeout, while the target may still run it.
      *
      * @param target the target's start
-     * @param digest the request, or null if the key is not known
+     * @param features the request, or null if the key is not known
+     * @param progress how much of the response the target had sent
      */
-    public void recordAbandoned(InstanceId target, RequestDigest digest) {
-        if (digest != null) {
-            failures.add(target, digest, ticker.millis());
+    public void recordAbandoned(InstanceId target, RequestFeatures features, ResponseProgress progress) {
+        if (features != null) {
+            failures.add(target, features, progress, ticker.millis());
         }
     }
 
@@ -268,39 +323,75 @@
      */
     public void recordCrash(InstanceId target) {
         long now = ticker.millis();
-        List<RequestDigest> running = failures.removeTarget(target, now).stream()
-                .filter(d -> !recentResponses.contains(d, now))
-                .toList();
+        CrashedTarget crash = withoutAnswered(failures.removeTarget(target, now), now);
+        List<Fingerprint> running = crash.running();
         if (running.isEmpty()) {
             return;
         }
         LOG.infof(
-                "crashes: target %s has ended under %d requests: %s",
-                target,
-                running.size(),
-                running.stream().limit(MAX_LOGGED_DIGESTS).toList());
-        suspectView.addCrash(target, running);
+                "crashes: target %s has ended under %d requests and prompt parts: %s, just begun: %s",
+                target, running.size(), firstOf(running), firstOf(crash.begun()));
+        suspectView.addCrash(crash);
         if (unreportedCrashes.stream().mapToInt(e -> e.running().size()).sum() < SuspectView.MAX_UNLOGGED) {
-            unreportedCrashes.add(new CrashedTarget(target, running));
+            unreportedCrashes.add(crash);
         }
         // other targets of the same requests are probed at once, before a retry reaches the next target
         failures.targetsWithAny(Set.copyOf(running)).forEach(t -> probe(t, now));
         report();
     }
 
+    private static List<Fingerprint> firstOf(List<Fingerprint> all) {
+        return all.stream().limit(MAX_LOGGED_DIGESTS).toList();
+    }
+
+    /** Returns a crash without what targets have answered recently. */
+    private CrashedTarget withoutAnswered(CrashedTarget crash, long now) {
+        List<Fingerprint> running = crash.running().stream()
+                .filter(f -> !wasAnsweredRecently(f, now))
+                .sorted(Comparator.comparing(f -> !suspectView.isSuspect(f)))
+                .limit(MAX_FINGERPRINTS_PER_CRASH)
+                .toList();
+        Set<Fingerprint> kept = Set.copyOf(running);
+        return new CrashedTarget(
+                crash.target(),
+                running,
+                crash.begun().stream().filter(kept::contains).toList(),
+                crash.established().stream().filter(kept::contains).toList());
+    }
+
+    /**
+     * Records that a target has established a response, which shows that it does not crash on the prompt.
+     *
+     * @param features the request, or null if it was not digested
+     */
+    public void recordEstablished(RequestFeatures features) {
+        if (features != null) {
+            recordAnswered(features.promptParts());
+        }
+    }
+
     /**
      * Records that a target has answered a request.
      *
-     * @param digest the request, or null if it was not digested
+     * @param features the request, or null if it was not digested
      */
-    public void recordAnswer(RequestDigest digest) {
-        if (digest == null) {
-            return;
+    public void recordAnswer(RequestFeatures features) {
+        if (features != null) {
+            recordAnswered(List.of(features.request()));
+        }
+    }
+
+    private void recordAnswered(List<Fingerprint> answered) {
+        long now = ticker.millis();
+        answered.forEach(f -> recent(f).add(f, now));
+        failures.removeAnswered(answered);
+        boolean survived = false;
+        for (Fingerprint f : answered) {
+            survived |= suspectView.removeSuspect(f)
+                    && unreportedSurvivors.size() < MAX_UNREPORTED_SURVIVORS
+                    && unreportedSurvivors.add(f);
         }
-        recentResponses.add(digest, ticker.millis());
-        failures.removeRequest(digest);
-        if (suspectView.removeSuspect(digest) && unreportedSurvivors.size() < MAX_UNREPORTED_SURVIVORS) {
-            unreportedSurvivors.add(digest);
+        if (survived) {
             report();
         }
     }
@@ -341,13 +432,13 @@
         }
         reporting = true;
         List<CrashedTarget> ended = List.copyOf(unreportedCrashes);
-        List<RequestDigest> survivors = List.copyOf(unreportedSurvivors);
+        List<Fingerprint> survivors = List.copyOf(unreportedSurvivors);
         peers.report(ended, survivors)
                 .defaultIfEmpty(0L)
                 .subscribe(at -> io.execute(() -> reportCompleted(ended, survivors, at)));
     }
 
-    private void reportCompleted(List<CrashedTarget> ended, List<RequestDigest> survivors, long at) {
+    private void reportCompleted(List<CrashedTarget> ended, List<Fingerprint> survivors, long at) {
         reporting = false;
         if (at == 0) {
             return;
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashedTarget.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashedTarget.java
@@ -20,12 +20,37 @@
 
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import org.hallwall.core.id.InstanceId;
 
 /**
  * A target that crashed, and the requests that one entry had sent to it.
  *
  * @param target the target's start
- * @param running the requests in progress on the target when it crashed or shortly before
+ * @param running the requests in progress on the target when it crashed or shortly before, and the prompt parts on which it had not
+ *     written a response yet
+ * @param begun those of {@code running} for which the target had just begun to write the response
+ * @param established the requests in {@code running} of which the target had written a part of the response
  */
-public record CrashedTarget(InstanceId target, List<RequestDigest> running) {}
+public record CrashedTarget(
+        InstanceId target,
+        List<Fingerprint> running,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fingerprint> begun,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fingerprint> established) {
+
+    /** Reads reports without the progress of responses, as earlier versions write them. */
+    public CrashedTarget {
+        begun = begun == null ? List.of() : begun;
+        established = established == null ? List.of() : established;
+    }
+
+    /**
+     * Creates a report without the progress of responses.
+     *
+     * @param target the target's start
+     * @param running the requests in progress
+     */
+    public CrashedTarget(InstanceId target, List<Fingerprint> running) {
+        this(target, running, List.of(), List.of());
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/crash/RecentResponses.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/RecentResponses.java
@@ -22,37 +22,41 @@
 import java.util.Map;
 
 /**
- * Requests that targets have answered recently. Not thread-safe.
+ * Fingerprints that targets have answered recently. Not thread-safe.
  *
- * <p>A frequent request runs on many targets, so that it is in progress on all targets of a rack that fails. Recent answers distinguish it
- * from a request that crashes targets.
+ * <p>A frequent request or prompt part is in progress on many targets, and so on all targets of a rack that fails. Recent answers distinguish
+ * it from one that crashes targets.
  */
 final class RecentResponses {
 
-    /**
-     * How long an answer exempts a request from suspicion, in milliseconds: several runs of a request that is always
-     * in progress on some targets. A request that begins to crash targets, because they run a new version, is held
-     * back only after this time.
-     */
-    private static final long RETENTION_MILLIS = 10_000;
-
-    private static final int MAX_REQUESTS = 2_048;
-
-    private final Map<RequestDigest, Long> answeredAt = new LinkedHashMap<>(16, 0.75f, true) {
+    private final long retentionMillis;
+    private final int maxEntries;
+    private final Map<Fingerprint, Long> answeredAt = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<RequestDigest, Long> eldest) {
-            return size() > MAX_REQUESTS;
+        protected boolean removeEldestEntry(Map.Entry<Fingerprint, Long> eldest) {
+            return size() > maxEntries;
         }
     };
 
-    void add(RequestDigest digest, long now) {
-        answeredAt.put(digest, now);
+    /**
+     * Creates an empty collection.
+     *
+     * @param retentionMillis how long an answer exempts a fingerprint from suspicion, in milliseconds
+     * @param maxEntries the maximum number of fingerprints; the ones answered least recently are evicted
+     */
+    RecentResponses(long retentionMillis, int maxEntries) {
+        this.retentionMillis = retentionMillis;
+        this.maxEntries = maxEntries;
+    }
+
+    void add(Fingerprint fingerprint, long now) {
+        answeredAt.put(fingerprint, now);
     }
 
-    boolean contains(RequestDigest digest, long now) {
-        Long at = answeredAt.get(digest);
-        return at != null && now - at <= RETENTION_MILLIS;
+    boolean contains(Fingerprint fingerprint, long now) {
+        Long at = answeredAt.get(fingerprint);
+        return at != null && now - at <= retentionMillis;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import org.hallwall.core.id.InstanceId;
 
 /**
@@ -33,15 +34,19 @@
  * @param nextTrialAt the earliest time of the next trial; {@link #NEVER} if there is none
  * @param seenAt the time of its last crash or retry
  * @param version the version of the state that last changed it
+ * @param begun those of the targets that had just begun to write a response to it
+ * @param established those of the targets that had written a part of a response to it
  */
 record ReplicatedSuspect(
-        RequestDigest digest,
+        Fingerprint digest,
         List<InstanceId> targets,
         boolean held,
         int trials,
         long nextTrialAt,
         long seenAt,
-        long version) {
+        long version,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<InstanceId> begun,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<InstanceId> established) {
 
     static final long NEVER = Long.MAX_VALUE;
 
@@ -55,33 +60,66 @@
      */
     private static final long[] TRIAL_DELAYS_MILLIS = {MINUTE_MILLIS, 2 * HOUR_MILLIS};
 
-    /** More than any hold threshold; further targets have no effect. */
-    private static final int MAX_TARGETS = 8;
+    /** Bounds the state; crashes beyond it are not attributed to the suspect. */
+    private static final int MAX_TARGETS = 64;
 
-    static ReplicatedSuspect create(RequestDigest digest, long at) {
-        return new ReplicatedSuspect(digest, List.of(), false, 0, NEVER, at, 0);
+    /** Reads suspects without the progress of responses, as earlier versions store them. */
+    ReplicatedSuspect {
+        begun = begun == null ? List.of() : begun;
+        established = established == null ? List.of() : established;
     }
 
-    ReplicatedSuspect withCrash(InstanceId target, long at, long newVersion) {
-        List<InstanceId> all = new ArrayList<>(targets);
-        if (!all.contains(target) && all.size() < MAX_TARGETS) {
-            all.add(target);
+    static ReplicatedSuspect create(Fingerprint digest, long at) {
+        return new ReplicatedSuspect(digest, List.of(), false, 0, NEVER, at, 0, List.of(), List.of());
+    }
+
+    /** Returns whether a report adds nothing to what is known of the crash of a target. */
+    boolean covers(CrashedTarget crash) {
+        return targets.contains(crash.target())
+                && (begun.contains(crash.target()) || !crash.begun().contains(digest));
+    }
+
+    ReplicatedSuspect withCrash(CrashedTarget crash, long at, long newVersion) {
+        InstanceId target = crash.target();
+        return new ReplicatedSuspect(
+                digest,
+                add(targets, target),
+                held,
+                trials,
+                nextTrialAt,
+                at,
+                newVersion,
+                crash.begun().contains(digest) ? add(begun, target) : begun,
+                crash.established().contains(digest) ? add(established, target) : established);
+    }
+
+    /** Returns whether the crash of a target is evidence against this suspect even if the target had begun to write another response. */
+    boolean isCloseTo(InstanceId target) {
+        return begun.contains(target) || digest.kind() == Fingerprint.Kind.REQUEST && !established.contains(target);
+    }
+
+    private static List<InstanceId> add(List<InstanceId> targets, InstanceId target) {
+        if (targets.contains(target) || targets.size() >= MAX_TARGETS) {
+            return targets;
         }
-        return new ReplicatedSuspect(digest, all, held, trials, nextTrialAt, at, newVersion);
+        List<InstanceId> all = new ArrayList<>(targets);
+        all.add(target);
+        return List.copyOf(all);
     }
 
     ReplicatedSuspect withHold(long at, long newVersion) {
-        return new ReplicatedSuspect(digest, targets, true, 0, at + TRIAL_DELAYS_MILLIS[0], at, newVersion);
+        return new ReplicatedSuspect(
+                digest, targets, true, 0, at + TRIAL_DELAYS_MILLIS[0], at, newVersion, begun, established);
     }
 
     /** Records a retry by a caller, which counts as a trial if one is due. */
     ReplicatedSuspect withRetry(long at) {
         if (!isTrialDue(at)) {
-            return new ReplicatedSuspect(digest, targets, held, trials, nextTrialAt, at, version);
+            return new ReplicatedSuspect(digest, targets, held, trials, nextTrialAt, at, version, begun, established);
         }
         int trialsNow = trials + 1;
         long next = trialsNow < TRIAL_DELAYS_MILLIS.length ? at + TRIAL_DELAYS_MILLIS[trialsNow] : NEVER;
-        return new ReplicatedSuspect(digest, targets, held, trialsNow, next, at, version);
+        return new ReplicatedSuspect(digest, targets, held, trialsNow, next, at, version, begun, established);
     }
 
     boolean isTrialDue(long at) {
--- a/serving/src/main/java/org/hallwall/serving/crash/RequestDigester.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/RequestDigester.java
@@ -62,7 +62,7 @@
      * @param body the body
      * @return the digest
      */
-    public RequestDigest digest(String workspace, String host, String method, String uri, byte[] body) {
+    public Fingerprint digest(String workspace, String host, String method, String uri, byte[] body) {
         Blake3 hash = Blake3.initKeyedHash(key);
         add(hash, workspace);
         add(hash, host);
@@ -70,7 +70,7 @@
         add(hash, uri);
         byte[] out = new byte[DIGEST_BYTES];
         hash.update(body).doFinalize(out);
-        return new RequestDigest(HexFormat.of().formatHex(out));
+        return new Fingerprint(HexFormat.of().formatHex(out));
     }
 
     /** Adds a length-prefixed field, so that field boundaries are unambiguous; null has the length -1. */
--- a/serving/src/main/java/org/hallwall/serving/crash/RequestDigest.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/RequestFeatures.java
@@ -18,31 +18,33 @@
  */
 package org.hallwall.serving.crash;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.List;
+import java.util.stream.Stream;
 
 /**
- * Identifies repetitions of a request: requests with the same digest have the same workspace, host, method, path and body.
+ * What may make a request crash targets.
  *
- * @param value the digest in hexadecimal
+ * @param request the request itself
+ * @param promptParts the parts of its prompt that other requests may share
  */
-public record RequestDigest(@JsonValue String value) implements Comparable<RequestDigest> {
+public record RequestFeatures(Fingerprint request, List<Fingerprint> promptParts) {
 
-    /** Checks that the digest is not empty. */
-    @JsonCreator
-    public RequestDigest {
-        if (value == null || value.isEmpty()) {
-            throw new IllegalArgumentException("the request digest must not be empty");
-        }
+    /**
+     * Creates the features of a request without a prompt.
+     *
+     * @param request the request
+     * @return the features
+     */
+    public static RequestFeatures of(Fingerprint request) {
+        return new RequestFeatures(request, List.of());
     }
 
-    @Override
-    public int compareTo(RequestDigest other) {
-        return value.compareTo(other.value);
-    }
-
-    @Override
-    public String toString() {
-        return value;
+    /**
+     * Returns all features.
+     *
+     * @return the request and its prompt parts
+     */
+    public Stream<Fingerprint> all() {
+        return Stream.concat(Stream.of(request), promptParts.stream());
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/crash/Suspect.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/Suspect.java
@@ -29,4 +29,4 @@
  * @param targets the starts of the targets that crashed while running it
  * @param held whether it is held back
  */
-public record Suspect(RequestDigest digest, List<InstanceId> targets, boolean held) {}
+public record Suspect(Fingerprint digest, List<InstanceId> targets, boolean held) {}
--- a/serving/src/main/java/org/hallwall/serving/crash/SuspectUpdate.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/SuspectUpdate.java
@@ -30,4 +30,4 @@
  * @param removed requests that are no longer suspects
  */
 public record SuspectUpdate(
-        byte[] key, long version, boolean whole, List<Suspect> changed, List<RequestDigest> removed) {}
+        byte[] key, long version, boolean whole, List<Suspect> changed, List<Fingerprint> removed) {}
--- a/serving/src/main/java/org/hallwall/serving/crash/SuspectView.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/SuspectView.java
@@ -21,7 +21,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -33,12 +32,13 @@
  */
 final class SuspectView {
 
-    /** Maximum number of requests with crashes that are not in the log yet. */
+    /** Maximum number of fingerprints with crashes that are not in the log yet. */
     static final int MAX_UNLOGGED = 1_024;
 
-    private final Map<RequestDigest, Suspect> logged = new HashMap<>();
-    private final Map<RequestDigest, Long> updatedAt = new HashMap<>();
-    private final Map<RequestDigest, Set<InstanceId>> unlogged = new LinkedHashMap<>();
+    private final Map<Fingerprint, Suspect> logged = new HashMap<>();
+    private final Map<Fingerprint, Long> updatedAt = new HashMap<>();
+    private final Map<Fingerprint, Set<InstanceId>> unlogged = new LinkedHashMap<>();
+    private final Set<InstanceId> attributed = new HashSet<>();
     private long version;
 
     /** Applies changes unless they have been applied already. */
@@ -56,15 +56,17 @@
             updatedAt.put(s.digest(), now);
         });
         version = update.version();
+        attributed.clear();
+        logged.values().stream().filter(Suspect::held).forEach(s -> attributed.addAll(s.targets()));
     }
 
-    private Suspect removeLogged(RequestDigest digest) {
+    private Suspect removeLogged(Fingerprint digest) {
         updatedAt.remove(digest);
         return logged.remove(digest);
     }
 
     /** Returns the ticker time of a suspect's last update; zero if the suspect is not replicated. */
-    long updatedAt(RequestDigest digest) {
+    long updatedAt(Fingerprint digest) {
         return updatedAt.getOrDefault(digest, 0L);
     }
 
@@ -77,17 +79,17 @@
     }
 
     /** Adds a crash that is not yet known to be in the log. */
-    void addCrash(InstanceId target, List<RequestDigest> running) {
-        for (RequestDigest d : running) {
+    void addCrash(CrashedTarget crash) {
+        for (Fingerprint d : crash.running()) {
             if (unlogged.containsKey(d) || unlogged.size() < MAX_UNLOGGED) {
-                unlogged.computeIfAbsent(d, x -> new HashSet<>()).add(target);
+                unlogged.computeIfAbsent(d, x -> new HashSet<>()).add(crash.target());
             }
         }
     }
 
     /** Drops the local copy of a crash that the log has committed. */
     void markLogged(CrashedTarget e) {
-        for (RequestDigest d : e.running()) {
+        for (Fingerprint d : e.running()) {
             Set<InstanceId> targets = unlogged.get(d);
             if (targets != null) {
                 targets.remove(e.target());
@@ -103,32 +105,42 @@
      *
      * @return whether it was a suspect
      */
-    boolean removeSuspect(RequestDigest digest) {
+    boolean removeSuspect(Fingerprint digest) {
         boolean wasUnlogged = unlogged.remove(digest) != null;
         return removeLogged(digest) != null || wasUnlogged;
     }
 
-    boolean isSuspect(RequestDigest digest) {
+    boolean isSuspect(Fingerprint digest) {
         return logged.containsKey(digest) || unlogged.containsKey(digest);
     }
 
     /**
-     * Returns whether a request is held back.
+     * Returns whether a request or prompt part is held back.
      *
-     * @param digest the request
-     * @param alsoUnder further targets that are assumed to have crashed, without confirmation
+     * @param digest the request or prompt part
+     * @param assumedCrashed further targets that are assumed to have crashed, without confirmation
      */
-    boolean isHeld(RequestDigest digest, Set<InstanceId> assumedCrashed) {
+    boolean isHeld(Fingerprint digest, Set<InstanceId> assumedCrashed) {
         Suspect s = logged.get(digest);
         if (s != null && s.held()) {
             return true;
         }
-        boolean hasUnlogged = unlogged.containsKey(digest) || !assumedCrashed.isEmpty();
-        return hasUnlogged && crashedTargets(digest, assumedCrashed).size() >= CrashLedger.HOLD_THRESHOLD;
+        if (!unlogged.containsKey(digest) && (assumedCrashed.isEmpty() || s == null && !isRequest(digest))) {
+            return false;
+        }
+        Set<InstanceId> crashed = crashedTargets(digest, assumedCrashed);
+        if (!isRequest(digest)) {
+            crashed.removeAll(attributed);
+        }
+        return crashed.size() >= CrashLedger.HOLD_THRESHOLD;
+    }
+
+    private static boolean isRequest(Fingerprint fingerprint) {
+        return fingerprint.kind() == Fingerprint.Kind.REQUEST;
     }
 
     /** Returns the targets that crashed while running a request. */
-    Set<InstanceId> crashedTargets(RequestDigest digest, Set<InstanceId> assumedCrashed) {
+    Set<InstanceId> crashedTargets(Fingerprint digest, Set<InstanceId> assumedCrashed) {
         Set<InstanceId> all = new HashSet<>(assumedCrashed);
         Suspect s = logged.get(digest);
         if (s != null) {
--- a/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
@@ -20,12 +20,16 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.hallwall.core.id.InstanceId;
 
@@ -42,63 +46,103 @@
      */
     private static final long CONFIRMATION_MILLIS = 10_000;
 
-    private static final int MAX_REQUESTS = 2_048;
+    /** Bounds the memory when many requests with many prompt parts fail. */
+    private static final int MAX_FINGERPRINTS = 16_384;
 
     private final Map<InstanceId, List<Failure>> byTarget = new HashMap<>();
     private int count;
 
-    void add(InstanceId target, RequestDigest digest, long now) {
-        if (count < MAX_REQUESTS) {
+    void add(InstanceId target, RequestFeatures features, ResponseProgress progress, long now) {
+        if (count < MAX_FINGERPRINTS) {
+            Set<Fingerprint> suspects = suspects(features, progress);
             byTarget.computeIfAbsent(target, t -> new ArrayList<>())
-                    .add(new Failure(digest, now + CONFIRMATION_MILLIS));
-            count++;
+                    .add(new Failure(suspects, progress, now + CONFIRMATION_MILLIS));
+            count += suspects.size();
         }
     }
 
-    /** Removes and returns the unexpired failures of a crashed target, without duplicates. */
-    List<RequestDigest> removeTarget(InstanceId target, long now) {
+    /** A target crashes on a prompt part when it begins to write, but may crash on a request at any time. */
+    private static Set<Fingerprint> suspects(RequestFeatures features, ResponseProgress progress) {
+        Stream<Fingerprint> all =
+                progress == ResponseProgress.ESTABLISHED ? Stream.of(features.request()) : features.all();
+        return all.collect(Collectors.toCollection(LinkedHashSet::new));
+    }
+
+    /**
+     * Removes a crashed target and returns what was running there. If the target had just begun to write responses, only their prompt
+     * parts are included, and not those of requests that waited.
+     */
+    CrashedTarget removeTarget(InstanceId target, long now) {
         List<Failure> all = byTarget.remove(target);
         if (all == null) {
-            return List.of();
+            return new CrashedTarget(target, List.of());
         }
-        count -= all.size();
-        return all.stream()
-                .filter(e -> now <= e.expiresAt())
-                .map(Failure::digest)
-                .distinct()
-                .toList();
+        count -= size(all);
+        Set<Fingerprint> running = new LinkedHashSet<>();
+        Set<Fingerprint> begun = new LinkedHashSet<>();
+        Set<Fingerprint> established = new LinkedHashSet<>();
+        Set<Fingerprint> waitingParts = new LinkedHashSet<>();
+        for (Failure f : all) {
+            if (now > f.expiresAt()) {
+                continue;
+            }
+            boolean hasBegun = f.progress() == ResponseProgress.BEGUN;
+            for (Fingerprint s : f.suspects()) {
+                boolean waiting = s.kind() == Fingerprint.Kind.PROMPT_PART && !hasBegun;
+                (waiting ? waitingParts : running).add(s);
+            }
+            if (hasBegun) {
+                begun.addAll(f.suspects());
+            } else if (f.progress() == ResponseProgress.ESTABLISHED) {
+                established.addAll(f.suspects());
+            }
+        }
+        if (begun.isEmpty()) {
+            running.addAll(waitingParts);
+        }
+        return new CrashedTarget(target, List.copyOf(running), List.copyOf(begun), List.copyOf(established));
     }
 
-    /** Removes a request that a target has answered. */
-    void removeRequest(RequestDigest digest) {
-        removeIf(e -> e.digest().equals(digest));
+    /** Removes fingerprints that a target has answered. */
+    void removeAnswered(Collection<Fingerprint> answered) {
+        if (count > 0) {
+            byTarget.values().forEach(list -> list.forEach(f -> f.suspects().removeAll(answered)));
+            removeIf(f -> f.suspects().isEmpty());
+            count = byTarget.values().stream()
+                    .mapToInt(UnresolvedFailures::size)
+                    .sum();
+        }
     }
 
     void removeExpired(long now) {
-        removeIf(e -> now > e.expiresAt());
+        removeIf(f -> now > f.expiresAt());
     }
 
     private void removeIf(Predicate<Failure> filter) {
         Iterator<List<Failure>> lists = byTarget.values().iterator();
         while (lists.hasNext()) {
             List<Failure> list = lists.next();
-            int before = list.size();
+            int before = size(list);
             list.removeIf(filter);
-            count -= before - list.size();
+            count -= before - size(list);
             if (list.isEmpty()) {
                 lists.remove();
             }
         }
     }
 
+    private static int size(List<Failure> failures) {
+        return failures.stream().mapToInt(f -> f.suspects().size()).sum();
+    }
+
     Set<InstanceId> targets() {
         return Set.copyOf(byTarget.keySet());
     }
 
-    /** Lists the targets at which any of these requests failed. */
-    List<InstanceId> targetsWithAny(Collection<RequestDigest> digests) {
+    /** Lists the targets at which requests with any of these fingerprints failed. */
+    List<InstanceId> targetsWithAny(Collection<Fingerprint> fingerprints) {
         return byTarget.entrySet().stream()
-                .filter(t -> t.getValue().stream().anyMatch(e -> digests.contains(e.digest())))
+                .filter(t -> t.getValue().stream().anyMatch(f -> !Collections.disjoint(f.suspects(), fingerprints)))
                 .map(Map.Entry::getKey)
                 .toList();
     }
@@ -107,5 +151,5 @@
         return count == 0;
     }
 
-    private record Failure(RequestDigest digest, long expiresAt) {}
+    private record Failure(Set<Fingerprint> suspects, ResponseProgress progress, long expiresAt) {}
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -24,7 +24,8 @@
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.verdict.Verdict;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.RequestFeatures;
+import org.hallwall.serving.crash.ResponseProgress;
 import org.jboss.logging.Logger;
 
 /** Tracks the attempts of one request and decides whether it is retried. */
@@ -45,6 +46,7 @@
     private final RelayRequest request;
     private final Set<InstanceId> triedTargets = new HashSet<>();
     private final Set<InstanceId> disconnectedBy = new HashSet<>();
+    private final Set<InstanceId> disconnectedAtStartBy = new HashSet<>();
     private Verdict verdict = Verdict.NOT_RUN;
     private int runCount;
     private int rejections;
@@ -52,12 +54,12 @@
     private int unreachableCount;
     private int forwardCount;
     private long retryAfterMillis;
-    private RequestDigest digest;
+    private RequestFeatures features;
 
     Attempts(RelayContext context, RelayRequest request) {
         this.context = context;
         this.request = request;
-        this.digest = request.digest();
+        this.features = request.features();
         this.runCount = request.priorRuns();
     }
 
@@ -132,29 +134,34 @@
     }
 
     /** Records that the current attempt was aborted without a response. */
-    void abandon(NextHop hop) {
+    void abandon(NextHop hop, ResponseProgress progress) {
         verdict = verdict.combineWith(Verdict.MAY_HAVE_RUN);
-        markAbandoned(hop);
+        markAbandoned(hop, progress);
     }
 
     /** Records that the current attempt was abandoned while the target may still run it. */
-    void markAbandoned(NextHop hop) {
+    void markAbandoned(NextHop hop, ResponseProgress progress) {
         if (!hop.isEntry()) {
-            context.crashWatch().recordAbandoned(hop.target().instance(), digest());
+            context.crashWatch().recordAbandoned(hop.target().instance(), features(), progress);
         }
     }
 
+    /** Records that the target of the current attempt has written enough of the response to have survived the prompt. */
+    void markEstablished() {
+        context.crashWatch().recordEstablished(features());
+    }
+
     /** Records that the target of the current attempt has responded. */
     void markAnswered() {
-        context.crashWatch().recordAnswer(digest());
+        context.crashWatch().recordAnswer(features());
     }
 
-    /** Computes the digest on first use; null until the key is known. */
-    private RequestDigest digest() {
-        if (digest == null && context.crashWatch().digester() != null) {
-            digest = request.computeDigest(context.crashWatch().digester(), context.headerNames());
+    /** Determines the features on first use; null until the key is known. */
+    private RequestFeatures features() {
+        if (features == null && context.crashWatch().digester() != null) {
+            features = request.computeFeatures(context.crashWatch().digester(), context.headerNames());
         }
-        return digest;
+        return features;
     }
 
     /**
@@ -162,11 +169,13 @@
      *
      * @param hop the recipient
      * @param f the failure
+     * @param progress how much of the response the recipient had sent
      * @param events the number of events received before
      * @param charged whether the retry was already charged to the budget
      * @return the decision
      */
-    RetryDecision recordFailure(NextHop hop, AttemptFailure f, long events, boolean charged) {
+    RetryDecision recordFailure(
+            NextHop hop, AttemptFailure f, ResponseProgress progress, long events, boolean charged) {
         ServingTarget target = hop.target();
         context.metrics().countAttempt(f.verdict().name());
         if (f.verdict() != Verdict.NOT_RUN) {
@@ -178,7 +187,7 @@
         updateTargetState(hop.state(), target, f);
         if (!hop.isEntry()) {
             unreachableCount += f.isUnreachable() ? 1 : 0;
-            updateCrashWatch(hop, f);
+            updateCrashWatch(hop, f, progress);
         }
         verdict = verdict.combineWith(f.verdict());
         RetryDecision decision = decide(f, charged);
@@ -195,7 +204,7 @@
                 decision,
                 context.retryBudget().describe(request.service()),
                 sendCount,
-                digest(),
+                features == null ? null : features.request(),
                 describePromptParts());
         return decision;
     }
@@ -217,7 +226,7 @@
         }
     }
 
-    private void updateCrashWatch(NextHop hop, AttemptFailure f) {
+    private void updateCrashWatch(NextHop hop, AttemptFailure f, ResponseProgress progress) {
         ServingTarget target = hop.target();
         switch (f.kind()) {
             case CONNECTION_REFUSED:
@@ -225,10 +234,13 @@
                 break;
             case CONNECTION_LOST:
                 disconnectedBy.add(target.instance());
-                context.crashWatch().recordDisconnect(target.instance(), digest());
+                if (progress != ResponseProgress.ESTABLISHED) {
+                    disconnectedAtStartBy.add(target.instance());
+                }
+                context.crashWatch().recordDisconnect(target.instance(), features(), progress);
                 break;
             case ABANDONED:
-                markAbandoned(hop);
+                markAbandoned(hop, progress);
                 break;
             default:
                 // not sent, or the target has responded
@@ -243,7 +255,8 @@
         if (!allowed) {
             return RetryDecision.NOT_ALLOWED;
         }
-        if (context.crashWatch().isWatching() && context.crashWatch().isHeld(digest(), disconnectedBy)) {
+        if (context.crashWatch().isWatching()
+                && context.crashWatch().isHeld(features(), disconnectedBy, disconnectedAtStartBy)) {
             return RetryDecision.HELD_BACK;
         }
         if (charged) {
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
@@ -32,6 +32,17 @@
     /** The lowest status of a server error. */
     private static final int MIN_SERVER_ERROR = 500;
 
+    /** The lowest status that is not a success. */
+    private static final int MIN_NON_SUCCESS = 300;
+
+    static boolean isSuccess(int status) {
+        return status < MIN_NON_SUCCESS;
+    }
+
+    boolean isSuccess() {
+        return isSuccess(status);
+    }
+
     boolean isFailure() {
         return status >= MIN_SERVER_ERROR;
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -21,7 +21,10 @@
 import java.time.Duration;
 
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.serving.crash.ResponseProgress;
 import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClientResponse;
 
 /** Relays one request whose response is forwarded only when it is complete. */
 final class BufferedRun {
@@ -37,6 +40,7 @@
     private final RelayRequest request;
     private final Attempts attempts;
     private BufferedResponse failedResponse;
+    private ResponseProgress progress = ResponseProgress.NONE;
 
     BufferedRun(RelayContext context, RelayRequest request) {
         this.context = context;
@@ -61,30 +65,29 @@
         }
         TargetState state = hop.state();
         state.requestStarted();
-        return hop.send(
-                        request,
-                        null,
-                        remainingMillis,
-                        attempts.runCount(),
-                        (head, body) -> body.aggregate()
-                                .asByteArray()
-                                .defaultIfEmpty(new byte[0])
-                                .map(bytes -> new BufferedResponse(
-                                        head.status().code(),
-                                        context.forwardedHeaders().forResponse(head.responseHeaders()),
-                                        bytes)))
+        progress = ResponseProgress.NONE;
+        return hop.send(request, null, remainingMillis, attempts.runCount(), this::readResponse)
                 .next()
                 .switchIfEmpty(Mono.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response ended prematurely")))
                 .timeout(Duration.ofMillis(attemptTimeoutMillis(hop, remainingMillis)))
                 .onErrorMap(e -> e instanceof AttemptFailure
                         ? e
                         : AttemptFailure.abandoned("no response within the attempt timeout"))
-                .doOnCancel(() -> attempts.markAbandoned(hop))
+                .doOnCancel(() -> attempts.markAbandoned(hop, progress))
                 .doFinally(s -> state.requestEnded())
                 .flatMap(a -> checkResponse(state, a))
                 .onErrorResume(AttemptFailure.class, f -> retryOrFail(hop, f));
     }
 
+    private Mono<BufferedResponse> readResponse(HttpClientResponse head, ByteBufFlux body) {
+        progress = ResponseProgress.BEGUN;
+        return body.aggregate()
+                .asByteArray()
+                .defaultIfEmpty(new byte[0])
+                .map(bytes -> new BufferedResponse(
+                        head.status().code(), context.forwardedHeaders().forResponse(head.responseHeaders()), bytes));
+    }
+
     /** Returns the timeout of the attempt; shorter than the deadline if the request can be retried. */
     private long attemptTimeoutMillis(NextHop hop, long remainingMillis) {
         if (!attempts.mayRetry()) {
@@ -97,6 +100,9 @@
 
     private Mono<BufferedResponse> checkResponse(TargetState state, BufferedResponse response) {
         attempts.markAnswered();
+        if (response.isSuccess()) {
+            attempts.markEstablished();
+        }
         if (!response.isFailure()) {
             state.recordSuccess();
             context.metrics().countAttempt("answered");
@@ -107,7 +113,7 @@
     }
 
     private Mono<BufferedResponse> retryOrFail(NextHop hop, AttemptFailure f) {
-        return attempts.recordFailure(hop, f, 0, false).isRetry()
+        return attempts.recordFailure(hop, f, progress, 0, false).isRetry()
                 ? Mono.defer(this::startAttempt)
                 : fail(f.getMessage());
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -29,7 +29,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.crash.CrashPeers;
 import org.hallwall.serving.crash.CrashedTarget;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.target.FeedMessage.CrashReport;
 import org.hallwall.serving.target.FeedMessage.CrashReportResult;
 import org.hallwall.serving.target.FeedMessage.TrialAnswer;
@@ -110,7 +110,7 @@
     }
 
     @Override
-    public Mono<Long> report(List<CrashedTarget> ended, List<RequestDigest> survived) {
+    public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
         return callControllers(new CrashReport(ended, survived), REPORT_TIMEOUT)
                 .ofType(CrashReportResult.class)
                 .filter(CrashReportResult::taken)
@@ -119,7 +119,7 @@
     }
 
     @Override
-    public Mono<TrialDecision> requestTrial(RequestDigest digest) {
+    public Mono<TrialDecision> requestTrial(Fingerprint digest) {
         return callControllers(new TrialRequest(digest), TRIAL_TIMEOUT)
                 .ofType(TrialAnswer.class)
                 .filter(TrialAnswer::leads)
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -24,8 +24,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.hallwall.serving.config.Route;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.crash.RequestDigester;
+import org.hallwall.serving.crash.RequestFeatures;
 
 /**
  * A client request with its complete body.
@@ -40,7 +41,7 @@
  * @param model the requested model, or null
  * @param priority the priority; zero is the highest
  * @param likelyRetry whether the client has likely sent it before
- * @param digest the digest that identifies retries of the request; null if there are no crash suspects
+ * @param features what may make the request crash targets; null if there are no crash suspects
  * @param receivedAt the time of arrival, in milliseconds
  * @param deadlineAt the deadline of the response, in milliseconds
  * @param forward how another entry has forwarded the request; null if it comes from the client
@@ -56,7 +57,7 @@
         String model,
         int priority,
         boolean likelyRetry,
-        RequestDigest digest,
+        RequestFeatures features,
         long receivedAt,
         long deadlineAt,
         ForwardHeaders.Forwarded forward) {
@@ -71,8 +72,8 @@
         return forward == null ? 0 : forward.runCount();
     }
 
-    /** Returns a copy with a digest. */
-    RelayRequest withDigest(RequestDigest newDigest) {
+    /** Returns a copy with features. */
+    RelayRequest withFeatures(RequestFeatures newFeatures) {
         return new RelayRequest(
                 attemptId,
                 method,
@@ -84,7 +85,7 @@
                 model,
                 priority,
                 likelyRetry,
-                newDigest,
+                newFeatures,
                 receivedAt,
                 deadlineAt,
                 forward);
@@ -95,9 +96,15 @@
         return PromptPartsHeader.sharedIds(headers.getAll(names.promptParts()));
     }
 
-    /** Computes the digest over the parts that a retry repeats: workspace, host, method, path and body. */
-    RequestDigest computeDigest(RequestDigester digester, HeaderNames names) {
-        return digester.digest(
+    /**
+     * Determines the features: a digest over what a retry repeats, which is workspace, host, method, path and body, and the shared
+     * prompt parts.
+     */
+    RequestFeatures computeFeatures(RequestDigester digester, HeaderNames names) {
+        Fingerprint digest = digester.digest(
                 headers.get(names.workspace()), headers.get(HttpHeaderNames.HOST), method.name(), uri, body);
+        List<Fingerprint> parts =
+                sharedPromptParts(names).stream().map(Fingerprint::ofPromptPart).toList();
+        return new RequestFeatures(digest, parts);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -311,30 +311,30 @@
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
         int maxBodyBytes = context.state().routes().configuration().limits().maxBodyBytes();
         return readBody(req, maxBodyBytes)
-                .map(body -> withDigest(toRequest.apply(body)))
+                .map(body -> withFeatures(toRequest.apply(body)))
                 .flatMap(this::rejectIfHeldBack)
                 .flatMap(r ->
                         r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r))
                 .onErrorResume(RelayRefusal.class, e -> sendRefusal(req, res, e));
     }
 
-    /** Computes the digest of the request if there are crash suspects. */
-    private RelayRequest withDigest(RelayRequest r) {
+    /** Determines the features of the request if there are crash suspects. */
+    private RelayRequest withFeatures(RelayRequest r) {
         CrashWatch crashes = context.crashWatch();
-        return crashes.isWatching() ? r.withDigest(r.computeDigest(crashes.digester(), context.headerNames())) : r;
+        return crashes.isWatching() ? r.withFeatures(r.computeFeatures(crashes.digester(), context.headerNames())) : r;
     }
 
     /**
-     * Rejects a request that is held back because it has crashed targets. Retry-After carries the time of the next
+     * Rejects a request that is held back because it, or a part of its prompt, has crashed targets. Retry-After carries the time of the next
      * permitted trial.
      */
     private Mono<RelayRequest> rejectIfHeldBack(RelayRequest r) {
         return context.crashWatch()
-                .holdBackMillis(r.digest())
+                .holdBackMillis(r.features())
                 .flatMap(millis -> {
                     context.metrics().countHeldBack(r.service());
                     return Mono.<RelayRequest>error(
-                            RelayRefusal.notRun(context.crashWatch().describeHold(r.digest()), millis));
+                            RelayRefusal.notRun(context.crashWatch().describeHold(r.features()), millis));
                 })
                 .defaultIfEmpty(r);
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.serving.crash.ResponseProgress;
 import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.jboss.logging.Logger;
 import org.reactivestreams.Publisher;
@@ -116,7 +117,7 @@
                 "request %s: client disconnected after %d ms and %d events",
                 request.attemptId(), context.now() - request.receivedAt(), eventCount);
         if (current != null) {
-            attempts.markAbandoned(current.hop);
+            attempts.markAbandoned(current.hop, current.progress());
         }
         finish();
     }
@@ -152,7 +153,7 @@
         long now = context.now();
         if (now >= request.deadlineAt()) {
             current.cancel();
-            attempts.abandon(current.hop);
+            attempts.abandon(current.hop, current.progress());
             abort("the deadline has passed");
             return;
         }
@@ -219,7 +220,8 @@
         if (f.isUnreachable() && !a.hop.isEntry()) {
             reportUnreachable(a.target);
         }
-        if (attempts.recordFailure(a.hop, f, eventCount, retryCharged).isRetry()) {
+        if (attempts.recordFailure(a.hop, f, a.progress(), eventCount, retryCharged)
+                .isRetry()) {
             retryCharged = false;
             resumptions += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
             startAttempt();
@@ -264,6 +266,7 @@
     private void attemptCompleted(Attempt a) {
         a.state.recordSuccess();
         attempts.markAnswered();
+        attempts.markEstablished();
         context.metrics().countAttempt("answered");
         finish();
         LOG.infof(
@@ -335,6 +338,7 @@
         private Disposable subscription;
         private int status;
         private HttpHeaders headers;
+        private int events;
         private boolean ended;
 
         Attempt(NextHop hop) {
@@ -343,11 +347,15 @@
             this.state = hop.state();
         }
 
+        ResponseProgress progress() {
+            return ResponseProgress.ofStream(headers != null, events);
+        }
+
         Publisher<Chunk> readResponse(HttpClientResponse response, ByteBufFlux body) {
             status = response.status().code();
             headers = context.forwardedHeaders().forResponse(response.responseHeaders());
             String type = response.responseHeaders().get(HttpHeaderNames.CONTENT_TYPE, "");
-            if (type.startsWith(EVENT_STREAM) && status < 300) {
+            if (type.startsWith(EVENT_STREAM) && BufferedResponse.isSuccess(status)) {
                 return body.asByteArray().map(b -> new Chunk(b, false));
             }
             return body.aggregate().asByteArray().defaultIfEmpty(new byte[0]).map(b -> new Chunk(b, true));
@@ -377,6 +385,11 @@
             if (ended) {
                 return;
             }
+            ResponseProgress before = progress();
+            events++;
+            if (progress() != before && progress() == ResponseProgress.ESTABLISHED) {
+                attempts.markEstablished();
+            }
             boolean isNext = e.id() == EventStreamDecoder.Event.NO_ID
                     || lastId == EventStreamDecoder.Event.NO_ID
                     || e.id() == lastId + 1;
@@ -400,6 +413,9 @@
             ended = true;
             state.requestEnded();
             attempts.markAnswered();
+            if (BufferedResponse.isSuccess(status)) {
+                attempts.markEstablished();
+            }
             finish();
             headSent = true;
             context.metrics().countResponse(status);
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -24,7 +24,7 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.crash.CrashedTarget;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.crash.SuspectUpdate;
 import org.hallwall.serving.permit.LimitReport;
 import org.hallwall.serving.permit.PermitDemand;
@@ -279,7 +279,7 @@
      * @param ended the crashed targets
      * @param survived the answered suspects
      */
-    record CrashReport(List<CrashedTarget> ended, List<RequestDigest> survived) implements FeedMessage {}
+    record CrashReport(List<CrashedTarget> ended, List<Fingerprint> survived) implements FeedMessage {}
 
     /**
      * Answers a crash report.
@@ -294,7 +294,7 @@
      *
      * @param digest the request
      */
-    record TrialRequest(RequestDigest digest) implements FeedMessage {}
+    record TrialRequest(Fingerprint digest) implements FeedMessage {}
 
     /**
      * Answers a request for a trial.
--- a/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
@@ -26,7 +26,7 @@
 import org.hallwall.serving.crash.CrashCommand;
 import org.hallwall.serving.crash.CrashLedger;
 import org.hallwall.serving.crash.CrashedTarget;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.Fingerprint;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -50,7 +50,7 @@
 
     private void holdBackRequest() {
         for (int i = 0; i < 3; i++) {
-            CrashedTarget e = new CrashedTarget(new InstanceId("t-" + i), List.of(new RequestDigest("d")));
+            CrashedTarget e = new CrashedTarget(new InstanceId("t-" + i), List.of(new Fingerprint("d")));
             machine.apply(i + 1, ControlStateMachine.command(CrashCommand.report(1, List.of(e), List.of())));
         }
     }
@@ -101,7 +101,7 @@
         holdBackRequest();
         int before = notifications.get();
         machine.apply(4, ConfigurationStateMachine.command(7, COMPRESSED));
-        CrashedTarget known = new CrashedTarget(new InstanceId("t-1"), List.of(new RequestDigest("d")));
+        CrashedTarget known = new CrashedTarget(new InstanceId("t-1"), List.of(new Fingerprint("d")));
         machine.apply(5, ControlStateMachine.command(CrashCommand.report(1, List.of(known), List.of())));
         Assertions.assertEquals(before, notifications.get());
     }
--- a/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.serving.crash;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -35,26 +36,44 @@
     private static final long MINUTE = 60_000;
     private static final long HOUR = 60 * MINUTE;
     private static final long START = 1_000_000;
-    private static final RequestDigest CRASHING = new RequestDigest("crashing");
-    private static final RequestDigest OTHER = new RequestDigest("other");
+    private static final Fingerprint CRASHING = new Fingerprint("crashing");
+    private static final Fingerprint OTHER = new Fingerprint("other");
+    private static final Fingerprint PART = Fingerprint.ofPromptPart("5c1e");
+    private static final Fingerprint OTHER_PART = Fingerprint.ofPromptPart("91bd");
 
     private CrashLedger ledger = new CrashLedger();
     private int targets;
 
-    private void crash(long at, RequestDigest... running) {
+    private void crash(long at, Fingerprint... running) {
         crash("t-" + ++targets, at, running);
     }
 
-    private void crash(String target, long at, RequestDigest... running) {
+    private void crash(String target, long at, Fingerprint... running) {
         CrashedTarget e = new CrashedTarget(new InstanceId(target), Arrays.asList(running));
         ledger.apply(CrashCommand.report(at, List.of(e), List.of()));
     }
 
-    private void survived(RequestDigest digest) {
+    /** Crashes a target that had just begun to write a response. */
+    private void crashAtStart(Fingerprint... begun) {
+        crashAtStart("t-" + ++targets, List.of(begun), List.of());
+    }
+
+    private void crashAtStart(String target, List<Fingerprint> begun, List<Fingerprint> established) {
+        List<Fingerprint> running = new ArrayList<>(begun);
+        running.addAll(established);
+        CrashedTarget e = new CrashedTarget(new InstanceId(target), running, begun, established);
+        ledger.apply(CrashCommand.report(START, List.of(e), List.of()));
+    }
+
+    private Fingerprint request(int n) {
+        return new Fingerprint("request-" + n);
+    }
+
+    private void survived(Fingerprint digest) {
         ledger.apply(CrashCommand.report(START, List.of(), List.of(digest)));
     }
 
-    private boolean isHeld(RequestDigest digest) {
+    private boolean isHeld(Fingerprint digest) {
         return ledger.held().stream().anyMatch(s -> s.digest().equals(digest));
     }
 
@@ -104,7 +123,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"a", "z"})
     void concurrentRequestIsNotHeld(String name) {
-        RequestDigest concurrent = new RequestDigest(name);
+        Fingerprint concurrent = new Fingerprint(name);
         crash(START, CRASHING);
         crash(START, CRASHING, concurrent);
         crash(START, CRASHING, concurrent);
@@ -123,6 +142,107 @@
         Assertions.assertTrue(isHeld(OTHER));
     }
 
+    /** Different requests that share a part: the part is held, and none of the requests. */
+    @Test
+    void partOfDifferentRequestsIsHeld() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashAtStart(request(i), PART);
+        }
+        Assertions.assertTrue(isHeld(PART));
+        Assertions.assertEquals(1, ledger.held().size());
+    }
+
+    /** With the same evidence, the request is held rather than the part that other requests may share. */
+    @Test
+    void repeatedRequestIsHeldRatherThanItsPart() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashAtStart(CRASHING, PART);
+        }
+        Assertions.assertTrue(isHeld(CRASHING));
+        Assertions.assertFalse(isHeld(PART));
+    }
+
+    /** A part that accounts for the crashes of a held request and for another one is held at once. */
+    @Test
+    void partThatAccountsForMoreThanAHeldRequestIsHeld() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashAtStart(CRASHING, PART);
+        }
+        crashAtStart(OTHER, PART);
+        Assertions.assertTrue(isHeld(PART));
+    }
+
+    /** Crashes of a held part are attributed to it, however many there are, also for parts that always ran beside it. */
+    @Test
+    void partBesideAHeldPartIsNotHeld() {
+        for (int i = 0; i < 20; i++) {
+            String target = "t-" + i;
+            crashAtStart(target, List.of(request(i), PART), List.of());
+            crash(target, START, OTHER_PART);
+        }
+        Assertions.assertTrue(isHeld(PART));
+        Assertions.assertFalse(isHeld(OTHER_PART));
+    }
+
+    /** While requests with different crashing parts are unknown, a part that only waited beside them is not held. */
+    @Test
+    void partThatWaitedBesideBegunResponsesIsNotHeld() {
+        for (int i = 0; i < 6; i++) {
+            String target = "t-" + i;
+            crashAtStart(target, List.of(request(i), Fingerprint.ofPromptPart("a" + i % 3)), List.of());
+            crash(target, START, OTHER_PART);
+        }
+        Assertions.assertFalse(isHeld(OTHER_PART));
+    }
+
+    /** A request that had received a part of each response was not the one that the targets had just begun. */
+    @Test
+    void establishedRequestIsNotHeldBesideBegunOnes() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashAtStart("t-" + i, List.of(request(i)), List.of(OTHER));
+        }
+        Assertions.assertFalse(isHeld(OTHER));
+    }
+
+    /** Targets need not send a head before they crash. */
+    @Test
+    void partIsHeldIfNoResponseHasBegun() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crash(START, request(i), PART);
+        }
+        Assertions.assertTrue(isHeld(PART));
+    }
+
+    /** Two parts that never occur apart cannot be told apart: holding one holds all requests with either. */
+    @Test
+    void oneOfTwoInseparablePartsIsHeld() {
+        for (int i = 0; i < 10; i++) {
+            crashAtStart(request(i), PART, OTHER_PART);
+        }
+        Assertions.assertTrue(isHeld(PART) ^ isHeld(OTHER_PART));
+    }
+
+    /** If the wrong one of two parts is held, the next crash without it shows the other. */
+    @Test
+    void partIsHeldAfterACrashWithoutAWronglyHeldOne() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashAtStart(request(i), PART, OTHER_PART);
+        }
+        Fingerprint unheld = isHeld(PART) ? OTHER_PART : PART;
+        crashAtStart(request(9), unheld);
+        Assertions.assertTrue(isHeld(unheld));
+    }
+
+    @Test
+    void twoCrashingPartsAreBothHeld() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashAtStart(request(i), PART);
+            crashAtStart(request(100 + i), OTHER_PART);
+        }
+        Assertions.assertTrue(isHeld(PART));
+        Assertions.assertTrue(isHeld(OTHER_PART));
+    }
+
     @ParameterizedTest
     @CsvSource({
         // minutes since the request is held, whether a trial is granted
@@ -166,7 +286,7 @@
     void suspectsAreBoundedAndHeldOnesKept() {
         holdCrashing();
         for (int i = 0; i < CrashLedger.MAX_SUSPECTS + 100; i++) {
-            crash(START + i, new RequestDigest("varied-" + i));
+            crash(START + i, new Fingerprint("varied-" + i));
         }
         Assertions.assertEquals(
                 CrashLedger.MAX_SUSPECTS, ledger.changesSince(0).changed().size());
@@ -231,11 +351,10 @@
     void incrementalUpdatesMatchTheFullState(int pollEvery) {
         SuspectView entry = new SuspectView();
         java.util.Random random = new java.util.Random(pollEvery);
-        List<RequestDigest> all = IntStream.range(0, 40)
-                .mapToObj(i -> new RequestDigest("d-" + i))
-                .toList();
+        List<Fingerprint> all =
+                IntStream.range(0, 40).mapToObj(i -> new Fingerprint("d-" + i)).toList();
         for (int i = 0; i < 6_000; i++) {
-            RequestDigest d = all.get(random.nextInt(all.size()));
+            Fingerprint d = all.get(random.nextInt(all.size()));
             if (random.nextInt(3) == 0) {
                 survived(d);
             } else {
@@ -246,7 +365,7 @@
             }
         }
         poll(entry);
-        for (RequestDigest d : all) {
+        for (Fingerprint d : all) {
             Assertions.assertEquals(isHeld(d), entry.isHeld(d, java.util.Set.of()), d.value());
         }
         Assertions.assertEquals(ledger.changesSince(0).changed().size(), entry.size());
--- a/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationRuns.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationRuns.java
@@ -69,6 +69,57 @@
                 days, crashing, name, scenario, harmlessHeld, harmless, slowest, crashes, lateSends);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "0, DOMAIN_ENDS",
+        "0, RACK_ENDS",
+        "1, NOTHING",
+        "3, NOTHING",
+        "1, RACK_ENDS",
+        "1, DOMAIN_ENDS",
+        "1, DOMAIN_CUT_OFF",
+        "1, NO_LEADER",
+        "1, ENTRIES_RESTART"
+    })
+    void daysWithCrashingParts(int parts, FaultScenario scenario) {
+        int harmless = 0;
+        int harmlessHeld = 0;
+        int daysWithHeld = 0;
+        long slowest = 0;
+        Map<Integer, Integer> crashes = new TreeMap<>();
+        Map<Integer, Integer> lateSends = new TreeMap<>();
+        int days = Integer.getInteger("crash.days", 5);
+        for (int day = 0; day < days; day++) {
+            SimulatedCrashes s = dayWithParts(parts, scenario, Integer.getInteger("crash.seed", 1_000) + day);
+            harmless += s.harmless();
+            harmlessHeld += s.harmlessHeld();
+            daysWithHeld += s.harmlessHeld() > 0 ? 1 : 0;
+            slowest = Math.max(slowest, s.maxPartSpreadMillis());
+            s.crashesByPart().values().forEach(times -> crashes.merge(times.size(), 1, Integer::sum));
+            s.lateSendsByPart().values().forEach(n -> lateSends.merge(n, 1, Integer::sum));
+        }
+        System.out.printf(
+                "%d days, %d crashing parts, %s: %d of %d harmless requests held back, on %d days; held by all entries within %d ms; "
+                        + "crashes per part and their frequency %s, late sends per part and their frequency %s%n",
+                days, parts, scenario, harmlessHeld, harmless, daysWithHeld, slowest, crashes, lateSends);
+    }
+
+    private static SimulatedCrashes dayWithParts(int parts, FaultScenario scenario, long seed) {
+        int perSecond = Integer.getInteger("crash.perSecond", 120);
+        SimulatedCrashes s = new SimulatedCrashes(
+                Integer.getInteger("crash.entries", 9), Integer.getInteger("crash.targets", 15), seed);
+        s.run(3, perSecond, 0.3, 5);
+        for (int i = 0; i < parts; i++) {
+            s.sendWithPart("crashing-" + i, 200);
+            s.run(1, perSecond, 0.3, 5);
+        }
+        for (int i = 0; i < SECONDS / 5; i++) {
+            scenario.apply(s);
+            s.run(5, perSecond, 0.3, 5);
+        }
+        return s;
+    }
+
     private static SimulatedCrashes day(String name, int crashing, FaultScenario scenario, long seed) {
         int perSecond = Integer.getInteger("crash.perSecond", 120);
         SimulatedCrashes s = new SimulatedCrashes(
--- a/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashSimulationTest.java
@@ -18,6 +18,8 @@
  */
 package org.hallwall.serving.crash;
 
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Assertions;
@@ -26,8 +28,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
- * Simulates crashing requests among harmless ones: bounds the targets that each crashes and the time until all entries hold it, and checks
- * that no harmless request is held, even if it is in progress on many targets that fail.
+ * Simulates crashing requests and crashing prompt parts among harmless ones: bounds the targets that each crashes and the time until all
+ * entries hold it, and checks that no harmless request is held, even if it is in progress on many targets that fail.
  */
 class CrashSimulationTest {
 
@@ -37,6 +39,9 @@
     /** The time in milliseconds within which all connected entries must hold a crashing request. */
     private static final long MAX_DETECTION_MILLIS = 3_000;
 
+    /** The time in milliseconds from the decision to hold a prompt part until all connected entries hold it. */
+    private static final long MAX_PART_SPREAD_MILLIS = 100;
+
     /** Other faults during a run. */
     enum FaultScenario {
         NOTHING(s -> {}),
@@ -116,6 +121,47 @@
         check(s, "crashes of " + part + ", popular " + popular);
     }
 
+    /** Requests that share only a prompt part with each other, five a second for each part, beside harmless ones with the other parts. */
+    @ParameterizedTest
+    @CsvSource({
+        "9, 15, 120, 1, NOTHING, 41",
+        "9, 15, 120, 3, NOTHING, 42",
+        "9, 15, 120, 1, ENTRIES_RESTART, 43",
+        "9, 15, 120, 1, RACK_ENDS, 44",
+        "9, 15, 120, 1, DOMAIN_ENDS, 45",
+        "9, 15, 120, 1, NO_LEADER, 46",
+        "9, 15, 120, 1, DOMAIN_CUT_OFF, 47",
+        "82, 40, 500, 3, NOTHING, 48",
+        "350, 116, 2000, 3, NOTHING, 49"
+    })
+    void onlyRequestsWithCrashingPartsAreHeld(
+            int entries, int targets, int perSecond, int parts, FaultScenario scenario, long seed) {
+        SimulatedCrashes s = new SimulatedCrashes(entries, targets, seed);
+        s.run(3, perSecond, 0.3, 5);
+        scenario.apply(s);
+        for (int i = 0; i < parts; i++) {
+            s.sendWithPart("crashing-" + i, 200);
+            s.run(1, perSecond, 0.3, 5);
+        }
+        for (int i = 0; i < SECONDS / 10; i++) {
+            s.run(5, perSecond, 0.3, 5);
+            scenario.apply(s);
+        }
+        checkParts(s, "entries " + entries + ", " + parts + " parts, " + scenario);
+    }
+
+    private static void checkParts(SimulatedCrashes s, String what) {
+        Map<String, Integer> crashes = new TreeMap<>();
+        s.crashesByPart().forEach((part, times) -> crashes.put(part, times.size()));
+        String figures = String.format(
+                "%s: crashes per part %s, late sends %s, held by all entries %d ms after the decision, %d of %d harmless requests held back",
+                what, crashes, s.lateSendsByPart(), s.maxPartSpreadMillis(), s.harmlessHeld(), s.harmless());
+        System.out.println(figures);
+        Assertions.assertTrue(s.lateSendsByPart().values().stream().allMatch(n -> n <= MAX_LATE_SENDS), figures);
+        Assertions.assertTrue(s.maxPartSpreadMillis() <= MAX_PART_SPREAD_MILLIS, figures);
+        Assertions.assertEquals(0, s.harmlessHeld(), figures);
+    }
+
     private static void check(SimulatedCrashes s, String what) {
         String figures = String.format(
                 "%s: crashes per request %s, late sends %s, held by all entries within %d ms, %d of %d harmless requests held back",
--- a/serving/src/test/java/org/hallwall/serving/crash/RequestDigesterTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/RequestDigesterTest.java
@@ -33,7 +33,7 @@
 
     private final RequestDigester digester = new RequestDigester(KEY);
 
-    private RequestDigest digest(String workspace, String host, String method, String uri, String body) {
+    private Fingerprint digest(String workspace, String host, String method, String uri, String body) {
         return digester.digest(workspace, host, method, uri, body.getBytes(StandardCharsets.UTF_8));
     }
 
--- a/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
@@ -34,8 +34,9 @@
 import reactor.core.publisher.Sinks;
 
 /**
- * Entries and targets on a virtual clock, with harmless requests and requests that crash their target. {@link CrashWatch} and
- * {@link CrashLedger} are the real ones; targets, links and the log are simulated by delays.
+ * Entries and targets on a virtual clock, with harmless requests, requests that crash their target, and prompt parts that crash the targets
+ * that begin to write on them. {@link CrashWatch} and {@link CrashLedger} are the real ones; targets, links and the log are simulated by
+ * delays.
  */
 final class SimulatedCrashes {
 
@@ -45,6 +46,23 @@
     private static final int RUN_MILLIS = 1_000;
 
     private static final int CRASH_AFTER_MILLIS = 80;
+    /** The shortest and the longest time that a request waits at a target until the response begins. */
+    private static final int MIN_WAIT_MILLIS = 30;
+
+    private static final int MAX_WAIT_MILLIS = 250;
+    /** From the head of a response to the output that establishes it, or to the crash on a prompt part. */
+    private static final int BEGIN_MILLIS = 40;
+
+    /** Crashes after which a prompt part has to be known, and the time until it is held everywhere. */
+    private static final int PART_CRASHES = 5;
+
+    private static final int REACTION_MILLIS = 3_000;
+    private static final int FIRST_PARTS = 3;
+    private static final int SECOND_PARTS = 60;
+    /** One in this many harmless requests has a part that hardly any other request has. */
+    private static final int REQUESTS_PER_RARE_PART = 10;
+
+    private static final int RARE_PARTS = 2_000;
     /** When a target crashes under a request that entries abandon before. */
     private static final int LATE_CRASH_AFTER_MILLIS = 700;
 
@@ -74,6 +92,10 @@
     private int harmless;
     private int harmlessHeld;
     private long maxDetectionMillis;
+    private final Map<String, List<Long>> crashesByPart = new TreeMap<>();
+    private final Map<String, Integer> lateSendsByPart = new TreeMap<>();
+    private final Map<String, Long> partHeldAt = new TreeMap<>();
+    private long maxPartSpreadMillis;
 
     SimulatedCrashes(int entryCount, int targetCount, long seed) {
         random = new Random(seed);
@@ -98,17 +120,41 @@
             }
             for (double remaining = perSecond / 1_000; random.nextDouble() < remaining; remaining--) {
                 boolean frequent = random.nextDouble() < frequentPart;
-                call(frequent ? "popular-" + random.nextInt(frequentCount) : "harmless-" + ++number, 1);
+                String name = frequent ? "popular-" + random.nextInt(frequentCount) : "harmless-" + ++number;
+                call(new Request(name, harmlessParts()), 1);
             }
         }
     }
 
+    /** Draws the shared parts of a prompt: the first from a few, the second from many with unequal frequency, and at times a rare one. */
+    private List<String> harmlessParts() {
+        List<String> out = new ArrayList<>();
+        out.add("first-" + random.nextInt(FIRST_PARTS));
+        out.add("second-" + (int) (SECOND_PARTS * Math.pow(random.nextDouble(), 2)));
+        if (random.nextInt(REQUESTS_PER_RARE_PART) == 0) {
+            out.add("rare-" + random.nextInt(RARE_PARTS));
+        }
+        return out;
+    }
+
     /** Sends a crashing request periodically from now on, to random entries. */
     void sendPeriodically(String name, int everyMillis) {
-        call(name, 1);
+        call(new Request(name, List.of()), 1);
         at(everyMillis, () -> sendPeriodically(name, everyMillis));
     }
 
+    /** Sends requests that share only a crashing prompt part with each other, at random intervals from now on, to random entries. */
+    void sendWithPart(String part, int meanMillis) {
+        List<String> parts = new ArrayList<>(harmlessParts());
+        parts.add(1, part);
+        call(new Request("with-part-" + ++number, parts), 1);
+        at(1 + random.nextInt(2 * meanMillis), () -> sendWithPart(part, meanMillis));
+    }
+
+    private static boolean isCrashingPart(String part) {
+        return part.startsWith("crashing");
+    }
+
     /** Crashes a random part of the targets at once. */
     void crashSome(double part) {
         targets.stream().filter(t -> random.nextDouble() < part).forEach(Target::crash);
@@ -153,6 +199,21 @@
         return lateSends;
     }
 
+    /** Returns the times of the crashes of each crashing prompt part, in milliseconds. */
+    Map<String, List<Long>> crashesByPart() {
+        return crashesByPart;
+    }
+
+    /** Counts sends of requests with a crashing part later than 3 s after its fifth crash. */
+    Map<String, Integer> lateSendsByPart() {
+        return lateSendsByPart;
+    }
+
+    /** Returns the longest time from the hold of a prompt part until all connected entries had it. */
+    long maxPartSpreadMillis() {
+        return maxPartSpreadMillis;
+    }
+
     int harmless() {
         return harmless;
     }
@@ -175,19 +236,40 @@
         return name.startsWith("crashing-late");
     }
 
-    private void call(String name, int tries) {
-        if (!isCrashing(name) && tries == 1) {
+    /** A request and the prompt parts that it shares with others. */
+    private record Request(String name, List<String> parts) {
+
+        RequestFeatures features() {
+            return new RequestFeatures(
+                    new Fingerprint(name),
+                    parts.stream().map(Fingerprint::ofPromptPart).toList());
+        }
+
+        boolean isHarmless() {
+            return !isCrashing(name) && crashingPart() == null;
+        }
+
+        String crashingPart() {
+            return parts.stream()
+                    .filter(SimulatedCrashes::isCrashingPart)
+                    .findFirst()
+                    .orElse(null);
+        }
+    }
+
+    private void call(Request request, int tries) {
+        if (request.isHarmless() && tries == 1) {
             harmless++;
         }
         Entry e = entries.get(random.nextInt(entries.size()));
-        RequestDigest digest = e.watch.isWatching() ? new RequestDigest(name) : null;
+        RequestFeatures features = e.watch.isWatching() ? request.features() : null;
         Long[] retryMillis = new Long[1];
-        e.watch.holdBackMillis(digest).subscribe(millis -> retryMillis[0] = millis);
+        e.watch.holdBackMillis(features).subscribe(millis -> retryMillis[0] = millis);
         if (retryMillis[0] != null) {
-            harmlessHeld += isCrashing(name) ? 0 : 1;
+            harmlessHeld += request.isHarmless() ? 1 : 0;
             return;
         }
-        new Call(name, tries, e).send();
+        new Call(request, tries, e).send();
     }
 
     private void at(long millis, Runnable work) {
@@ -219,25 +301,44 @@
                 if (update != null) {
                     e.watch.applyUpdate(update);
                     e.recordHeld();
+                    recordPartSpread();
                 }
             });
         }
     }
 
+    private void recordPartSpread() {
+        for (Suspect held : ledger.held()) {
+            String part = held.digest().value();
+            boolean everywhere = entries.stream()
+                    .filter(e -> !e.cutOff)
+                    .allMatch(e -> e.watch.isHeld(
+                            new RequestFeatures(new Fingerprint("none"), List.of(held.digest())), Set.of(), Set.of()));
+            if (held.digest().kind() == Fingerprint.Kind.PROMPT_PART && partHeldAt.containsKey(part) && everywhere) {
+                long heldAt = partHeldAt.put(part, Long.MAX_VALUE);
+                maxPartSpreadMillis = Math.max(maxPartSpreadMillis, heldAt == Long.MAX_VALUE ? 0 : now - heldAt);
+            }
+        }
+    }
+
     private record Event(long at, long number, Runnable work) {}
 
     private final class Call {
 
+        private final Request request;
         private final String name;
-        private final RequestDigest digest;
+        private final RequestFeatures features;
         private final int tries;
         private final Entry entry;
         private final Set<InstanceId> brokenOffBy = new HashSet<>();
+        private final Set<InstanceId> brokenOffAtStart = new HashSet<>();
+        private ResponseProgress progress = ResponseProgress.NONE;
         private int attempts;
 
-        Call(String name, int tries, Entry entry) {
-            this.name = name;
-            this.digest = new RequestDigest(name);
+        Call(Request request, int tries, Entry entry) {
+            this.request = request;
+            this.name = request.name();
+            this.features = request.features();
             this.tries = tries;
             this.entry = entry;
         }
@@ -248,6 +349,7 @@
                 return;
             }
             attempts++;
+            progress = ResponseProgress.NONE;
             recordSend();
             Target t = running.get(random.nextInt(running.size()));
             at(NETWORK_DELAY_MILLIS, () -> t.receive(this));
@@ -258,10 +360,23 @@
             if (thirdCrash != null && now > thirdCrash + 3_000 && !entry.cutOff) {
                 lateSends.merge(name, 1, Integer::sum);
             }
+            List<Long> crashes = crashesByPart.getOrDefault(request.crashingPart() + "", List.of());
+            if (crashes.size() >= PART_CRASHES
+                    && now > crashes.get(PART_CRASHES - 1) + REACTION_MILLIS
+                    && !entry.cutOff) {
+                lateSendsByPart.merge(request.crashingPart(), 1, Integer::sum);
+            }
+        }
+
+        void established() {
+            if (progress == ResponseProgress.BEGUN) {
+                progress = ResponseProgress.ESTABLISHED;
+                entry.watch.recordEstablished(features);
+            }
         }
 
         void answered() {
-            entry.watch.recordAnswer(digest);
+            entry.watch.recordAnswer(features);
         }
 
         void refused() {
@@ -269,21 +384,24 @@
         }
 
         void abandoned(InstanceId start) {
-            entry.watch.recordAbandoned(start, digest);
+            entry.watch.recordAbandoned(start, features, progress);
             retry();
         }
 
         void disconnected(InstanceId start) {
             brokenOffBy.add(start);
-            entry.watch.recordDisconnect(start, digest);
+            if (progress != ResponseProgress.ESTABLISHED) {
+                brokenOffAtStart.add(start);
+            }
+            entry.watch.recordDisconnect(start, features, progress);
             retry();
         }
 
         private void retry() {
-            if (attempts < ATTEMPTS && !entry.watch.isHeld(digest, brokenOffBy)) {
+            if (attempts < ATTEMPTS && !entry.watch.isHeld(features, brokenOffBy, brokenOffAtStart)) {
                 send();
             } else if (tries < TRIES) {
-                at(CALLER_DELAY_MILLIS, () -> call(name, tries + 1));
+                at(CALLER_DELAY_MILLIS, () -> call(request, tries + 1));
             }
         }
     }
@@ -311,6 +429,7 @@
             running.add(c);
             int start = starts;
             boolean crashing = isCrashing(c.name);
+            begin(c, start, MIN_WAIT_MILLIS + random.nextInt(MAX_WAIT_MILLIS - MIN_WAIT_MILLIS));
             if (isAbandoned(c.name)) {
                 at(ABANDON_AFTER_MILLIS, () -> {
                     if (running.remove(c)) {
@@ -336,6 +455,29 @@
             });
         }
 
+        /** Begins to write the response, which crashes the target if the prompt has a crashing part. */
+        private void begin(Call c, int start, int waitMillis) {
+            at(waitMillis, () -> {
+                if (start == starts && up && running.contains(c)) {
+                    c.progress = ResponseProgress.BEGUN;
+                    at(BEGIN_MILLIS, () -> {
+                        if (start != starts || !up || !running.contains(c)) {
+                            return;
+                        }
+                        String part = c.request.crashingPart();
+                        if (part == null) {
+                            c.established();
+                        } else {
+                            crashesByPart
+                                    .computeIfAbsent(part, p -> new ArrayList<>())
+                                    .add(now);
+                            crash();
+                        }
+                    });
+                }
+            });
+        }
+
         void crash() {
             if (!up) {
                 return;
@@ -362,7 +504,7 @@
         void recordHeld() {
             for (Map.Entry<String, Long> thirdCrash : thirdCrashAt.entrySet()) {
                 if (!heldRequests.contains(thirdCrash.getKey())
-                        && watch.isHeld(new RequestDigest(thirdCrash.getKey()), Set.of())) {
+                        && watch.isHeld(RequestFeatures.of(new Fingerprint(thirdCrash.getKey())), Set.of(), Set.of())) {
                     heldRequests.add(thirdCrash.getKey());
                     maxDetectionMillis =
                             Math.max(maxDetectionMillis, now - Math.max(connectedSince, thirdCrash.getValue()));
@@ -397,19 +539,20 @@
         }
 
         @Override
-        public Mono<Long> report(List<CrashedTarget> ended, List<RequestDigest> survived) {
+        public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
             return later(NETWORK_DELAY_MILLIS + COMMIT_MILLIS, () -> {
                 if (!hasLeader || cutOff) {
                     return null;
                 }
                 ledger.apply(CrashCommand.report(now, ended, survived));
+                ledger.held().forEach(h -> partHeldAt.putIfAbsent(h.digest().value(), now));
                 publish();
                 return ledger.version();
             });
         }
 
         @Override
-        public Mono<TrialDecision> requestTrial(RequestDigest digest) {
+        public Mono<TrialDecision> requestTrial(Fingerprint digest) {
             return cutOff
                     ? Mono.empty()
                     : Mono.just(new TrialDecision(ledger.apply(CrashCommand.trial(now, digest)), 10_000));
--- a/serving/src/test/java/org/hallwall/serving/crash/UnconfirmedCrashTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/UnconfirmedCrashTest.java
@@ -31,7 +31,8 @@
 class UnconfirmedCrashTest {
 
     private static final InstanceId TARGET = new InstanceId("i-1");
-    private static final RequestDigest DIGEST = new RequestDigest("00112233445566778899aabbccddeeff");
+    private static final RequestFeatures FEATURES =
+            RequestFeatures.of(new Fingerprint("00112233445566778899aabbccddeeff"));
 
     private final List<CrashedTarget> reported = new ArrayList<>();
 
@@ -40,14 +41,14 @@
         REFUSED {
             @Override
             void show(CrashWatch watch) {
-                watch.recordAbandoned(TARGET, DIGEST);
+                watch.recordAbandoned(TARGET, FEATURES, ResponseProgress.NONE);
                 watch.recordRefusal(TARGET);
             }
         },
         DISCONNECTED {
             @Override
             void show(CrashWatch watch) {
-                watch.recordDisconnect(TARGET, DIGEST);
+                watch.recordDisconnect(TARGET, FEATURES, ResponseProgress.NONE);
             }
         };
 
@@ -90,13 +91,13 @@
         }
 
         @Override
-        public Mono<Long> report(List<CrashedTarget> ended, List<RequestDigest> survived) {
+        public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
             reported.addAll(ended);
             return Mono.just(1L);
         }
 
         @Override
-        public Mono<TrialDecision> requestTrial(RequestDigest digest) {
+        public Mono<TrialDecision> requestTrial(Fingerprint digest) {
             return Mono.empty();
         }
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/CrashHoldBackTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/CrashHoldBackTest.java
@@ -180,11 +180,17 @@
     }
 
     private HttpResponse<String> send(RequestKind kind, String key, String path, String body) throws Exception {
+        return send(kind, key, path, body, "");
+    }
+
+    private HttpResponse<String> send(RequestKind kind, String key, String path, String body, String parts)
+            throws Exception {
         String uri = "/" + kind.name().toLowerCase(Locale.ROOT) + "/" + path;
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + relay.port() + uri))
                 .header("X-Attempt", "attempt-" + attempts.incrementAndGet())
                 .header("X-Model", "m")
                 .header("X-Key", key)
+                .header("X-Prompt-Parts", parts)
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
         return client.send(request, HttpResponse.BodyHandlers.ofString());
@@ -226,6 +232,37 @@
         Assertions.assertTrue(retryAfter > 1, "Retry-After is " + retryAfter + " s");
     }
 
+    /** Requests that differ in everything but one prompt part; the first part is shared with requests that are answered. */
+    @ParameterizedTest
+    @CsvSource({
+        "STREAM, AT_ONCE",
+        "STREAM, IN_THE_ANSWER",
+        "IDEMPOTENT, AT_ONCE",
+        "IDEMPOTENT, IN_THE_ANSWER",
+        "NON_IDEMPOTENT, AT_ONCE",
+        "NON_IDEMPOTENT, IN_THE_ANSWER"
+    })
+    void requestsWithACrashingPromptPartAreHeldBack(RequestKind kind, End how) throws Exception {
+        targets(how);
+        HttpResponse<String> last = null;
+        for (int i = 0; i < ARRIVALS; i++) {
+            Assertions.assertEquals(
+                    200,
+                    send(kind, "secret", "y" + i, "other", "c0ffee:8,e" + i + ":1")
+                            .statusCode());
+            last = send(kind, "secret", "x" + i, "ends", "c0ffee:8,bad:" + i + ",f" + i + ":1");
+        }
+        Assertions.assertTrue(ended.get() <= MAX_ENDED, ended.get() + " targets ended");
+        Assertions.assertEquals(503, last.statusCode());
+        Assertions.assertTrue(last.body().contains("held back as part-bad"), last.body());
+        Assertions.assertEquals(
+                503, send(kind, "other", "z", "ends", "BAD:9,a:1").statusCode(), "any workspace");
+        Assertions.assertEquals(
+                200, send(kind, "secret", "z", "other", "c0ffee:8,bad:1").statusCode(), "last part");
+        Assertions.assertEquals(
+                200, send(kind, "secret", "z", "other", "c0ffee:8,a:1").statusCode(), "other parts");
+    }
+
     @ParameterizedTest
     @EnumSource(RequestKind.class)
     void otherRequestsAreServed(RequestKind kind) throws Exception {
--- a/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
@@ -26,7 +26,7 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.crash.CrashPeers;
 import org.hallwall.serving.crash.CrashedTarget;
-import org.hallwall.serving.crash.RequestDigest;
+import org.hallwall.serving.crash.Fingerprint;
 import reactor.core.publisher.Mono;
 
 /** Crash peers without a reachable leader; targets respond unless a test marks them as ended. */
@@ -69,13 +69,13 @@
     }
 
     @Override
-    public Mono<Long> report(List<CrashedTarget> ended, List<RequestDigest> survived) {
+    public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
         reported.addAll(ended);
         return Mono.empty();
     }
 
     @Override
-    public Mono<TrialDecision> requestTrial(RequestDigest digest) {
+    public Mono<TrialDecision> requestTrial(Fingerprint digest) {
         return Mono.empty();
     }
 }
