A stream that ends too early is a sign that its target has crashed

A response without a length or chunks ends with its connection. A target that crashes while it writes one closes the connection like one that is done, so that the stream ended within an event, or before the first one, with no error of the connection. It was taken for a wrong response of a running target: the request was resumed elsewhere, as it should, but the crash was not confirmed and neither the request nor its prompt parts were suspected. Ruled out: resets, which were seen. Now it counts as a lost connection; a target that is still running answers the probe that follows, and nothing else happens.

--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -65,6 +65,15 @@
         return new AttemptFailure(Verdict.MAY_HAVE_RUN, reason, Kind.CONNECTION_LOST);
     }
 
+    /**
+     * Creates the failure of an attempt whose response ended too early, although the connection was closed in an orderly way.
+     * @param reason the message
+     * @return the failure
+     */
+    public static AttemptFailure truncated(String reason) {
+        return new AttemptFailure(Verdict.RAN, reason, Kind.CONNECTION_LOST);
+    }
+
     /**
      * Creates the failure of an attempt that this entry abandoned.
      * @param reason the message
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -437,7 +437,8 @@
                 return;
             }
             if (decoder.hasPartialEvent() || eventCount == 0) {
-                fail(new AttemptFailure(Verdict.RAN, "the stream ended within an event"));
+                // without a length, a crash closes the connection like the end of a response
+                fail(AttemptFailure.truncated("the stream ended within an event"));
                 return;
             }
             ended = true;
