RelayServer: reading of bodies and writing of responses in classes of their own

Moved without change: RequestBody reads and bounds a body, ResponseWriter writes whole responses, streams and refusals (under the same log category), and both ports are bound by one method.

--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -18,9 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
-import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +27,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -46,8 +43,6 @@
 import org.hallwall.serving.crash.CrashWatch;
 import org.jboss.logging.Logger;
 import org.reactivestreams.Publisher;
-import reactor.core.Exceptions;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -75,6 +70,7 @@
     private static final int MAX_FORWARDED = 200;
 
     private final RelayContext context;
+    private final ResponseWriter writer;
     private final StartupRetryDelay startupRetryDelay;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger forwardedInFlight = new AtomicInteger();
@@ -91,6 +87,7 @@
      */
     public RelayServer(RelayContext context) {
         this.context = context;
+        this.writer = new ResponseWriter(context);
         this.startupRetryDelay = new StartupRetryDelay(
                 context.ticker(), () -> ThreadLocalRandom.current().nextDouble());
     }
@@ -103,14 +100,7 @@
      * @throws ProgramException if the port cannot be opened
      */
     public void open(NetAddress address, LoopResources loops) throws ProgramException {
-        HttpServer http = HttpServer.create()
-                .host(address.host())
-                .port(address.port())
-                .runOn(loops)
-                .idleTimeout(IDLE_TIMEOUT)
-                .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES))
-                .handle((req, res) -> handle(req, res, false));
-        server = HttpServerBinder.bind(http, address);
+        server = bind(address, loops, false);
     }
 
     /**
@@ -121,14 +111,18 @@
      * @throws ProgramException if the port cannot be opened
      */
     public void openForwarding(NetAddress address, LoopResources loops) throws ProgramException {
+        forwardingServer = bind(address, loops, true);
+    }
+
+    private DisposableServer bind(NetAddress address, LoopResources loops, boolean forwarded) throws ProgramException {
         HttpServer http = HttpServer.create()
                 .host(address.host())
                 .port(address.port())
                 .runOn(loops)
                 .idleTimeout(IDLE_TIMEOUT)
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES))
-                .handle((req, res) -> handle(req, res, true));
-        forwardingServer = HttpServerBinder.bind(http, address);
+                .handle((req, res) -> handle(req, res, forwarded));
+        return HttpServerBinder.bind(http, address);
     }
 
     /**
@@ -189,7 +183,7 @@
         try {
             response = forwarded ? acceptForwarded(req, res) : accept(req, res);
         } catch (RelayRefusal e) {
-            response = sendRefusal(req, res, e);
+            response = writer.writeRefusal(req, res, e);
         }
         return response.doFinally(s -> {
             inFlight.decrementAndGet();
@@ -310,12 +304,12 @@
 
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
         int maxBodyBytes = context.state().routes().configuration().limits().maxBodyBytes();
-        return readBody(req, maxBodyBytes)
+        return RequestBody.read(req, maxBodyBytes)
                 .map(body -> withFeatures(toRequest.apply(body)))
                 .flatMap(this::rejectIfHeldBack)
                 .flatMap(r ->
                         r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r))
-                .onErrorResume(RelayRefusal.class, e -> sendRefusal(req, res, e));
+                .onErrorResume(RelayRefusal.class, e -> writer.writeRefusal(req, res, e));
     }
 
     /** Determines the features of the request if there are crash suspects. */
@@ -361,24 +355,6 @@
         }
     }
 
-    private static Mono<byte[]> readBody(HttpServerRequest req, int maxBytes) {
-        String length = req.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
-        if (length != null && length.length() > 9 || length != null && Long.parseLong(length) > maxBytes) {
-            return Mono.error(new RelayRefusal(413, Verdict.NOT_RUN, "the request body is too large", 0));
-        }
-        return req.receive()
-                .asByteArray()
-                .collect(ByteArrayOutputStream::new, (out, chunk) -> {
-                    if (out.size() + chunk.length > maxBytes) {
-                        throw Exceptions.propagate(
-                                new RelayRefusal(413, Verdict.NOT_RUN, "the request body is too large", 0));
-                    }
-                    out.writeBytes(chunk);
-                })
-                .map(ByteArrayOutputStream::toByteArray)
-                .onErrorMap(Exceptions::unwrap);
-    }
-
     private Mono<Void> relayBuffered(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
         if (!isForwardedAtOnce(r)) {
             context.candidates().recordArrival(r);
@@ -389,7 +365,7 @@
                 .flatMap(a -> {
                     context.metrics().countResponse(a.status());
                     context.metrics().recordFirstByte(context.now() - r.receivedAt());
-                    return sendBuffered(res, a);
+                    return writer.writeBuffered(res, a);
                 });
     }
 
@@ -412,12 +388,9 @@
         return run.start()
                 .flatMap(h -> {
                     if (h.body() != null) {
-                        return sendBuffered(res, new BufferedResponse(h.status(), h.headers(), h.body()));
+                        return writer.writeBuffered(res, new BufferedResponse(h.status(), h.headers(), h.body()));
                     }
-                    res.status(h.status());
-                    res.headers(copyHeaders(res, h.headers()));
-                    Flux<ByteBuf> events = run.events().doOnError(e -> channel.close());
-                    return res.send(events, b -> true).then();
+                    return writer.writeStream(res, h, run.events(), channel);
                 })
                 .doOnCancel(run::cancel)
                 .doFinally(s -> {
@@ -448,41 +421,6 @@
         return window;
     }
 
-    private static HttpHeaders copyHeaders(HttpServerResponse res, HttpHeaders from) {
-        HttpHeaders out = res.responseHeaders();
-        from.forEach(h -> out.add(h.getKey(), h.getValue()));
-        return out;
-    }
-
-    private static Mono<Void> sendBuffered(HttpServerResponse res, BufferedResponse a) {
-        res.status(a.status());
-        copyHeaders(res, a.headers());
-        res.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(a.body().length));
-        return res.sendByteArray(Mono.just(a.body())).then();
-    }
-
-    private Mono<Void> sendRefusal(HttpServerRequest req, HttpServerResponse res, RelayRefusal e) {
-        LOG.infof(
-                "request %s: refused with %d, %s: %s (configuration %d)",
-                req.requestHeaders().get(context.headerNames().attemptId()),
-                e.status(),
-                e.verdict(),
-                e.getMessage(),
-                context.state().routes().configuration().version());
-        context.metrics().countRefusal(e.status());
-        if (e.retryAfterMillis() > 0) {
-            res.header(HttpHeaderNames.RETRY_AFTER, Double.toString(e.retryAfterMillis() / 1_000.0));
-        }
-        if (ForwardHeaders.isForwarded(req.requestHeaders())) {
-            ForwardHeaders.writeVerdict(res.responseHeaders(), e.verdict());
-        }
-        byte[] body = (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8);
-        res.status(e.status());
-        res.header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-        res.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
-        return res.sendByteArray(Mono.just(body)).then();
-    }
-
     private static Mono<Void> whenClosed(HttpServerRequest req) {
         return Mono.create(sink -> {
             Channel channel = channel(req);
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -0,0 +1,89 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Writes responses to clients and to entries that have forwarded a request. */
+final class ResponseWriter {
+
+    private static final Logger LOG = Logger.getLogger(RelayServer.class);
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private final RelayContext context;
+
+    ResponseWriter(RelayContext context) {
+        this.context = context;
+    }
+
+    /** Writes a complete response. */
+    Mono<Void> writeBuffered(HttpServerResponse res, BufferedResponse a) {
+        res.status(a.status());
+        copyHeaders(res, a.headers());
+        return writeBody(res, a.body());
+    }
+
+    /** Writes a stream event by event; closes the connection if it cannot be completed. */
+    Mono<Void> writeStream(HttpServerResponse res, StreamRun.Head head, Flux<ByteBuf> events, Channel channel) {
+        res.status(head.status());
+        copyHeaders(res, head.headers());
+        return res.send(events.doOnError(e -> channel.close()), b -> true).then();
+    }
+
+    /** Writes and logs a refusal. */
+    Mono<Void> writeRefusal(HttpServerRequest req, HttpServerResponse res, RelayRefusal e) {
+        LOG.infof(
+                "request %s: refused with %d, %s: %s (configuration %d)",
+                req.requestHeaders().get(context.headerNames().attemptId()),
+                e.status(),
+                e.verdict(),
+                e.getMessage(),
+                context.state().routes().configuration().version());
+        context.metrics().countRefusal(e.status());
+        if (e.retryAfterMillis() > 0) {
+            res.header(HttpHeaderNames.RETRY_AFTER, Double.toString(e.retryAfterMillis() / MILLIS_PER_SECOND));
+        }
+        if (ForwardHeaders.isForwarded(req.requestHeaders())) {
+            ForwardHeaders.writeVerdict(res.responseHeaders(), e.verdict());
+        }
+        res.status(e.status());
+        res.header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        return writeBody(res, (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void copyHeaders(HttpServerResponse res, HttpHeaders from) {
+        HttpHeaders out = res.responseHeaders();
+        from.forEach(h -> out.add(h.getKey(), h.getValue()));
+    }
+
+    private static Mono<Void> writeBody(HttpServerResponse res, byte[] body) {
+        res.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+        return res.sendByteArray(Mono.just(body)).then();
+    }
+}
