Streams reach callers with HTTP/1.0 without chunks

A caller with HTTP/1.0 got each stream in chunks, which that version does not have: the sizes of the chunks stood among the events. Plain responses were right, since they carry a length. Cause: the writer of streams never looked at the caller's version. Now such a stream is written without chunks and ends with its connection; one that cannot be completed ends with a reset, which is the only way for that caller to tell it from a whole one. Ruled out: the target's form of response, which is decoded before; chunked and unchunked targets gave the same.

--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -390,7 +390,7 @@
                     if (h.body() != null) {
                         return writer.writeBuffered(res, new BufferedResponse(h.status(), h.headers(), h.body()));
                     }
-                    return writer.writeStream(res, h, run.events(), channel);
+                    return writer.writeStream(req, res, h, run.events(), channel);
                 })
                 .doOnCancel(run::cancel)
                 .doFinally(s -> {
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -22,8 +22,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -50,10 +52,25 @@
     }
 
     /** Writes a stream event by event; closes the connection if it cannot be completed. */
-    Mono<Void> writeStream(HttpServerResponse res, StreamRun.Head head, Flux<ByteBuf> events, Channel channel) {
+    Mono<Void> writeStream(
+            HttpServerRequest req, HttpServerResponse res, StreamRun.Head head, Flux<ByteBuf> events, Channel channel) {
         res.status(head.status());
         copyHeaders(res, head.headers());
-        return res.send(events.doOnError(e -> channel.close()), b -> true).then();
+        boolean chunked = !HttpVersion.HTTP_1_0.equals(req.version());
+        if (!chunked) {
+            res.chunkedTransfer(false);
+            res.keepAlive(false);
+        }
+        return res.send(events.doOnError(e -> closeIncomplete(channel, chunked)), b -> true)
+                .then();
+    }
+
+    /** Without chunks, only a reset distinguishes an incomplete response from a complete one. */
+    private static void closeIncomplete(Channel channel, boolean chunked) {
+        if (!chunked) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        channel.close();
     }
 
     /** Writes and logs a refusal. */
