StreamRun: the timeouts of stalled streams in a record of their own

Moved without change: StallTimeout has the constants and the three forms of the timeout. RelayTest, StalledHeadsTest, CloseDelimitedResponseTest, ForwardedRequestTest and CrashHoldBackTest pass as before.

--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -43,23 +43,6 @@
 
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
     private static final String EVENT_STREAM = "text/event-stream";
-    /** Fraction of the latency objective after which a stream without a first event counts as stalled. */
-    private static final double FIRST_EVENT_TIMEOUT_FACTOR = 0.4;
-    /** Fraction of the maximum pause between events after which a stream counts as stalled. */
-    private static final double PAUSE_TIMEOUT_FACTOR = 0.33;
-    /**
-     * Mean gaps between the events of a target to wait for the first event of a stream; {@link #PAUSE_GAPS} for later
-     * ones.
-     */
-    private static final double FIRST_EVENT_GAPS = 3;
-
-    private static final double PAUSE_GAPS = 2;
-    private static final long MIN_STALL_TIMEOUT_MILLIS = 60;
-    /** Stall timeouts after which a stream leaves another entry, which moves it between targets itself. */
-    private static final double ENTRY_TIMEOUT_FACTOR = 4.5;
-    /** Stall timeouts after which a stream leaves a target without a group, whose liveness cannot be queried. */
-    private static final double UNGROUPED_TIMEOUT_FACTOR = 1.5;
-
     private final RelayContext context;
     private final RelayRequest request;
     private final AdmissionWindow window;
@@ -163,7 +146,7 @@
             return;
         }
         long lastProgressAt = Math.max(progressAt, a.state.lastProgressAt());
-        boolean stalled = now - lastProgressAt > stallTimeoutMillis(a);
+        boolean stalled = now - lastProgressAt > stallTimeout(a).millis();
         if (stalled && !a.hop.isEntry()) {
             context.forwarder().detector().suspectSilence();
         }
@@ -175,7 +158,7 @@
 
     private boolean shouldAbandon(Attempt a, long lastProgressAt, long now) {
         if (a.hop.isEntry()) {
-            return now - lastProgressAt > stallTimeoutMillis(a) * ENTRY_TIMEOUT_FACTOR;
+            return now - lastProgressAt > stallTimeout(a).millisForEntry();
         }
         if (context.forwarder().isPartitioned()) {
             // the target may be working, but its events do not arrive here
@@ -183,9 +166,10 @@
         }
         StalledHead stalledHead = toStalledHead(a.target);
         if (stalledHead == null) {
-            return now - lastProgressAt > stallTimeoutMillis(a) * UNGROUPED_TIMEOUT_FACTOR;
+            return now - lastProgressAt > stallTimeout(a).millisWithoutGroup();
         }
-        return context.stalledHeads().shouldAbandon(stalledHead, lastProgressAt, stallTimeoutMillis(a));
+        return context.stalledHeads()
+                .shouldAbandon(stalledHead, lastProgressAt, stallTimeout(a).millis());
     }
 
     /** Returns whether the route, the other targets and the retry budget allow a retry of the stalled stream. */
@@ -199,15 +183,8 @@
                 && context.retryBudget().tryRetry(request.service());
     }
 
-    private long stallTimeoutMillis(Attempt a) {
-        long pause = request.route().maxEventGapMillis();
-        boolean first = eventCount == 0 || pause <= 0;
-        double limit = first
-                ? request.route().latencyObjectiveMillis() * FIRST_EVENT_TIMEOUT_FACTOR
-                : pause * PAUSE_TIMEOUT_FACTOR;
-        double usual = a.state.meanGapMillis() * (first ? FIRST_EVENT_GAPS : PAUSE_GAPS);
-        return Math.max(
-                MIN_STALL_TIMEOUT_MILLIS, (long) Math.max(a.state.lateThresholdMillis(), Math.max(limit, usual)));
+    private StallTimeout stallTimeout(Attempt a) {
+        return StallTimeout.of(request.route(), eventCount == 0, a.state);
     }
 
     private static StalledHead toStalledHead(ServingTarget t) {
