A prompt part that targets answered earlier is suspected after others

Cause: an answer exempts a part for 2 s only, which is less than the time between its requests, and what targets had answered before that was forgotten. Ruled out: a longer exemption, which would also exempt a part that begins to crash targets.

Now an entry remembers for 10 minutes which parts were answered, says so in its report of a crash, and reports it as well when another entry's suspect is one of them (Suspect.proven). The ledger counts a crash against such a part only if the target had not begun a response on a part that was never answered, or after nine crashes in any case, and it is last in order. An entry by itself does not hold one.

--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -37,7 +37,7 @@
  *
  * <p>A request or prompt part is a suspect from the first target that crashes while running it until a target answers it. It is held back
  * after {@value #HOLD_THRESHOLD} crashes that are not attributed to others: to a suspect that is held already, or to one whose response the
- * target had just begun to write when it crashed. Of suspects with the same evidence, the one that affects the fewest requests is held
+ * target had just begun to write when it crashed, or to a prompt part that no target has answered yet. Of suspects with the same evidence, the one that affects the fewest requests is held
  * first. So neither requests that merely ran on the same targets nor parts that they share are held.
  */
 public final class CrashLedger {
@@ -52,6 +52,12 @@
      */
     static final int UNCONDITIONAL_HOLD_THRESHOLD = 4;
 
+    /**
+     * Crashes from which a prompt part that targets answered earlier is held although other parts may account for them.
+     * Several crashing parts, each with fewer crashes than the hold threshold, may share a sound one until then.
+     */
+    static final int PROVEN_HOLD_THRESHOLD = 9;
+
     /** A suspect not seen for a day is dropped; jobs scheduled daily are still recognised. */
     private static final long EXPIRY_MILLIS = 86_400_000;
 
@@ -64,7 +70,8 @@
     private static final Logger LOG = Logger.getLogger(CrashLedger.class);
 
     private static final Comparator<ReplicatedSuspect> BY_EVIDENCE = Comparator.comparing(
-                    (ReplicatedSuspect s) -> s.begun().size())
+                    (ReplicatedSuspect s) -> !s.proven())
+            .thenComparing(s -> s.begun().size())
             .thenComparing(s -> s.targets().size())
             .reversed()
             .thenComparing(s -> s.digest().kind())
@@ -133,15 +140,25 @@
                 attributed.addAll(other.targets());
             }
             if (!other.digest().equals(s.digest())) {
-                other.begun().stream().filter(t -> !s.isCloseTo(t)).forEach(attributed::add);
+                boolean likelier = isLikelierThan(other, s);
+                other.begun().stream().filter(t -> likelier || !s.isCloseTo(t)).forEach(attributed::add);
             }
         }
         return s.targets().stream().filter(t -> !attributed.contains(t)).count() >= HOLD_THRESHOLD;
     }
 
+    /** Returns whether a prompt part that no target has answered yet is suspected rather than one that targets answered earlier. */
+    private static boolean isLikelierThan(ReplicatedSuspect other, ReplicatedSuspect s) {
+        return s.proven()
+                && s.targets().size() < PROVEN_HOLD_THRESHOLD
+                && !other.proven()
+                && other.digest().kind() == Fingerprint.Kind.PROMPT_PART;
+    }
+
     /** Returns whether a prompt part ran on all targets of another suspect that crashed, and on a further one. */
     private static boolean accountsForMoreThan(ReplicatedSuspect s, ReplicatedSuspect other) {
         return s.digest().kind() == Fingerprint.Kind.PROMPT_PART
+                && !s.proven()
                 && s.targets().size() > other.targets().size()
                 && s.targets().containsAll(other.targets());
     }
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -77,6 +77,12 @@
      */
     private static final long PROMPT_PART_EXEMPTION_MILLIS = 2_000;
 
+    /**
+     * How long an answer shows that a prompt part has not crashed targets before, in milliseconds. Such a part is
+     * suspected after others, since sound requests may share it with crashing ones.
+     */
+    private static final long PROVEN_MILLIS = 600_000;
+
     private static final int MAX_RECENT_REQUESTS = 2_048;
     private static final int MAX_RECENT_PROMPT_PARTS = 8_192;
 
@@ -133,6 +139,16 @@
                 .map(Suspect::digest)
                 .filter(d -> wasAnsweredRecently(d, now))
                 .forEach(d -> recordAnswered(List.of(d)));
+        update.changed().stream().filter(s -> !s.proven()).forEach(this::reportIfProven);
+    }
+
+    /** Reports that a part suspected by other entries was answered here before, as if this entry had seen one of the crashes. */
+    private void reportIfProven(Suspect s) {
+        if (isProven(s.digest()) && suspectView.isSuspect(s.digest())) {
+            List<Fingerprint> part = List.of(s.digest());
+            unreportedCrashes.add(new CrashedTarget(s.targets().get(0), part, List.of(), List.of(), part));
+            report();
+        }
     }
 
     private boolean wasAnsweredRecently(Fingerprint fingerprint, long now) {
@@ -190,12 +206,22 @@
      */
     public boolean isHeld(RequestFeatures features, Set<InstanceId> brokenOffBy, Set<InstanceId> brokenOffAtStart) {
         return features != null
-                && (suspectView.isHeld(features.request(), brokenOffBy)
-                        || features.promptParts().stream().anyMatch(p -> suspectView.isHeld(p, brokenOffAtStart)));
+                && (isHeld(features.request(), brokenOffBy)
+                        || features.promptParts().stream().anyMatch(p -> isHeld(p, brokenOffAtStart)));
+    }
+
+    /** Only the log holds proven parts, since this entry does not see which other parts account for their crashes. */
+    private boolean isHeld(Fingerprint fingerprint, Set<InstanceId> brokenOffBy) {
+        return suspectView.isHeldByLog(fingerprint)
+                || !isProven(fingerprint) && suspectView.isHeld(fingerprint, brokenOffBy);
+    }
+
+    private boolean isProven(Fingerprint fingerprint) {
+        return recentPromptParts.contains(fingerprint, ticker.millis(), PROVEN_MILLIS);
     }
 
     private List<Fingerprint> heldFeatures(RequestFeatures features) {
-        return features.all().filter(f -> suspectView.isHeld(f, Set.of())).toList();
+        return features.all().filter(f -> isHeld(f, Set.of())).toList();
     }
 
     /**
@@ -356,7 +382,8 @@
                 crash.target(),
                 running,
                 crash.begun().stream().filter(kept::contains).toList(),
-                crash.established().stream().filter(kept::contains).toList());
+                crash.established().stream().filter(kept::contains).toList(),
+                running.stream().filter(this::isProven).toList());
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashedTarget.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashedTarget.java
@@ -31,17 +31,20 @@
  *     written a response yet
  * @param begun those of {@code running} for which the target had just begun to write the response
  * @param established the requests in {@code running} of which the target had written a part of the response
+ * @param proven the prompt parts in {@code running} that targets have answered earlier, though not just before
  */
 public record CrashedTarget(
         InstanceId target,
         List<Fingerprint> running,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fingerprint> begun,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fingerprint> established) {
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fingerprint> established,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fingerprint> proven) {
 
     /** Reads reports without the progress of responses, as earlier versions write them. */
     public CrashedTarget {
         begun = begun == null ? List.of() : begun;
         established = established == null ? List.of() : established;
+        proven = proven == null ? List.of() : proven;
     }
 
     /**
@@ -51,6 +54,6 @@
      * @param running the requests in progress
      */
     public CrashedTarget(InstanceId target, List<Fingerprint> running) {
-        this(target, running, List.of(), List.of());
+        this(target, running, List.of(), List.of(), List.of());
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/crash/RecentResponses.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/RecentResponses.java
@@ -29,7 +29,7 @@
  */
 final class RecentResponses {
 
-    private final long retentionMillis;
+    private final long exemptionMillis;
     private final int maxEntries;
     private final Map<Fingerprint, Long> answeredAt = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -43,11 +43,11 @@
     /**
      * Creates an empty collection.
      *
-     * @param retentionMillis how long an answer exempts a fingerprint from suspicion, in milliseconds
+     * @param exemptionMillis how long an answer exempts a fingerprint from suspicion, in milliseconds
      * @param maxEntries the maximum number of fingerprints; the ones answered least recently are evicted
      */
-    RecentResponses(long retentionMillis, int maxEntries) {
-        this.retentionMillis = retentionMillis;
+    RecentResponses(long exemptionMillis, int maxEntries) {
+        this.exemptionMillis = exemptionMillis;
         this.maxEntries = maxEntries;
     }
 
@@ -56,7 +56,12 @@
     }
 
     boolean contains(Fingerprint fingerprint, long now) {
+        return contains(fingerprint, now, exemptionMillis);
+    }
+
+    /** Returns whether a fingerprint was answered within a time, as far as it has not been evicted. */
+    boolean contains(Fingerprint fingerprint, long now, long withinMillis) {
         Long at = answeredAt.get(fingerprint);
-        return at != null && now - at <= retentionMillis;
+        return at != null && now - at <= withinMillis;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
@@ -36,6 +36,7 @@
  * @param version the version of the state that last changed it
  * @param begun those of the targets that had just begun to write a response to it
  * @param established those of the targets that had written a part of a response to it
+ * @param proven whether targets have answered it before the first of the crashes
  */
 record ReplicatedSuspect(
         Fingerprint digest,
@@ -46,7 +47,8 @@
         long seenAt,
         long version,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<InstanceId> begun,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<InstanceId> established) {
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<InstanceId> established,
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean proven) {
 
     static final long NEVER = Long.MAX_VALUE;
 
@@ -70,13 +72,14 @@
     }
 
     static ReplicatedSuspect create(Fingerprint digest, long at) {
-        return new ReplicatedSuspect(digest, List.of(), false, 0, NEVER, at, 0, List.of(), List.of());
+        return new ReplicatedSuspect(digest, List.of(), false, 0, NEVER, at, 0, List.of(), List.of(), false);
     }
 
     /** Returns whether a report adds nothing to what is known of the crash of a target. */
     boolean covers(CrashedTarget crash) {
         return targets.contains(crash.target())
-                && (begun.contains(crash.target()) || !crash.begun().contains(digest));
+                && (begun.contains(crash.target()) || !crash.begun().contains(digest))
+                && (proven || !crash.proven().contains(digest));
     }
 
     ReplicatedSuspect withCrash(CrashedTarget crash, long at, long newVersion) {
@@ -90,7 +93,8 @@
                 at,
                 newVersion,
                 crash.begun().contains(digest) ? add(begun, target) : begun,
-                crash.established().contains(digest) ? add(established, target) : established);
+                crash.established().contains(digest) ? add(established, target) : established,
+                proven || crash.proven().contains(digest));
     }
 
     /** Returns whether the crash of a target is evidence against this suspect even if the target had begun to write another response. */
@@ -109,17 +113,18 @@
 
     ReplicatedSuspect withHold(long at, long newVersion) {
         return new ReplicatedSuspect(
-                digest, targets, true, 0, at + TRIAL_DELAYS_MILLIS[0], at, newVersion, begun, established);
+                digest, targets, true, 0, at + TRIAL_DELAYS_MILLIS[0], at, newVersion, begun, established, proven);
     }
 
     /** Records a retry by a caller, which counts as a trial if one is due. */
     ReplicatedSuspect withRetry(long at) {
         if (!isTrialDue(at)) {
-            return new ReplicatedSuspect(digest, targets, held, trials, nextTrialAt, at, version, begun, established);
+            return new ReplicatedSuspect(
+                    digest, targets, held, trials, nextTrialAt, at, version, begun, established, proven);
         }
         int trialsNow = trials + 1;
         long next = trialsNow < TRIAL_DELAYS_MILLIS.length ? at + TRIAL_DELAYS_MILLIS[trialsNow] : NEVER;
-        return new ReplicatedSuspect(digest, targets, held, trialsNow, next, at, version, begun, established);
+        return new ReplicatedSuspect(digest, targets, held, trialsNow, next, at, version, begun, established, proven);
     }
 
     boolean isTrialDue(long at) {
@@ -127,6 +132,6 @@
     }
 
     Suspect toSuspect() {
-        return new Suspect(digest, targets, held);
+        return new Suspect(digest, targets, held, proven);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/crash/Suspect.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/Suspect.java
@@ -20,13 +20,31 @@
 
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import org.hallwall.core.id.InstanceId;
 
 /**
- * A request that was running on crashed targets and that no target has answered since.
+ * A request or prompt part that was running on crashed targets and that no target has answered since.
  *
- * @param digest the request
+ * @param digest the request or prompt part
  * @param targets the starts of the targets that crashed while running it
  * @param held whether it is held back
+ * @param proven whether it is known that targets have answered it before the crashes
  */
-public record Suspect(Fingerprint digest, List<InstanceId> targets, boolean held) {}
+public record Suspect(
+        Fingerprint digest,
+        List<InstanceId> targets,
+        boolean held,
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean proven) {
+
+    /**
+     * Creates a suspect of which no earlier answer is known.
+     *
+     * @param digest the request or prompt part
+     * @param targets the starts of the targets that crashed while running it
+     * @param held whether it is held back
+     */
+    public Suspect(Fingerprint digest, List<InstanceId> targets, boolean held) {
+        this(digest, targets, held, false);
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/crash/SuspectView.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/SuspectView.java
@@ -18,9 +18,11 @@
  */
 package org.hallwall.serving.crash;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -78,9 +80,16 @@
         return logged.isEmpty() && unlogged.isEmpty();
     }
 
-    /** Adds a crash that is not yet known to be in the log. */
+    /**
+     * Adds a crash that is not yet known to be in the log. Requests with established responses are left out if the target had just begun
+     * to write others, as the log does not count such a crash against them either.
+     */
     void addCrash(CrashedTarget crash) {
-        for (Fingerprint d : crash.running()) {
+        List<Fingerprint> suspected = new ArrayList<>(crash.running());
+        if (!crash.begun().isEmpty()) {
+            suspected.removeAll(crash.established());
+        }
+        for (Fingerprint d : suspected) {
             if (unlogged.containsKey(d) || unlogged.size() < MAX_UNLOGGED) {
                 unlogged.computeIfAbsent(d, x -> new HashSet<>()).add(crash.target());
             }
@@ -122,7 +131,7 @@
      */
     boolean isHeld(Fingerprint digest, Set<InstanceId> assumedCrashed) {
         Suspect s = logged.get(digest);
-        if (s != null && s.held()) {
+        if (isHeldByLog(digest)) {
             return true;
         }
         if (!unlogged.containsKey(digest) && (assumedCrashed.isEmpty() || s == null && !isRequest(digest))) {
@@ -135,6 +144,12 @@
         return crashed.size() >= CrashLedger.HOLD_THRESHOLD;
     }
 
+    /** Returns whether the log holds a request or prompt part back. */
+    boolean isHeldByLog(Fingerprint digest) {
+        Suspect s = logged.get(digest);
+        return s != null && s.held();
+    }
+
     private static boolean isRequest(Fingerprint fingerprint) {
         return fingerprint.kind() == Fingerprint.Kind.REQUEST;
     }
--- a/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
@@ -100,7 +100,7 @@
         if (begun.isEmpty()) {
             running.addAll(waitingParts);
         }
-        return new CrashedTarget(target, List.copyOf(running), List.copyOf(begun), List.copyOf(established));
+        return new CrashedTarget(target, List.copyOf(running), List.copyOf(begun), List.copyOf(established), List.of());
     }
 
     /** Removes fingerprints that a target has answered. */
--- a/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
@@ -61,7 +61,16 @@
     private void crashAtStart(String target, List<Fingerprint> begun, List<Fingerprint> established) {
         List<Fingerprint> running = new ArrayList<>(begun);
         running.addAll(established);
-        CrashedTarget e = new CrashedTarget(new InstanceId(target), running, begun, established);
+        CrashedTarget e = new CrashedTarget(new InstanceId(target), running, begun, established, List.of());
+        ledger.apply(CrashCommand.report(START, List.of(e), List.of()));
+    }
+
+    /** Crashes a target that had just begun to write a response on prompt parts, of which one was answered earlier. */
+    private void crashWithProven(Fingerprint proven, Fingerprint... others) {
+        List<Fingerprint> running = new ArrayList<>(List.of(others));
+        running.add(proven);
+        CrashedTarget e =
+                new CrashedTarget(new InstanceId("t-" + ++targets), running, running, List.of(), List.of(proven));
         ledger.apply(CrashCommand.report(START, List.of(e), List.of()));
     }
 
@@ -233,6 +242,37 @@
         Assertions.assertTrue(isHeld(unheld));
     }
 
+    /** Crashing parts share a part that was answered earlier, and which is in more crashes than each of them. */
+    @Test
+    void provenPartBesideCrashingPartsIsNotHeld() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashWithProven(OTHER_PART, PART, request(i));
+            crashWithProven(OTHER_PART, Fingerprint.ofPromptPart("b0"), request(100 + i));
+        }
+        Assertions.assertTrue(isHeld(PART));
+        Assertions.assertTrue(isHeld(Fingerprint.ofPromptPart("b0")));
+        Assertions.assertFalse(isHeld(OTHER_PART));
+    }
+
+    /** A part may begin to crash targets although they answered it before. */
+    @Test
+    void provenPartIsHeldIfNoOtherPartAccountsForTheCrashes() {
+        for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
+            crashWithProven(PART, request(i));
+        }
+        Assertions.assertTrue(isHeld(PART));
+    }
+
+    /** Parts that occur in one request each cannot account for the crashes of all. */
+    @Test
+    void provenPartIsHeldAfterManyCrashesBesideDifferentParts() {
+        for (int i = 0; i < CrashLedger.PROVEN_HOLD_THRESHOLD; i++) {
+            Assertions.assertFalse(isHeld(PART));
+            crashWithProven(PART, Fingerprint.ofPromptPart("b" + i));
+        }
+        Assertions.assertTrue(isHeld(PART));
+    }
+
     @Test
     void twoCrashingPartsAreBothHeld() {
         for (int i = 0; i < CrashLedger.HOLD_THRESHOLD; i++) {
