CrashWatch: the holding of requests and the history of answers in classes of their own

Moved without change: HoldBack decides which requests are held and requests trials, AnswerHistory knows what was answered and since when. Comments of the ledger are set right for prompt parts.

--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -36,13 +36,14 @@
  * The replicated state machine of requests and prompt parts suspected of crashing targets. Deterministic: it reads no clock and does no I/O.
  *
  * <p>A request or prompt part is a suspect from the first target that crashes while running it until a target answers it. It is held back
- * after {@value #HOLD_THRESHOLD} crashes that are not attributed to others: to a suspect that is held already, or to one whose response the
- * target had just begun to write when it crashed, or to a prompt part that no target has answered yet. Of suspects with the same evidence, the one that affects the fewest requests is held
- * first. So neither requests that merely ran on the same targets nor parts that they share are held.
+ * after {@value #HOLD_THRESHOLD} crashes that are not attributed to others: to a suspect that is held already, to one whose response the
+ * target had just begun to write when it crashed, or, for a part that targets answered earlier, to one that none has answered yet. Of
+ * suspects with the same evidence, the one that affects the fewest requests is held first. So neither requests that merely ran on the same
+ * targets nor parts that they share are held.
  */
 public final class CrashLedger {
 
-    /** Crashes without an answer in between that hold a request, unless another held request accounts for them. */
+    /** Crashes without an answer in between that hold a suspect, unless others account for them. */
     static final int HOLD_THRESHOLD = 3;
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -26,15 +26,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.Executor;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 import org.jboss.logging.Logger;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Schedulers;
 
 /**
  * Detects which requests and prompt parts were running on crashed targets, reports them to the replicated log, and holds back requests that
@@ -44,9 +41,6 @@
 
     private static final Logger LOG = Logger.getLogger(CrashWatch.class);
 
-    /** The shortest retry delay of a held request; covers most leader elections and short partitions. */
-    private static final long MIN_RETRY_MILLIS = 10_000;
-
     /**
      * The interval at which a target with an unresolved failure is probed, since it may crash after this entry has
      * disconnected, where no other process notices. Within the time for confirmation this costs up to five connections
@@ -64,41 +58,17 @@
     /** Maximum number of fingerprints in the report on one target; known suspects are reported first. */
     private static final int MAX_FINGERPRINTS_PER_CRASH = 1_024;
 
-    /**
-     * How long an answer exempts a request from suspicion, in milliseconds: several runs of a request that is always
-     * in progress on some targets. A request that begins to crash targets, because they run a new version, is held
-     * back only after this time.
-     */
-    private static final long REQUEST_EXEMPTION_MILLIS = 10_000;
-
-    /**
-     * How long an answer exempts a prompt part. A part that is in progress on several targets is answered more often
-     * than a request, and a part that begins to crash targets affects all requests that share it.
-     */
-    private static final long PROMPT_PART_EXEMPTION_MILLIS = 2_000;
-
-    /**
-     * How long an answer shows that a prompt part has not crashed targets before, in milliseconds. Such a part is
-     * suspected after others, since sound requests may share it with crashing ones.
-     */
-    private static final long PROVEN_MILLIS = 600_000;
-
-    private static final int MAX_RECENT_REQUESTS = 2_048;
-    private static final int MAX_RECENT_PROMPT_PARTS = 8_192;
-
     private final CrashPeers peers;
     private final Executor io;
     private final Ticker ticker;
     private final SuspectView suspectView = new SuspectView();
     private final UnresolvedFailures failures = new UnresolvedFailures();
-    private final RecentResponses recentRequests = new RecentResponses(REQUEST_EXEMPTION_MILLIS, MAX_RECENT_REQUESTS);
-    private final RecentResponses recentPromptParts =
-            new RecentResponses(PROMPT_PART_EXEMPTION_MILLIS, MAX_RECENT_PROMPT_PARTS);
+    private final AnswerHistory answers = new AnswerHistory();
+    private final HoldBack holdBack;
     private final List<CrashedTarget> unreportedCrashes = new ArrayList<>();
     private final Set<Fingerprint> unreportedSurvivors = new LinkedHashSet<>();
     private final Set<InstanceId> probing = new HashSet<>();
     private final Set<InstanceId> confirming = new HashSet<>();
-    private final Map<Fingerprint, Long> nextTrialRequestAt = new HashMap<>();
     private final Map<InstanceId, Long> nextProbeAt = new HashMap<>();
     private boolean reporting;
     private volatile RequestDigester digester;
@@ -117,6 +87,7 @@
         this.peers = peers;
         this.io = io;
         this.ticker = ticker;
+        this.holdBack = new HoldBack(suspectView, answers, peers, io, ticker);
     }
 
     /**
@@ -133,32 +104,24 @@
         suspectCount = suspectView.size();
         heldCount = suspectView.heldCount();
         long now = ticker.millis();
-        nextTrialRequestAt.keySet().removeIf(d -> !suspectView.isHeld(d, Set.of()));
+        holdBack.forgetReleased();
         // a suspect reported by another entry may have been answered here recently
         update.changed().stream()
                 .map(Suspect::digest)
-                .filter(d -> wasAnsweredRecently(d, now))
+                .filter(d -> answers.isRecent(d, now))
                 .forEach(d -> recordAnswered(List.of(d)));
         update.changed().stream().filter(s -> !s.proven()).forEach(this::reportIfProven);
     }
 
     /** Reports that a part suspected by other entries was answered here before, as if this entry had seen one of the crashes. */
     private void reportIfProven(Suspect s) {
-        if (isProven(s.digest()) && suspectView.isSuspect(s.digest())) {
+        if (answers.isProven(s.digest(), ticker.millis()) && suspectView.isSuspect(s.digest())) {
             List<Fingerprint> part = List.of(s.digest());
             unreportedCrashes.add(new CrashedTarget(s.targets().get(0), part, List.of(), List.of(), part));
             report();
         }
     }
 
-    private boolean wasAnsweredRecently(Fingerprint fingerprint, long now) {
-        return recent(fingerprint).contains(fingerprint, now);
-    }
-
-    private RecentResponses recent(Fingerprint fingerprint) {
-        return fingerprint.kind() == Fingerprint.Kind.REQUEST ? recentRequests : recentPromptParts;
-    }
-
     /**
      * Returns the version of the suspects that has been applied. Thread-safe.
      *
@@ -205,23 +168,7 @@
      * @return true if it must not be sent
      */
     public boolean isHeld(RequestFeatures features, Set<InstanceId> brokenOffBy, Set<InstanceId> brokenOffAtStart) {
-        return features != null
-                && (isHeld(features.request(), brokenOffBy)
-                        || features.promptParts().stream().anyMatch(p -> isHeld(p, brokenOffAtStart)));
-    }
-
-    /** Only the log holds proven parts, since this entry does not see which other parts account for their crashes. */
-    private boolean isHeld(Fingerprint fingerprint, Set<InstanceId> brokenOffBy) {
-        return suspectView.isHeldByLog(fingerprint)
-                || !isProven(fingerprint) && suspectView.isHeld(fingerprint, brokenOffBy);
-    }
-
-    private boolean isProven(Fingerprint fingerprint) {
-        return recentPromptParts.contains(fingerprint, ticker.millis(), PROVEN_MILLIS);
-    }
-
-    private List<Fingerprint> heldFeatures(RequestFeatures features) {
-        return features.all().filter(f -> isHeld(f, Set.of())).toList();
+        return holdBack.isHeld(features, brokenOffBy, brokenOffAtStart);
     }
 
     /**
@@ -232,36 +179,7 @@
      * @return empty if it may be sent; otherwise the time after which the caller should retry, in milliseconds
      */
     public Mono<Long> holdBackMillis(RequestFeatures features) {
-        if (!isHeld(features, Set.of(), Set.of())) {
-            return Mono.empty();
-        }
-        long now = ticker.millis();
-        List<Fingerprint> held = heldFeatures(features);
-        long remaining = held.stream()
-                .mapToLong(f -> nextTrialRequestAt.getOrDefault(f, 0L) - now)
-                .max()
-                .orElse(0);
-        if (remaining > 0) {
-            return Mono.just(remaining);
-        }
-        return Flux.fromIterable(held)
-                .concatMap(this::requestTrial)
-                .reduce(0L, Math::max)
-                .filter(retryMillis -> retryMillis > 0);
-    }
-
-    /** Requests a trial; emits zero if it is granted, otherwise the time until the next one may be requested. */
-    private Mono<Long> requestTrial(Fingerprint fingerprint) {
-        // suppresses concurrent trial requests for the same fingerprint
-        nextTrialRequestAt.put(fingerprint, ticker.millis() + MIN_RETRY_MILLIS);
-        return peers.requestTrial(fingerprint)
-                .defaultIfEmpty(new CrashPeers.TrialDecision(false, MIN_RETRY_MILLIS))
-                .publishOn(Schedulers.fromExecutor(io))
-                .map(t -> {
-                    long retryMillis = Math.max(MIN_RETRY_MILLIS, t.retryMillis());
-                    nextTrialRequestAt.put(fingerprint, ticker.millis() + retryMillis);
-                    return t.granted() ? 0 : retryMillis;
-                });
+        return holdBack.retryMillis(features);
     }
 
     /**
@@ -271,11 +189,7 @@
      * @return the crashed targets and the age of the last update
      */
     public String describeHold(RequestFeatures features) {
-        Fingerprint held = heldFeatures(features).stream().findFirst().orElse(features.request());
-        long at = suspectView.updatedAt(held);
-        String age = at == 0 ? "seen by this entry only" : "last updated here " + (ticker.millis() - at) + " ms ago";
-        return "held back as " + held + ": " + new TreeSet<>(suspectView.crashedTargets(held, Set.of()))
-                + " ended under it and none has survived it, " + age + ", suspects of version " + version;
+        return holdBack.describe(features);
     }
 
     /**
@@ -373,7 +287,7 @@
     /** Returns a crash without what targets have answered recently. */
     private CrashedTarget withoutAnswered(CrashedTarget crash, long now) {
         List<Fingerprint> running = crash.running().stream()
-                .filter(f -> !wasAnsweredRecently(f, now))
+                .filter(f -> !answers.isRecent(f, now))
                 .sorted(Comparator.comparing(f -> !suspectView.isSuspect(f)))
                 .limit(MAX_FINGERPRINTS_PER_CRASH)
                 .toList();
@@ -383,7 +297,7 @@
                 running,
                 crash.begun().stream().filter(kept::contains).toList(),
                 crash.established().stream().filter(kept::contains).toList(),
-                running.stream().filter(this::isProven).toList());
+                running.stream().filter(f -> answers.isProven(f, now)).toList());
     }
 
     /**
@@ -410,7 +324,7 @@
 
     private void recordAnswered(List<Fingerprint> answered) {
         long now = ticker.millis();
-        answered.forEach(f -> recent(f).add(f, now));
+        answered.forEach(f -> answers.add(f, now));
         failures.removeAnswered(answered);
         boolean survived = false;
         for (Fingerprint f : answered) {
--- a/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/ReplicatedSuspect.java
@@ -27,7 +27,7 @@
 /**
  * The replicated state of one suspect. Times are milliseconds since the epoch by the leaders' clocks.
  *
- * @param digest the request
+ * @param digest the request or prompt part
  * @param targets the starts of the targets that crashed while running it
  * @param held whether it is held back
  * @param trials the number of trials since it is held back
