Log lines of failed and forwarded attempts name the runs that are counted

A request that ran too often could not be recognised: the line of a failed attempt counted sends of one entry and no runs. Both entries of a forwarded request now say how many runs they count against the route's attempts, so that lines under one id tell the hypotheses apart: two entries that count apart (the second counts up to the limit, the first one run), a run that is counted as none (the target's account has more), a hop that goes on (later lines of the second entry). No decision is changed.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -74,8 +74,13 @@
             forwardCount++;
             context.metrics().countForward(true);
             LOG.infof(
-                    "request %s: forwarded to entry %s in %s, %d attempts before",
-                    request.attemptId(), hop.target().instance(), hop.target().failureDomain(), sendCount);
+                    "request %s: forwarded to entry %s in %s, %d of %d runs counted, %d attempts before",
+                    request.attemptId(),
+                    hop.target().instance(),
+                    hop.target().failureDomain(),
+                    runCount,
+                    request.route().maxAttempts(),
+                    sendCount);
         } else {
             context.metrics().countSend(request.service(), sendCount > 0);
         }
@@ -193,7 +198,7 @@
         RetryDecision decision = decide(f, charged);
         context.metrics().countRetryDecision(request.service(), decision);
         LOG.infof(
-                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); attempt %d of %s%s",
+                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); %d of %d runs counted; attempt %d of %s%s",
                 request.attemptId(),
                 target.instance(),
                 target.group() == null ? "-" : target.group().name(),
@@ -203,6 +208,8 @@
                 f.getMessage(),
                 decision,
                 context.retryBudget().describe(request.service()),
+                runCount,
+                request.route().maxAttempts(),
                 sendCount,
                 features == null ? null : features.request(),
                 describePromptParts());
