The entry that received a request counts its runs at all entries

What callers saw: nothing; their requests ran on up to twice the targets that the attempts of their routes allow, while entries were partitioned from targets and runs failed.

Cause: two entries counted the runs of one request apart. The first sent its count along, the second used up what was left and reported nothing, and the first added one run for the whole hop. Class: a bound of the request that each entry keeps by itself.

Change: an entry that gets a forwarded request runs it at one target at most and returns the outcome; attempts that did not run are still repeated there. The entry of the caller decides about the next run and charges it to its retry budget. RequestHistory, one value type, goes along with the request and comes back with the response: the targets reached, what became of each, and runs at unknown targets. Without a report, the one run that was lent counts as made, so a lost, cut or abandoned hop can exceed nothing. Entries of earlier versions are told that all runs but one are made.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Set;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.crash.RequestFeatures;
@@ -44,11 +45,10 @@
 
     private final RelayContext context;
     private final RelayRequest request;
-    private final Set<InstanceId> triedTargets = new HashSet<>();
-    private final Set<InstanceId> disconnectedBy = new HashSet<>();
-    private final Set<InstanceId> disconnectedAtStartBy = new HashSet<>();
+    private final Set<InstanceId> triedRecipients = new HashSet<>();
+    private final Set<InstanceId> failedEntries = new HashSet<>();
     private Verdict verdict = Verdict.NOT_RUN;
-    private int runCount;
+    private RequestHistory history;
     private int rejections;
     private int sendCount;
     private int unreachableCount;
@@ -60,7 +60,8 @@
         this.context = context;
         this.request = request;
         this.features = request.features();
-        this.runCount = request.priorRuns();
+        this.history = request.priorHistory();
+        triedRecipients.addAll(history.targets());
     }
 
     /** Selects an untried recipient and records the attempt; returns null if none is left. */
@@ -69,7 +70,7 @@
         if (hop == null) {
             return null;
         }
-        triedTargets.add(hop.target().instance());
+        triedRecipients.add(hop.target().instance());
         if (hop.isEntry()) {
             forwardCount++;
             context.metrics().countForward(true);
@@ -78,11 +79,11 @@
                     request.attemptId(),
                     hop.target().instance(),
                     hop.target().failureDomain(),
-                    runCount,
+                    history.runs(),
                     request.route().maxAttempts(),
                     sendCount);
         } else {
-            context.metrics().countSend(request.service(), sendCount > 0);
+            context.metrics().countSend(request.service(), sendCount > 0 || !history.isEmpty());
         }
         sendCount++;
         return hop;
@@ -92,21 +93,32 @@
     NextHop chooseHop() {
         List<ServingTarget> candidates = context.candidates().available(request);
         EntryForwarder forwarder = context.forwarder();
-        if (forwarder.shouldForward(request, candidates, triedTargets, unreachableCount)) {
-            NextHop entry = forwardCount < MAX_FORWARDS ? forwarder.select(triedTargets) : null;
+        if (forwarder.shouldForward(request, candidates, triedRecipients, unreachableCount)) {
+            NextHop entry = forwardCount < MAX_FORWARDS ? forwarder.select(triedRecipients, failedEntries) : null;
             if (entry != null || forwarder.isPartitioned()) {
                 return entry;
             }
         }
-        ServingTarget target = chooseTarget(forwarder.preferReachable(candidates, triedTargets));
+        ServingTarget target = chooseTarget(forwarder.preferReachable(candidates, triedRecipients));
         return target == null ? null : new TargetHop(target, context.balancer().state(target), context.client());
     }
 
-    /** Selects a target. Those with a rate limit are preferred, since an unused permit expires soon. */
+    /** Selects a target; one whose response was lost behind another entry only if no other is left. */
     private ServingTarget chooseTarget(List<ServingTarget> candidates) {
+        ServingTarget untried = chooseTarget(candidates, triedRecipients);
+        if (untried != null) {
+            return untried;
+        }
+        Set<InstanceId> failed = new HashSet<>(triedRecipients);
+        failed.removeAll(history.startedAt());
+        return chooseTarget(candidates, failed);
+    }
+
+    /** Selects a target. Those with a rate limit are preferred, since an unused permit expires soon. */
+    private ServingTarget chooseTarget(List<ServingTarget> candidates, Set<InstanceId> excluded) {
         ServingTarget permitted =
-                context.balancer().chooseWithFreeSlot(context.candidates().withRateLimit(candidates), triedTargets);
-        return permitted != null ? permitted : context.balancer().choose(candidates, triedTargets);
+                context.balancer().chooseWithFreeSlot(context.candidates().withRateLimit(candidates), excluded);
+        return permitted != null ? permitted : context.balancer().choose(candidates, excluded);
     }
 
     /** Describes why no recipient is left, for logs and clients. */
@@ -123,15 +135,46 @@
 
     /** Returns whether the request may run again after the current attempt. */
     boolean mayRetry() {
-        return request.route().isRetryable() && runCount + 1 < request.route().maxAttempts();
+        return request.route().isRetryable()
+                && history.runs() + 1 < request.route().maxAttempts();
     }
 
     Verdict verdict() {
         return verdict;
     }
 
-    int runCount() {
-        return runCount;
+    /** Returns the attempts that have reached targets, at all entries. */
+    RequestHistory history() {
+        return history;
+    }
+
+    /**
+     * Adds the attempts to a response for the entry that has forwarded the request, if it was forwarded.
+     *
+     * @param to the headers of the response
+     * @param hop the current attempt
+     * @param status the status of the response
+     */
+    void writeHistory(HttpHeaders to, NextHop hop, int status) {
+        if (request.isForwarded()) {
+            RequestHistory.Outcome outcome =
+                    BufferedResponse.isFailure(status) ? RequestHistory.Outcome.RAN : RequestHistory.Outcome.STARTED;
+            ForwardHeaders.writeHistory(to, history.with(hop.target().instance(), outcome));
+        }
+    }
+
+    /**
+     * Returns the refusal of the request after its last attempt.
+     *
+     * @param reason the message
+     * @return the refusal, with the time after which a request that has not run should be retried
+     */
+    RelayRefusal toRefusal(String reason) {
+        boolean late = verdict != Verdict.NOT_RUN && context.now() >= request.deadlineAt();
+        RelayRefusal refusal = late
+                ? new RelayRefusal(504, verdict, reason, 0)
+                : RelayRefusal.fromVerdict(verdict, reason, retryAfterMillis());
+        return refusal.withHistory(history);
     }
 
     int rejections() {
@@ -183,13 +226,16 @@
             NextHop hop, AttemptFailure f, ResponseProgress progress, long events, boolean charged) {
         ServingTarget target = hop.target();
         context.metrics().countAttempt(f.verdict().name());
-        if (f.verdict() != Verdict.NOT_RUN) {
-            runCount++;
-        } else if (f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
+        history = hop.historyAfter(history, f, progress);
+        triedRecipients.addAll(history.targets());
+        if (f.verdict() == Verdict.NOT_RUN && f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
             rejections++;
         }
         retryAfterMillis = Math.max(retryAfterMillis, f.retryAfterMillis());
-        updateTargetState(hop.state(), target, f);
+        if (f.verdict() == Verdict.NOT_RUN || !hop.hasReport()) {
+            updateTargetState(hop.state(), target, f);
+            failedEntries.add(target.instance());
+        }
         if (!hop.isEntry()) {
             unreachableCount += f.isUnreachable() ? 1 : 0;
             updateCrashWatch(hop, f, progress);
@@ -208,7 +254,7 @@
                 f.getMessage(),
                 decision,
                 context.retryBudget().describe(request.service()),
-                runCount,
+                history.runs(),
                 request.route().maxAttempts(),
                 sendCount,
                 features == null ? null : features.request(),
@@ -240,10 +286,6 @@
                 context.crashWatch().recordRefusal(target.instance());
                 break;
             case CONNECTION_LOST:
-                disconnectedBy.add(target.instance());
-                if (progress != ResponseProgress.ESTABLISHED) {
-                    disconnectedAtStartBy.add(target.instance());
-                }
                 context.crashWatch().recordDisconnect(target.instance(), features(), progress);
                 break;
             case ABANDONED:
@@ -258,12 +300,17 @@
     private RetryDecision decide(AttemptFailure f, boolean charged) {
         boolean allowed = f.verdict() == Verdict.NOT_RUN
                 ? rejections <= MAX_REJECTIONS
-                : request.route().isRetryable() && runCount < request.route().maxAttempts();
+                : request.route().isRetryable()
+                        && history.runs() < request.route().maxAttempts();
         if (!allowed) {
             return RetryDecision.NOT_ALLOWED;
         }
+        if (request.isForwarded() && f.verdict() != Verdict.NOT_RUN) {
+            // only the entry that received the request from the client knows all of its runs
+            return RetryDecision.RETURNED;
+        }
         if (context.crashWatch().isWatching()
-                && context.crashWatch().isHeld(features(), disconnectedBy, disconnectedAtStartBy)) {
+                && context.crashWatch().isHeld(features(), history.disconnectedBy(), history.disconnectedAtStartBy())) {
             return RetryDecision.HELD_BACK;
         }
         if (charged) {
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
@@ -43,7 +43,11 @@
         return isSuccess(status);
     }
 
-    boolean isFailure() {
+    static boolean isFailure(int status) {
         return status >= MIN_SERVER_ERROR;
     }
+
+    boolean isFailure() {
+        return isFailure(status);
+    }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -20,6 +20,7 @@
 
 import java.time.Duration;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.crash.ResponseProgress;
 import reactor.core.publisher.Mono;
@@ -66,7 +67,12 @@
         TargetState state = hop.state();
         state.requestStarted();
         progress = ResponseProgress.NONE;
-        return hop.send(request, null, remainingMillis, attempts.runCount(), this::readResponse)
+        return hop.send(
+                        request,
+                        null,
+                        remainingMillis,
+                        attempts.history(),
+                        (head, body) -> readResponse(hop, head, body))
                 .next()
                 .switchIfEmpty(Mono.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response ended prematurely")))
                 .timeout(Duration.ofMillis(attemptTimeoutMillis(hop, remainingMillis)))
@@ -79,13 +85,14 @@
                 .onErrorResume(AttemptFailure.class, f -> retryOrFail(hop, f));
     }
 
-    private Mono<BufferedResponse> readResponse(HttpClientResponse head, ByteBufFlux body) {
+    private Mono<BufferedResponse> readResponse(NextHop hop, HttpClientResponse head, ByteBufFlux body) {
         progress = ResponseProgress.BEGUN;
+        HttpHeaders headers = context.forwardedHeaders().forResponse(head.responseHeaders());
+        attempts.writeHistory(headers, hop, head.status().code());
         return body.aggregate()
                 .asByteArray()
                 .defaultIfEmpty(new byte[0])
-                .map(bytes -> new BufferedResponse(
-                        head.status().code(), context.forwardedHeaders().forResponse(head.responseHeaders()), bytes));
+                .map(bytes -> new BufferedResponse(head.status().code(), headers, bytes));
     }
 
     /** Returns the timeout of the attempt; shorter than the deadline if the request can be retried. */
@@ -119,13 +126,6 @@
     }
 
     private Mono<BufferedResponse> fail(String reason) {
-        if (failedResponse != null) {
-            return Mono.just(failedResponse);
-        }
-        Verdict verdict = attempts.verdict();
-        if (verdict != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
-            return Mono.error(new RelayRefusal(504, verdict, reason, 0));
-        }
-        return Mono.error(RelayRefusal.fromVerdict(verdict, reason, attempts.retryAfterMillis()));
+        return failedResponse != null ? Mono.just(failedResponse) : Mono.error(attempts.toRefusal(reason));
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
@@ -80,36 +80,37 @@
     /**
      * Sends one attempt.
      *
-     * @param entry the entry
+     * @param hop the attempt
      * @param request the request
      * @param lastEventId the last event that the client has received, or null
      * @param remainingMillis the time until the deadline, in milliseconds
-     * @param runCount the number of targets that may have run the request before
+     * @param history the attempts before
      * @param reader reads the response of a target
      * @param <T> the type of the result
      * @return the result, or an {@link AttemptFailure}
      */
     <T> Flux<T> send(
-            ServingTarget entry,
+            EntryHop hop,
             RelayRequest request,
             String lastEventId,
             long remainingMillis,
-            int runCount,
+            RequestHistory history,
             TargetClient.ResponseReader<T> reader) {
+        ServingTarget entry = hop.target();
         AtomicBoolean sent = new AtomicBoolean();
-        return client.headers(headers(request, lastEventId, remainingMillis, runCount))
+        return client.headers(headers(request, lastEventId, remainingMillis, history))
                 .request(request.method())
                 .uri("http://" + entry.address() + request.uri())
                 .send((r, out) -> {
                     sent.set(true);
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
-                .response((head, body) -> readResponse(entry, request, head, body, reader))
+                .response((head, body) -> readResponse(hop, request, head, body, reader))
                 .onErrorMap(e -> !(e instanceof AttemptFailure), e -> toFailure(entry, e, sent.get()));
     }
 
     private Consumer<HttpHeaders> headers(
-            RelayRequest request, String lastEventId, long remainingMillis, int runCount) {
+            RelayRequest request, String lastEventId, long remainingMillis, RequestHistory history) {
         return h -> {
             h.set(request.headers());
             h.set(names.deadlineMillis(), Math.max(1, remainingMillis));
@@ -124,19 +125,22 @@
                             request.service(),
                             request.priority(),
                             request.likelyRetry(),
-                            runCount,
-                            state.routes().configuration().version()));
+                            history,
+                            state.routes().configuration().version()),
+                    request.route().maxAttempts());
         };
     }
 
     private <T> Publisher<T> readResponse(
-            ServingTarget entry,
+            EntryHop hop,
             RelayRequest request,
             HttpClientResponse head,
             ByteBufFlux body,
             TargetClient.ResponseReader<T> reader) {
+        RequestHistory history = ForwardHeaders.readHistory(head.responseHeaders());
         Verdict refused = ForwardHeaders.readVerdict(head.responseHeaders());
         if (refused != null) {
+            hop.recordReport(history);
             long retryAfterMillis =
                     RelayRefusal.parseRetryAfter(head.responseHeaders().get(HttpHeaderNames.RETRY_AFTER));
             return body.aggregate()
@@ -144,13 +148,14 @@
                     .defaultIfEmpty("")
                     .flatMapMany(text -> Flux.error(AttemptFailure.refusedByEntry(
                             refused,
-                            "entry " + entry.instance() + " responded with "
+                            "entry " + hop.target().instance() + " responded with "
                                     + head.status().code() + ": " + text.trim(),
                             retryAfterMillis)));
         }
         if (!request.attemptId().equals(head.responseHeaders().get(names.attemptId()))) {
             return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response belongs to another request"));
         }
+        hop.recordReport(history);
         return reader.read(head, body);
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryForwarder.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryForwarder.java
@@ -108,15 +108,17 @@
     }
 
     /**
-     * Selects an entry.
+     * Selects an entry. One that has run the request at a target that failed is selected again if no other is left.
      *
      * @param tried the recipients already tried
+     * @param failed the entries that have refused the request or were lost
      * @return the entry, or null if none is left
      */
-    NextHop select(Set<InstanceId> tried) {
+    NextHop select(Set<InstanceId> tried, Set<InstanceId> failed) {
         List<ServingTarget> candidates =
                 entries.get().stream().map(EntryForwarder::toTarget).toList();
-        ServingTarget entry = balancer.choose(candidates, tried);
+        ServingTarget untried = balancer.choose(candidates, tried);
+        ServingTarget entry = untried != null ? untried : balancer.choose(candidates, failed);
         return entry == null ? null : new EntryHop(entry, balancer.state(entry), client);
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryHop.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryHop.java
@@ -18,29 +18,73 @@
  */
 package org.hallwall.serving.relay;
 
+import org.hallwall.core.verdict.Verdict;
+import org.hallwall.serving.crash.ResponseProgress;
 import reactor.core.publisher.Flux;
 
-/**
- * An attempt at another entry, which sends the request to a target.
- *
- * @param target the entry
- * @param state its recent outcomes
- * @param client sends requests to entries
- */
-record EntryHop(ServingTarget target, TargetState state, EntryClient client) implements NextHop {
+/** An attempt at another entry, which sends the request to targets and runs it at one of them at most. */
+final class EntryHop implements NextHop {
+
+    private final ServingTarget entry;
+    private final TargetState state;
+    private final EntryClient client;
+    private volatile RequestHistory reported;
+
+    /**
+     * Creates an attempt.
+     *
+     * @param entry the entry
+     * @param state its recent outcomes
+     * @param client sends requests to entries
+     */
+    EntryHop(ServingTarget entry, TargetState state, EntryClient client) {
+        this.entry = entry;
+        this.state = state;
+        this.client = client;
+    }
+
+    @Override
+    public ServingTarget target() {
+        return entry;
+    }
+
+    @Override
+    public TargetState state() {
+        return state;
+    }
 
     @Override
     public boolean isEntry() {
         return true;
     }
 
+    /** Records the history that the entry has sent with its response. */
+    void recordReport(RequestHistory history) {
+        reported = history;
+    }
+
+    @Override
+    public boolean hasReport() {
+        return reported != null;
+    }
+
+    /** Without a report, the run that the entry was allowed counts as made. */
+    @Override
+    public RequestHistory historyAfter(RequestHistory before, AttemptFailure f, ResponseProgress progress) {
+        boolean mayHaveRun = f.verdict() != Verdict.NOT_RUN;
+        if (reported != null && reported.runs() >= before.runs() + (mayHaveRun ? 1 : 0)) {
+            return reported;
+        }
+        return mayHaveRun ? before.withUnknownRun() : before;
+    }
+
     @Override
     public <T> Flux<T> send(
             RelayRequest request,
             String lastEventId,
             long remainingMillis,
-            int runCount,
+            RequestHistory history,
             TargetClient.ResponseReader<T> reader) {
-        return client.send(target, request, lastEventId, remainingMillis, runCount, reader);
+        return client.send(this, request, lastEventId, remainingMillis, history, reader);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/ForwardHeaders.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ForwardHeaders.java
@@ -18,6 +18,8 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.verdict.Verdict;
@@ -29,7 +31,11 @@
     private static final String SERVICE = "Hallwall-Forward-Service";
     private static final String PRIORITY = "Hallwall-Forward-Priority";
     private static final String LIKELY_RETRY = "Hallwall-Forward-Likely-Retry";
+    /** In a request, for entries of earlier versions: all but one of the runs that the route allows. */
     private static final String RUN_COUNT = "Hallwall-Forward-Run-Count";
+    /** The attempts that have reached targets: before the request, and in a response, after it. */
+    private static final String HISTORY = "Hallwall-Forward-History";
+
     private static final String CONFIGURATION = "Hallwall-Forward-Configuration";
     /** In a response: present if the entry refuses the request, or has failed to get a response from a target. */
     private static final String VERDICT = "Hallwall-Forward-Verdict";
@@ -43,7 +49,7 @@
      * @param service the service that the sender has selected
      * @param priority the priority
      * @param likelyRetry whether it is likely a retry
-     * @param runCount the number of targets that may have run it before
+     * @param history its attempts before
      * @param configurationVersion the configuration by which the sender has accepted it
      */
     record Forwarded(
@@ -51,15 +57,23 @@
             String service,
             int priority,
             boolean likelyRetry,
-            int runCount,
+            RequestHistory history,
             long configurationVersion) {}
 
-    static void write(HttpHeaders to, Forwarded f) {
+    /**
+     * Writes the headers of a request for another entry.
+     *
+     * @param to the headers
+     * @param f the description
+     * @param maxAttempts the runs that the route allows
+     */
+    static void write(HttpHeaders to, Forwarded f, int maxAttempts) {
         to.set(SENDER, f.sender().value());
         to.set(SERVICE, f.service());
         to.set(PRIORITY, f.priority());
         to.set(LIKELY_RETRY, f.likelyRetry());
-        to.set(RUN_COUNT, f.runCount());
+        to.set(RUN_COUNT, maxAttempts - 1);
+        to.set(HISTORY, f.history().format());
         to.set(CONFIGURATION, f.configurationVersion());
     }
 
@@ -77,13 +91,35 @@
                     from.get(SERVICE),
                     Integer.parseInt(from.get(PRIORITY)),
                     Boolean.parseBoolean(from.get(LIKELY_RETRY)),
-                    Integer.parseInt(from.get(RUN_COUNT)),
+                    readHistoryOfRequest(from),
                     Long.parseLong(from.get(CONFIGURATION)));
         } catch (IllegalArgumentException | NullPointerException e) {
             throw new RelayRefusal(400, Verdict.NOT_RUN, "malformed headers of a forwarded request", 0);
         }
     }
 
+    /** An entry of an earlier version sends the number of runs only. */
+    private static RequestHistory readHistoryOfRequest(HttpHeaders from) {
+        String text = from.get(HISTORY);
+        return text == null
+                ? new RequestHistory(List.of(), Integer.parseInt(from.get(RUN_COUNT)))
+                : RequestHistory.parse(text);
+    }
+
+    static void writeHistory(HttpHeaders to, RequestHistory history) {
+        to.set(HISTORY, history.format());
+    }
+
+    /** Returns the history that an entry has sent with a response; null if there is none or it is malformed. */
+    static RequestHistory readHistory(HttpHeaders from) {
+        String text = from.get(HISTORY);
+        try {
+            return text == null ? null : RequestHistory.parse(text);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
     /** Returns whether a request claims to come from another entry; such a request gets the verdict of a refusal. */
     static boolean isForwarded(HttpHeaders from) {
         return from.contains(SENDER);
@@ -95,6 +131,7 @@
         from.remove(PRIORITY);
         from.remove(LIKELY_RETRY);
         from.remove(RUN_COUNT);
+        from.remove(HISTORY);
         from.remove(CONFIGURATION);
         from.remove(VERDICT);
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/ForwardedHeaders.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ForwardedHeaders.java
@@ -81,7 +81,9 @@
      * @return the headers
      */
     public HttpHeaders forResponse(HttpHeaders from) {
-        return copy(from);
+        HttpHeaders out = copy(from);
+        ForwardHeaders.remove(out);
+        return out;
     }
 
     private static HttpHeaders copy(HttpHeaders from) {
--- a/serving/src/main/java/org/hallwall/serving/relay/NextHop.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/NextHop.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
+import org.hallwall.serving.crash.ResponseProgress;
 import reactor.core.publisher.Flux;
 
 /** The recipient of an attempt: a target, or another entry that sends the request to a target. */
@@ -32,13 +33,26 @@
     /** Returns whether the recipient is an entry. */
     boolean isEntry();
 
+    /** Returns whether the recipient is an entry that has responded with the history of the request. */
+    boolean hasReport();
+
+    /**
+     * Returns the history of the request after this attempt has failed.
+     *
+     * @param before the history before the attempt
+     * @param f the failure
+     * @param progress how much of the response the recipient had sent
+     * @return the history with the targets that the attempt has reached
+     */
+    RequestHistory historyAfter(RequestHistory before, AttemptFailure f, ResponseProgress progress);
+
     /**
      * Sends one attempt.
      *
      * @param request the request
      * @param lastEventId the last event that the client has received, or null
      * @param remainingMillis the time until the deadline, in milliseconds
-     * @param runCount the number of targets that may have run the request before
+     * @param history the attempts before
      * @param reader reads the response
      * @param <T> the type of the result
      * @return the result, or an {@link AttemptFailure}
@@ -47,6 +61,6 @@
             RelayRequest request,
             String lastEventId,
             long remainingMillis,
-            int runCount,
+            RequestHistory history,
             TargetClient.ResponseReader<T> reader);
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
@@ -30,6 +30,7 @@
     private final int status;
     private final Verdict verdict;
     private final long retryAfterMillis;
+    private final RequestHistory history;
 
     /**
      * Creates a refusal.
@@ -40,7 +41,12 @@
      * @param retryAfterMillis the Retry-After time, in milliseconds; zero for none
      */
     public RelayRefusal(int status, Verdict verdict, String reason, long retryAfterMillis) {
+        this(status, verdict, reason, retryAfterMillis, RequestHistory.EMPTY);
+    }
+
+    private RelayRefusal(int status, Verdict verdict, String reason, long retryAfterMillis, RequestHistory history) {
         super(reason, null, false, false);
+        this.history = history;
         this.status = status;
         this.verdict = verdict;
         this.retryAfterMillis = retryAfterMillis;
@@ -71,6 +77,21 @@
                 : new RelayRefusal(502, verdict, reason, 0);
     }
 
+    /**
+     * Returns this refusal with the attempts of the request.
+     *
+     * @param attempted the attempts that have reached targets
+     * @return the refusal
+     */
+    RelayRefusal withHistory(RequestHistory attempted) {
+        return new RelayRefusal(status, verdict, getMessage(), retryAfterMillis, attempted);
+    }
+
+    /** Returns the attempts that have reached targets; empty if the request was refused before the first. */
+    RequestHistory history() {
+        return history;
+    }
+
     /**
      * Parses the Retry-After header of a refusal by another entry.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRequest.java
@@ -67,9 +67,9 @@
         return forward != null;
     }
 
-    /** Returns the number of targets that may have run the request before it was received. */
-    int priorRuns() {
-        return forward == null ? 0 : forward.runCount();
+    /** Returns the attempts before the request was received. */
+    RequestHistory priorHistory() {
+        return forward == null ? RequestHistory.EMPTY : forward.history();
     }
 
     /** Returns a copy with features. */
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -268,7 +268,8 @@
         String attemptId = attemptId(headers);
         context.metrics().countForward(false);
         LOG.infof(
-                "request %s: received from entry %s, %d runs before", attemptId, forward.sender(), forward.runCount());
+                "request %s: received from entry %s, %d runs before",
+                attemptId, forward.sender(), forward.history().runs());
         long now = context.now();
         long deadlineAt = now + Math.min(route.timeoutMillis(), callerTimeoutMillis(headers, route));
         return relay(
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -88,6 +88,9 @@
         }
         if (ForwardHeaders.isForwarded(req.requestHeaders())) {
             ForwardHeaders.writeVerdict(res.responseHeaders(), e.verdict());
+            if (!e.history().isEmpty()) {
+                ForwardHeaders.writeHistory(res.responseHeaders(), e.history());
+            }
         }
         res.status(e.status());
         res.header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryDecision.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryDecision.java
@@ -30,6 +30,8 @@
     GRANTED(true, "retried on the budget"),
     /** The retry budget is exhausted. */
     REFUSED(false, "not retried, the retry budget is exhausted"),
+    /** The request has run here, and the entry that forwarded it decides whether it runs again. */
+    RETURNED(false, "returned to the forwarding entry"),
     /** The request has crashed targets and would likely crash another one. */
     HELD_BACK(false, "not retried, the request has crashed targets");
 
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -124,7 +124,7 @@
         current = a;
         progressAt = now;
         a.state.requestStarted();
-        a.subscription = hop.send(request, lastEventId, remainingMillis, attempts.runCount(), a::readResponse)
+        a.subscription = hop.send(request, lastEventId, remainingMillis, attempts.history(), a::readResponse)
                 .subscribe(a::onChunk, a::fail, a::complete);
     }
 
@@ -172,7 +172,10 @@
                 .shouldAbandon(stalledHead, lastProgressAt, stallTimeout(a).millis());
     }
 
-    /** Returns whether the route, the other targets and the retry budget allow a retry of the stalled stream. */
+    /**
+     * Returns whether the route, the other targets and the retry budget allow a retry of the stalled stream. A retry of a forwarded
+     * request is charged by the entry that forwarded it.
+     */
     private boolean canRetryElsewhere(Attempt a, long now) {
         if (!attempts.mayRetry()) {
             return false;
@@ -180,7 +183,7 @@
         NextHop other = attempts.chooseHop();
         return other != null
                 && !other.state().isEjected(now)
-                && context.retryBudget().tryRetry(request.service());
+                && (request.isForwarded() || context.retryBudget().tryRetry(request.service()));
     }
 
     private StallTimeout stallTimeout(Attempt a) {
@@ -221,14 +224,18 @@
         finish();
         if (headSent) {
             LOG.warnf(
-                    "request %s: stream aborted after %d events, %d ms: %s",
-                    request.attemptId(), eventCount, context.now() - request.receivedAt(), reason);
+                    "request %s: stream %s after %d events, %d ms: %s",
+                    request.attemptId(),
+                    request.isForwarded()
+                            ? "returned to entry " + request.forward().sender()
+                            : "aborted",
+                    eventCount,
+                    context.now() - request.receivedAt(),
+                    reason);
             context.metrics().countRefusal(0);
             events.tryEmitError(new RelayRefusal(502, Verdict.RAN, reason, 0));
-        } else if (attempts.verdict() != Verdict.NOT_RUN && context.now() >= request.deadlineAt()) {
-            head.tryEmitError(new RelayRefusal(504, attempts.verdict(), reason, 0));
         } else {
-            head.tryEmitError(RelayRefusal.fromVerdict(attempts.verdict(), reason, attempts.retryAfterMillis()));
+            head.tryEmitError(attempts.toRefusal(reason));
         }
     }
 
@@ -265,7 +272,7 @@
         if (eventCount == 0) {
             firstEventMillis = now - request.receivedAt();
             context.metrics().recordFirstByte(firstEventMillis);
-            if (attempts.runCount() == 0) {
+            if (attempts.history().isEmpty()) {
                 window.recordFirstEvent(
                         (double) firstEventMillis / request.route().latencyObjectiveMillis(), now);
             }
@@ -331,6 +338,7 @@
         Publisher<Chunk> readResponse(HttpClientResponse response, ByteBufFlux body) {
             status = response.status().code();
             headers = context.forwardedHeaders().forResponse(response.responseHeaders());
+            attempts.writeHistory(headers, hop, status);
             String type = response.responseHeaders().get(HttpHeaderNames.CONTENT_TYPE, "");
             if (type.startsWith(EVENT_STREAM) && BufferedResponse.isSuccess(status)) {
                 return body.asByteArray().map(b -> new Chunk(b, false));
@@ -379,7 +387,7 @@
 
         /** Handles a response that is not an event stream: an error of the target, or a complete response. */
         private void onBufferedResponse(byte[] body) {
-            if (status >= 500 && attempts.mayRetry()) {
+            if (BufferedResponse.isFailure(status) && attempts.mayRetry()) {
                 fail(new AttemptFailure(Verdict.RAN, "the target responded with status " + status));
                 return;
             }
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetHop.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetHop.java
@@ -18,6 +18,8 @@
  */
 package org.hallwall.serving.relay;
 
+import org.hallwall.core.verdict.Verdict;
+import org.hallwall.serving.crash.ResponseProgress;
 import reactor.core.publisher.Flux;
 
 /**
@@ -34,12 +36,32 @@
         return false;
     }
 
+    @Override
+    public boolean hasReport() {
+        return false;
+    }
+
+    @Override
+    public RequestHistory historyAfter(RequestHistory before, AttemptFailure f, ResponseProgress progress) {
+        if (f.verdict() == Verdict.NOT_RUN) {
+            return before;
+        }
+        if (f.kind() != AttemptFailure.Kind.CONNECTION_LOST) {
+            return before.with(target.instance(), RequestHistory.Outcome.RAN);
+        }
+        return before.with(
+                target.instance(),
+                progress == ResponseProgress.ESTABLISHED
+                        ? RequestHistory.Outcome.DISCONNECTED
+                        : RequestHistory.Outcome.DISCONNECTED_AT_START);
+    }
+
     @Override
     public <T> Flux<T> send(
             RelayRequest request,
             String lastEventId,
             long remainingMillis,
-            int runCount,
+            RequestHistory history,
             TargetClient.ResponseReader<T> reader) {
         return client.send(target, request, lastEventId, remainingMillis, reader);
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedPartitions.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedPartitions.java
@@ -267,7 +267,7 @@
             if (rejections > MAX_REJECTIONS) {
                 finish(false);
             } else if (first.forwarder.shouldForward(request(null), targets, tried, unreachable)) {
-                NextHop hop = forwards < Attempts.MAX_FORWARDS ? first.forwarder.select(tried) : null;
+                NextHop hop = forwards < Attempts.MAX_FORWARDS ? first.forwarder.select(tried, tried) : null;
                 if (hop != null) {
                     forward(hop);
                 } else if (first.detector.isPartitioned()) {
