Attempts that targets reject are limited for a request over all entries

What callers saw: a request that every target turns away went to up to 12 targets, three at each of several entries, before it was refused; four are meant to be the most. Each is an arrival that the retry budget pays for.

Cause: of the same class as the runs: each entry counted the rejections that it saw itself.

Change: a rejected attempt is a contact in RequestHistory, which passes between the entries. Attempts that could not be sent stay counted by each entry, since links are its own. What a lost hop has met stays unknown: four at most, paid for by the budget of the entry that sent them.

ForwardedAttemptsTest.rejectedAttemptsAreLimitedOverAllEntries: 12 before, at most 4 now; the other tests of the relay pass.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -33,7 +33,7 @@
 final class Attempts {
 
     private static final Logger LOG = Logger.getLogger(Attempts.class);
-    /** Maximum number of attempts that targets may reject, without running them, before the request fails. */
+    /** Maximum number of attempts that targets may reject, at all entries, or that cannot be sent, before the request fails. */
     private static final int MAX_REJECTIONS = 3;
     /**
      * Maximum number of other entries to which a request is forwarded, one after the other; some of them may have lost
@@ -49,7 +49,7 @@
     private final Set<InstanceId> failedEntries = new HashSet<>();
     private Verdict verdict = Verdict.NOT_RUN;
     private RequestHistory history;
-    private int rejections;
+    private int unsentCount;
     private int sendCount;
     private int unreachableCount;
     private int forwardCount;
@@ -177,8 +177,9 @@
         return refusal.withHistory(history);
     }
 
+    /** Returns the number of attempts that have not run. */
     int rejections() {
-        return rejections;
+        return unsentCount + history.rejections();
     }
 
     /** Records that the current attempt was aborted without a response. */
@@ -226,10 +227,11 @@
             NextHop hop, AttemptFailure f, ResponseProgress progress, long events, boolean charged) {
         ServingTarget target = hop.target();
         context.metrics().countAttempt(f.verdict().name());
-        history = hop.historyAfter(history, f, progress);
+        RequestHistory before = history;
+        history = hop.historyAfter(before, f, progress);
         triedRecipients.addAll(history.targets());
-        if (f.verdict() == Verdict.NOT_RUN && f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
-            rejections++;
+        if (history.equals(before) && f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
+            unsentCount++;
         }
         retryAfterMillis = Math.max(retryAfterMillis, f.retryAfterMillis());
         if (f.verdict() == Verdict.NOT_RUN || !hop.hasReport()) {
@@ -299,7 +301,7 @@
 
     private RetryDecision decide(AttemptFailure f, boolean charged) {
         boolean allowed = f.verdict() == Verdict.NOT_RUN
-                ? rejections <= MAX_REJECTIONS
+                ? rejections() <= MAX_REJECTIONS
                 : request.route().isRetryable()
                         && history.runs() < request.route().maxAttempts();
         if (!allowed) {
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestHistory.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestHistory.java
@@ -42,6 +42,8 @@
 
     /** What became of a request at a target. */
     enum Outcome {
+        /** The target has rejected the request without running it. */
+        REJECTED(false, false),
         /** The target has started to respond; the rest of the response may have been lost between entries. */
         STARTED(false, false),
         /** The target has run the request without success, or may have run it. */
@@ -90,7 +92,13 @@
 
     /** Returns the number of runs that may have been started. */
     int runs() {
-        return contacts.size() + unknownRuns;
+        return contacts.size() - rejections() + unknownRuns;
+    }
+
+    /** Returns the number of targets that have rejected the request without running it. */
+    int rejections() {
+        return (int)
+                contacts.stream().filter(c -> c.outcome() == Outcome.REJECTED).count();
     }
 
     Set<InstanceId> targets() {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -272,7 +272,7 @@
         if (eventCount == 0) {
             firstEventMillis = now - request.receivedAt();
             context.metrics().recordFirstByte(firstEventMillis);
-            if (attempts.history().isEmpty()) {
+            if (attempts.history().runs() == 0) {
                 window.recordFirstEvent(
                         (double) firstEventMillis / request.route().latencyObjectiveMillis(), now);
             }
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetHop.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetHop.java
@@ -44,7 +44,7 @@
     @Override
     public RequestHistory historyAfter(RequestHistory before, AttemptFailure f, ResponseProgress progress) {
         if (f.verdict() == Verdict.NOT_RUN) {
-            return before;
+            return f.hasReachedTarget() ? before.with(target.instance(), RequestHistory.Outcome.REJECTED) : before;
         }
         if (f.kind() != AttemptFailure.Kind.CONNECTION_LOST) {
             return before.with(target.instance(), RequestHistory.Outcome.RAN);
--- a/serving/src/test/java/org/hallwall/serving/relay/ForwardedAttemptsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ForwardedAttemptsTest.java
@@ -33,6 +33,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -43,12 +44,15 @@
 class ForwardedAttemptsTest {
 
     private static final int MAX_ATTEMPTS = 2;
+    private static final int MAX_REJECTED_ATTEMPTS = 4;
     private static final int HELPERS = 3;
     private static final int TARGETS = 6;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\n";
     private static final String EVENTS = HEAD + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String LAST_CHUNK = "0\r\n\r\n";
     private static final String WHOLE = HEAD + "Content-Length: 5\r\n\r\nhello";
+    private static final String NOT_RUN =
+            "HTTP/1.1 503 Busy\r\nX-Attempt: ATTEMPT\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     private static final String ERROR =
             "HTTP/1.1 500 Internal Server Error\r\nX-Attempt: ATTEMPT\r\nContent-Length: 0\r\n\r\n";
 
@@ -205,4 +209,17 @@
         Assertions.assertEquals(
                 2, targets.stream().filter(t -> !t.requests().isEmpty()).count(), "different targets");
     }
+
+    /** Attempts that targets reject are no runs, but are limited for the request as a whole. */
+    @Test
+    void rejectedAttemptsAreLimitedOverAllEntries() throws Exception {
+        for (int i = 0; i < HELPERS; i++) {
+            addHelper();
+        }
+        for (int i = 0; i < TARGETS; i++) {
+            addTarget((r, c) -> c.send(NOT_RUN));
+        }
+        Assertions.assertEquals(503, send("idempotent"));
+        Assertions.assertTrue(runCount() <= MAX_REJECTED_ATTEMPTS, () -> runCount() + " attempts were rejected");
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/RequestHistoryTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RequestHistoryTest.java
@@ -38,9 +38,11 @@
 
     private static final InstanceId FIRST = new InstanceId("i-1/a");
     private static final InstanceId SECOND = new InstanceId("i-2");
+    private static final InstanceId THIRD = new InstanceId("i-3");
     private static final InstanceId ENTRY = new InstanceId("e-1");
 
     private static final RequestHistory HISTORY = RequestHistory.EMPTY
+            .with(THIRD, RequestHistory.Outcome.REJECTED)
             .with(FIRST, RequestHistory.Outcome.STARTED)
             .withUnknownRun()
             .with(SECOND, RequestHistory.Outcome.DISCONNECTED_AT_START);
@@ -59,7 +61,8 @@
     @Test
     void countsAllRunsAndKnowsTheirTargets() {
         Assertions.assertEquals(3, HISTORY.runs());
-        Assertions.assertEquals(Set.of(FIRST, SECOND), HISTORY.targets());
+        Assertions.assertEquals(1, HISTORY.rejections());
+        Assertions.assertEquals(Set.of(FIRST, SECOND, THIRD), HISTORY.targets());
         Assertions.assertEquals(Set.of(FIRST), HISTORY.startedAt());
         Assertions.assertEquals(Set.of(SECOND), HISTORY.disconnectedBy());
         Assertions.assertEquals(Set.of(SECOND), HISTORY.disconnectedAtStartBy());
