A refusal by another entry that sent nothing is not charged to the retry budget

What callers saw: in a cut, 503 for requests that a third entry could have served, when the retry budget of the service was used up: each refusal of an entry counted like an arrival at a target.

Cause: the entry that forwards could not tell a refusal before any attempt from one after targets had rejected the request.

Change: refusals bring the history back in any case; a hop that leaves it as it was has reached no target. Runs and rejected attempts behind a hop stay charged, by one entry each: the second pays for what it repeats itself, the first for what it sends on.

ForwardedAttemptsTest.refusalsOfOtherEntriesAreNotCharged: 503 before, 200 now, with a budget of none; runsBehindOtherEntriesAreCharged (one run, 500) passes before and after.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -243,7 +243,8 @@
             updateCrashWatch(hop, f, progress);
         }
         verdict = verdict.combineWith(f.verdict());
-        RetryDecision decision = decide(f, charged);
+        boolean arrived = hop.hasReport() ? !history.equals(before) : f.hasReachedTarget();
+        RetryDecision decision = decide(f, arrived, charged);
         context.metrics().countRetryDecision(request.service(), decision);
         LOG.infof(
                 "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); %d of %d runs counted; attempt %d of %s%s",
@@ -299,7 +300,7 @@
         }
     }
 
-    private RetryDecision decide(AttemptFailure f, boolean charged) {
+    private RetryDecision decide(AttemptFailure f, boolean arrived, boolean charged) {
         boolean allowed = f.verdict() == Verdict.NOT_RUN
                 ? rejections() <= MAX_REJECTIONS
                 : request.route().isRetryable()
@@ -318,7 +319,7 @@
         if (charged) {
             return RetryDecision.GRANTED;
         }
-        if (!f.hasReachedTarget()) {
+        if (!arrived) {
             return RetryDecision.UNCHARGED;
         }
         return context.retryBudget().tryRetry(request.service()) ? RetryDecision.GRANTED : RetryDecision.REFUSED;
--- a/serving/src/main/java/org/hallwall/serving/relay/ForwardHeaders.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ForwardHeaders.java
@@ -110,7 +110,7 @@
         to.set(HISTORY, history.format());
     }
 
-    /** Returns the history that an entry has sent with a response; null if there is none or it is malformed. */
+    /** Returns the history that an entry has sent with a request or a response; null if there is none or it is malformed. */
     static RequestHistory readHistory(HttpHeaders from) {
         String text = from.get(HISTORY);
         try {
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -88,8 +88,10 @@
         }
         if (ForwardHeaders.isForwarded(req.requestHeaders())) {
             ForwardHeaders.writeVerdict(res.responseHeaders(), e.verdict());
-            if (!e.history().isEmpty()) {
-                ForwardHeaders.writeHistory(res.responseHeaders(), e.history());
+            RequestHistory before = ForwardHeaders.readHistory(req.requestHeaders());
+            RequestHistory after = e.history().isEmpty() ? before : e.history();
+            if (after != null) {
+                ForwardHeaders.writeHistory(res.responseHeaders(), after);
             }
         }
         res.status(e.status());
--- a/serving/src/test/java/org/hallwall/serving/relay/ForwardedAttemptsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ForwardedAttemptsTest.java
@@ -85,7 +85,14 @@
 
     @BeforeEach
     void open() throws Exception {
-        partitioned = new RelayFixture();
+        openPartitioned(new RelayFixture());
+    }
+
+    private void openPartitioned(RelayFixture entry) throws Exception {
+        if (partitioned != null) {
+            partitioned.close();
+        }
+        partitioned = entry;
         int closedPort = closedPort();
         partitioned.add("app", "i-app", closedPort);
         partitioned.add("llm", "i-llm", closedPort);
@@ -210,6 +217,29 @@
                 2, targets.stream().filter(t -> !t.requests().isEmpty()).count(), "different targets");
     }
 
+    /** Entries that refuse a request have sent it to no target, so that the next entry needs no retry of the budget. */
+    @Test
+    void refusalsOfOtherEntriesAreNotCharged() throws Exception {
+        openPartitioned(new RelayFixture(0));
+        addHelper().server().rejectNewRequests();
+        addHelper().server().rejectNewRequests();
+        addHelper();
+        addTarget((r, c) -> c.send(WHOLE));
+        Assertions.assertEquals(200, send("idempotent"));
+    }
+
+    /** A run that failed behind another entry is charged to the retry budget of the entry that received the request. */
+    @Test
+    void runsBehindOtherEntriesAreCharged() throws Exception {
+        openPartitioned(new RelayFixture(0));
+        addHelper();
+        addHelper();
+        addTarget((r, c) -> c.send(ERROR));
+        addTarget((r, c) -> c.send(ERROR));
+        Assertions.assertEquals(500, send("idempotent"));
+        Assertions.assertEquals(1, runCount());
+    }
+
     /** Attempts that targets reject are no runs, but are limited for the request as a whole. */
     @Test
     void rejectedAttemptsAreLimitedOverAllEntries() throws Exception {
