--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -21,27 +21,18 @@
 import java.io.Closeable;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GenericFutureListener;
 import org.hallwall.core.settings.NetAddress;
-import org.hallwall.core.verdict.Verdict;
 import org.hallwall.program.HttpServerBinder;
 import org.hallwall.program.ProgramException;
 import org.hallwall.serving.config.RequestKind;
-import org.hallwall.serving.config.Route;
-import org.hallwall.serving.config.RouteTable;
-import org.hallwall.serving.config.WorkspaceKeys;
 import org.hallwall.serving.crash.CrashWatch;
-import org.jboss.logging.Logger;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -53,7 +44,6 @@
 /** HTTP server that authenticates, routes and relays client requests. */
 public final class RelayServer implements Closeable {
 
-    private static final Logger LOG = Logger.getLogger(RelayServer.class);
     /** Idle timeout of client connections; longer than usual route timeouts. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
     /**
@@ -64,21 +54,15 @@
 
     /** Timeout for closing connections at shutdown. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
-    /** Retry-After of requests that another entry can serve immediately, in milliseconds. */
-    private static final long OTHER_ENTRY_RETRY_MILLIS = 20;
-    /** Maximum number of requests from other entries in progress; protects the clients of this one. */
-    private static final int MAX_FORWARDED = 200;
 
     private final RelayContext context;
     private final ResponseWriter writer;
-    private final StartupRetryDelay startupRetryDelay;
+    private final RequestReceiver receiver;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger forwardedInFlight = new AtomicInteger();
-    private final RetryDetector retryDetector = new RetryDetector();
     private DisposableServer server;
     private DisposableServer forwardingServer;
     private volatile boolean draining;
-    private volatile boolean rejecting;
 
     /**
      * Creates a server that is not listening yet; see {@link #open}.
@@ -88,8 +72,7 @@
     public RelayServer(RelayContext context) {
         this.context = context;
         this.writer = new ResponseWriter(context);
-        this.startupRetryDelay = new StartupRetryDelay(
-                context.ticker(), () -> ThreadLocalRandom.current().nextDouble());
+        this.receiver = new RequestReceiver(context);
     }
 
     /**
@@ -159,7 +142,7 @@
 
     /** Rejects new requests from now on, since they could not complete before the process exits. */
     public void rejectNewRequests() {
-        rejecting = true;
+        receiver.rejectNewRequests();
     }
 
     @Override
@@ -181,7 +164,10 @@
         }
         Mono<Void> response;
         try {
-            response = forwarded ? acceptForwarded(req, res) : accept(req, res);
+            response = relay(
+                    req,
+                    res,
+                    forwarded ? receiver.receiveForwarded(req, forwardedInFlight.get()) : receiver.receive(req));
         } catch (RelayRefusal e) {
             response = writer.writeRefusal(req, res, e);
         }
@@ -191,118 +177,6 @@
         });
     }
 
-    private RouteTable activeRoutes() throws RelayRefusal {
-        if (rejecting) {
-            throw RelayRefusal.notRun("this entry is shutting down", OTHER_ENTRY_RETRY_MILLIS);
-        }
-        RouteTable routes = context.state().routes();
-        if (routes.configuration().version() == 0) {
-            throw RelayRefusal.notRun("no configuration has been received yet", startupRetryDelay.retryAfterMillis());
-        }
-        return routes;
-    }
-
-    private static Route findRoute(RouteTable routes, HttpServerRequest req) throws RelayRefusal {
-        Route route = routes.findRoute(req.requestHeaders().get(HttpHeaderNames.HOST), req.uri());
-        if (route == null) {
-            throw new RelayRefusal(404, Verdict.NOT_RUN, "no route matches this path", 0);
-        }
-        return route;
-    }
-
-    private Mono<Void> accept(HttpServerRequest req, HttpServerResponse res) throws RelayRefusal {
-        RouteTable routes = activeRoutes();
-        HttpHeaders headers = req.requestHeaders();
-        checkHeadSize(routes, headers, req.uri());
-        Route route = findRoute(routes, req);
-        WorkspaceKeys workspace =
-                routes.findWorkspace(headers.get(context.headerNames().key()));
-        if (workspace == null && routes.requiresKeys() && !route.anonymous()) {
-            throw new RelayRefusal(401, Verdict.NOT_RUN, "unknown key", 0);
-        }
-        String attemptId = attemptId(headers);
-        long now = context.now();
-        long timeoutMillis = callerTimeoutMillis(headers, route);
-        boolean likelyRetry = retryDetector.isRetry(route, timeoutMillis);
-        long deadlineAt = now + Math.min(route.timeoutMillis(), timeoutMillis);
-        String service = route.selectService(ThreadLocalRandom.current().nextDouble());
-        context.retryBudget().recordRequest(service);
-        return relay(
-                req,
-                res,
-                body -> new RelayRequest(
-                        attemptId,
-                        req.method(),
-                        req.uri(),
-                        context.forwardedHeaders().forRequest(headers, workspace == null ? null : workspace.name()),
-                        body,
-                        route,
-                        service,
-                        headers.get(context.headerNames().model()),
-                        workspace == null || workspace.priority() == null ? route.priority() : workspace.priority(),
-                        likelyRetry,
-                        null,
-                        now,
-                        deadlineAt,
-                        null));
-    }
-
-    /**
-     * Accepts a request from another entry, which has authenticated the client and charged the request to the retry
-     * budget.
-     */
-    private Mono<Void> acceptForwarded(HttpServerRequest req, HttpServerResponse res) throws RelayRefusal {
-        RouteTable routes = activeRoutes();
-        HttpHeaders headers = req.requestHeaders();
-        ForwardHeaders.Forwarded forward = ForwardHeaders.read(headers);
-        if (routes.configuration().version() < forward.configurationVersion()) {
-            throw RelayRefusal.notRun("this entry has an earlier configuration", OTHER_ENTRY_RETRY_MILLIS);
-        }
-        if (context.forwarder().isPartitioned()) {
-            throw RelayRefusal.notRun("this entry has lost its links to the targets", OTHER_ENTRY_RETRY_MILLIS);
-        }
-        if (forwardedInFlight.get() > MAX_FORWARDED) {
-            throw RelayRefusal.notRun("too many requests from other entries", RelayContext.OVERLOAD_RETRY_AFTER_MILLIS);
-        }
-        Route route = findRoute(routes, req);
-        String attemptId = attemptId(headers);
-        context.metrics().countForward(false);
-        LOG.infof(
-                "request %s: received from entry %s, %d runs before",
-                attemptId, forward.sender(), forward.history().runs());
-        long now = context.now();
-        long deadlineAt = now + Math.min(route.timeoutMillis(), callerTimeoutMillis(headers, route));
-        return relay(
-                req,
-                res,
-                body -> new RelayRequest(
-                        attemptId,
-                        req.method(),
-                        req.uri(),
-                        context.forwardedHeaders()
-                                .forRequest(
-                                        headers,
-                                        headers.get(context.headerNames().workspace())),
-                        body,
-                        route,
-                        forward.service(),
-                        headers.get(context.headerNames().model()),
-                        forward.priority(),
-                        forward.likelyRetry(),
-                        null,
-                        now,
-                        deadlineAt,
-                        forward));
-    }
-
-    private String attemptId(HttpHeaders headers) throws RelayRefusal {
-        String attemptId = headers.get(context.headerNames().attemptId());
-        if (attemptId == null || attemptId.isEmpty()) {
-            throw new RelayRefusal(400, Verdict.NOT_RUN, "the request has no attempt id", 0);
-        }
-        return attemptId;
-    }
-
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
         int maxBodyBytes = context.state().routes().configuration().limits().maxBodyBytes();
         return RequestBody.read(req, maxBodyBytes)
@@ -334,28 +208,6 @@
                 .defaultIfEmpty(r);
     }
 
-    private static void checkHeadSize(RouteTable routes, HttpHeaders headers, String uri) throws RelayRefusal {
-        int size = uri.length();
-        for (Map.Entry<String, String> h : headers) {
-            size += h.getKey().length() + h.getValue().length() + 4;
-        }
-        if (size > routes.configuration().limits().maxHeaderBytes()) {
-            throw new RelayRefusal(431, Verdict.NOT_RUN, "the request head is too large", 0);
-        }
-    }
-
-    private long callerTimeoutMillis(HttpHeaders headers, Route route) {
-        String text = headers.get(context.headerNames().deadlineMillis());
-        if (text == null) {
-            return route.timeoutMillis();
-        }
-        try {
-            return Long.parseLong(text.trim());
-        } catch (NumberFormatException e) {
-            return route.timeoutMillis();
-        }
-    }
-
     private Mono<Void> relayBuffered(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
         if (!isForwardedAtOnce(r)) {
             context.candidates().recordArrival(r);
