--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -25,7 +25,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.crash.ResponseProgress;
-import org.hallwall.serving.target.FeedMessage.StalledHead;
 import org.jboss.logging.Logger;
 import org.reactivestreams.Publisher;
 import reactor.core.Disposable;
@@ -50,6 +49,7 @@
     private final Sinks.One<Head> head = Sinks.one();
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
     private final Attempts attempts;
+    private final StallPolicy stallPolicy;
     private final Runnable progressCheck = this::checkProgress;
     private Attempt current;
     private boolean headSent;
@@ -68,6 +68,7 @@
         this.context = context;
         this.request = request;
         this.attempts = new Attempts(context, request);
+        this.stallPolicy = new StallPolicy(context.forwarder().detector(), context.stalledHeads());
         this.loop = loop;
         this.lastEventId = lastEventId;
         if (lastEventId != null) {
@@ -145,32 +146,17 @@
             return;
         }
         long lastProgressAt = Math.max(progressAt, a.state.lastProgressAt());
-        boolean stalled = now - lastProgressAt > stallTimeout(a).millis();
+        StallTimeout timeout = StallTimeout.of(request.route(), eventCount == 0, a.state);
+        boolean stalled = now - lastProgressAt > timeout.millis();
         if (stalled && !a.hop.isEntry()) {
             context.forwarder().detector().suspectSilence();
         }
-        if (stalled && shouldAbandon(a, lastProgressAt, now) && canRetryElsewhere(a, now)) {
+        if (stalled && stallPolicy.shouldAbandon(a.hop, timeout, lastProgressAt, now) && canRetryElsewhere(a, now)) {
             retryCharged = true;
             a.fail(AttemptFailure.abandoned("no event for " + (now - lastProgressAt) + " ms"));
         }
     }
 
-    private boolean shouldAbandon(Attempt a, long lastProgressAt, long now) {
-        if (a.hop.isEntry()) {
-            return now - lastProgressAt > stallTimeout(a).millisForEntry();
-        }
-        if (context.forwarder().isPartitioned()) {
-            // the target may be working, but its events do not arrive here
-            return true;
-        }
-        StalledHead stalledHead = toStalledHead(a.target);
-        if (stalledHead == null) {
-            return now - lastProgressAt > stallTimeout(a).millisWithoutGroup();
-        }
-        return context.stalledHeads()
-                .shouldAbandon(stalledHead, lastProgressAt, stallTimeout(a).millis());
-    }
-
     /**
      * Returns whether the route, the other targets and the retry budget allow a retry of the stalled stream. A retry of a forwarded
      * request is charged by the entry that forwarded it.
@@ -185,19 +171,9 @@
                 && (request.isForwarded() || context.retryBudget().tryRetry(request.service()));
     }
 
-    private StallTimeout stallTimeout(Attempt a) {
-        return StallTimeout.of(request.route(), eventCount == 0, a.state);
-    }
-
-    private static StalledHead toStalledHead(ServingTarget t) {
-        return t.group() == null
-                ? null
-                : new StalledHead(t.instance(), t.group().name(), t.group().epoch());
-    }
-
     private void attemptFailed(Attempt a, AttemptFailure f) {
         if (f.isUnreachable() && !a.hop.isEntry()) {
-            reportUnreachable(a.target);
+            stallPolicy.reportUnreachable(a.target);
         }
         if (attempts.recordFailure(a.hop, f, a.progress(), eventCount, retryCharged)
                 .isRetry()) {
@@ -209,13 +185,6 @@
         }
     }
 
-    private void reportUnreachable(ServingTarget t) {
-        StalledHead stalledHead = toStalledHead(t);
-        if (stalledHead != null) {
-            context.stalledHeads().reportUnreachable(stalledHead);
-        }
-    }
-
     private void abort(String reason) {
         if (done) {
             return;
