--- a/serving/src/test/java/org/hallwall/serving/relay/ForwardedAttemptsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ForwardedAttemptsTest.java
@@ -172,6 +172,7 @@
         int status = send(kind);
         Assertions.assertTrue(
                 runCount() <= maxRuns, () -> runCount() + " runs, " + maxRuns + " allowed, status " + status);
+        Assertions.assertTrue(runCount() == 0 || status != 503, "refused as not run although it has run");
     }
 
     /** What was begun behind a hop that is lost counts as run. */
