--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -34,7 +34,7 @@
     private static final double ATTEMPT_TIMEOUT_FACTOR = 0.8;
 
     private static final long MIN_ATTEMPT_TIMEOUT_MILLIS = 60;
-    /** Attempt timeouts after which another entry is abandoned; it retries within them itself. */
+    /** Attempt timeouts after which another entry is abandoned; it may repeat attempts that have not run. */
     private static final long ENTRY_TIMEOUT_FACTOR = 2;
 
     private final RelayContext context;
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayRefusal.java
@@ -30,7 +30,7 @@
     private final int status;
     private final Verdict verdict;
     private final long retryAfterMillis;
-    private final RequestHistory history;
+    private final transient RequestHistory history;
 
     /**
      * Creates a refusal.
@@ -46,10 +46,10 @@
 
     private RelayRefusal(int status, Verdict verdict, String reason, long retryAfterMillis, RequestHistory history) {
         super(reason, null, false, false);
-        this.history = history;
         this.status = status;
         this.verdict = verdict;
         this.retryAfterMillis = retryAfterMillis;
+        this.history = history;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/StallTimeout.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StallTimeout.java
@@ -39,7 +39,7 @@
 
     private static final double PAUSE_GAPS = 2;
     private static final long MIN_STALL_TIMEOUT_MILLIS = 60;
-    /** Stall timeouts after which a stream leaves another entry, which moves it between targets itself. */
+    /** Stall timeouts after which a stream leaves another entry, which returns streams that stall at its targets. */
     private static final double ENTRY_TIMEOUT_FACTOR = 4.5;
     /** Stall timeouts after which a stream leaves a target without a group, whose liveness cannot be queried. */
     private static final double UNGROUPED_TIMEOUT_FACTOR = 1.5;
