--- a/review/standins/Operator.java
+++ b/review/standins/Operator.java
@@ -41,6 +41,18 @@
         return new Answer(307, "redirected more than twice", URI.create(uri).getAuthority());
     }
 
+    /** Sends the check-in of an engine to a node; returns the status. */
+    int checkIn(String node) throws IOException, InterruptedException {
+        String body = "{\"service\":\"app\",\"addr\":\"127.0.59.1:8027\",\"zone\":\"a\",\"version\":\"v1\","
+                + "\"slots\":6,\"state\":\"ready\",\"coldLeftMs\":0,\"callSeq\":1,\"born\":" + System.currentTimeMillis() + "}";
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node + "/instances/i-1"))
+                .PUT(HttpRequest.BodyPublishers.ofString(body))
+                .header("Content-Type", "application/json")
+                .timeout(Duration.ofSeconds(1))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+    }
+
     /** Calls the nodes in turn until one answers with 200, or the time is over; the last answer is returned. */
     Answer callUntilAnswered(String method, List<String> nodes, String body, long millis) throws InterruptedException {
         long end = System.nanoTime() + millis * 1_000_000;
--- a/review/standins/ReplacedThenWiped.java
+++ b/review/standins/ReplacedThenWiped.java
@@ -37,7 +37,7 @@
         }
         record.add("started control on %s, bootstrap true", first);
         Operator.Answer a = operator.callUntilAnswered(
-                "PUT", first.stream().map(programs::control).toList(), manifest(1), 20_000);
+                "PUT", first.stream().map(programs::control).toList(), Manifests.plain(1), 20_000);
         record.add("PUT version 1: %d from %s", a.status(), a.node());
         if (a.status() != 200) {
             return 2;
@@ -60,7 +60,7 @@
 
         List<String> nodes = List.of(
                 programs.control(left.get(0)), programs.control(left.get(1)), programs.control(added));
-        a = operator.callUntilAnswered("PUT", nodes, manifest(2), 20_000);
+        a = operator.callUntilAnswered("PUT", nodes, Manifests.plain(2), 20_000);
         record.add("PUT version 2: %d from %s", a.status(), a.node());
         if (a.status() != 200) {
             return 2;
@@ -75,43 +75,10 @@
             record.add("%s is started again with an empty disk, bootstrap false", acknowledged);
         }
         // recoverS after all machines are back, and much longer
-        long end = System.nanoTime() + (3 * RECOVER_MILLIS + CONTACT_MILLIS) * 1_000_000;
-        int reads = 0;
-        int refused = 0;
-        int good = 0;
-        while (System.nanoTime() < end) {
-            String node = nodes.get(reads++ % nodes.size());
-            a = operator.call("GET", node, null);
-            boolean newest = a.status() == 200 && a.body().contains("\"version\":2");
-            record.add("GET at %s: %d from %s%s", node, a.status(), a.node(), newest ? ", version 2" : "");
-            if (a.status() == 200 && !newest) {
-                record.add("an older manifest: %s", a.body());
-                return 1;
-            }
-            good += newest ? 1 : 0;
-            refused += newest ? 0 : 1;
-            if (good >= 6) {
-                record.add("the acknowledged manifest is read back, after %d reads without it", refused);
-                return 0;
-            }
-            Thread.sleep(500);
-        }
-        a = operator.call("PUT", nodes.get(0), manifest(3));
-        record.add("PUT version 3: %d from %s", a.status(), a.node());
+        int result = Manifests.readBack(record, operator, nodes, 2, 3 * RECOVER_MILLIS + CONTACT_MILLIS);
         for (String host : List.of(left.get(0), left.get(1), added)) {
             record.add("%s runs: %s", host, programs.isAlive("control", host));
         }
-        record.add("the acknowledged manifest is gone: %d reads in %d s, none with it", reads,
-                (3 * RECOVER_MILLIS + CONTACT_MILLIS) / 1_000);
-        return 1;
-    }
-
-    private static String manifest(int version) {
-        return """
-                {"version":%d,"routes":[{"name":"r-1","host":"models.example","pathPrefix":"/a/","kind":"idempotent",\
-                "timeoutMs":%d,"goalMs":200,"priority":1,"service":"app","attempts":2,"anonymous":false}],\
-                "services":[{"name":"app","healthPath":"/health","maxConns":100,"protocol":"h1","tls":false}],\
-                "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerMs":3000,"idleMs":15000}}"""
-                .formatted(version, 1_000 + version);
+        return result;
     }
 }
