--- a/review/standins/AppEngine.java
+++ b/review/standins/AppEngine.java
@@ -38,6 +38,12 @@
     private final long born = System.currentTimeMillis();
     private final AtomicInteger calls = new AtomicInteger();
     private volatile boolean stopped;
+    /** The time of the first acknowledgement of a check-in that says draining; zero before. */
+    volatile long drainingAcknowledgedAt;
+    /** The node that acknowledged the last check-in. */
+    volatile String acknowledgedBy;
+    /** Runs after the acknowledgement, with the milliseconds since then. */
+    final Map<String, Long> runsAfterDraining = new ConcurrentHashMap<>();
 
     AppEngine(String id, String service, String host, int port, List<String> controls, Record record)
             throws IOException {
@@ -75,6 +81,9 @@
             return;
         }
         int run = runs.computeIfAbsent(attempt, a -> new AtomicInteger()).incrementAndGet();
+        if (drainingAcknowledgedAt > 0) {
+            runsAfterDraining.put(attempt, (System.nanoTime() - drainingAcknowledgedAt) / 1_000_000);
+        }
         record.add("engine %s runs %s (run %d, body of %d bytes)", id, attempt, run, body.length);
         try {
             Thread.sleep(workMillis);
@@ -107,17 +116,26 @@
     }
 
     private boolean send(String control) {
+        String announced = state;
         String body = String.format(
                 "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
                         + "\"coldLeftMs\":0,\"callSeq\":%d,\"born\":%d}",
-                service, address(), SLOTS, state, calls.incrementAndGet(), born);
+                service, address(), SLOTS, announced, calls.incrementAndGet(), born);
         try {
             HttpRequest r = HttpRequest.newBuilder(URI.create("http://" + control + "/instances/" + id))
                     .PUT(HttpRequest.BodyPublishers.ofString(body))
                     .header("Content-Type", "application/json")
                     .timeout(Duration.ofSeconds(1))
                     .build();
-            return client.send(r, HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
+            int status = client.send(r, HttpResponse.BodyHandlers.ofString()).statusCode();
+            if (status == 200) {
+                acknowledgedBy = control;
+                if (announced.equals("draining") && drainingAcknowledgedAt == 0) {
+                    drainingAcknowledgedAt = System.nanoTime();
+                    record.add("engine %s: %s has acknowledged that it is draining", id, control);
+                }
+            }
+            return status == 200;
         } catch (IOException e) {
             return false;
         } catch (InterruptedException e) {
@@ -126,6 +144,24 @@
         }
     }
 
+    /** Sends DELETE, to any node that takes it. */
+    void delete() throws InterruptedException {
+        for (String control : controls) {
+            HttpRequest r = HttpRequest.newBuilder(URI.create("http://" + control + "/instances/" + id))
+                    .DELETE()
+                    .timeout(Duration.ofSeconds(1))
+                    .build();
+            try {
+                if (client.send(r, HttpResponse.BodyHandlers.ofString()).statusCode() == 200) {
+                    record.add("engine %s: %s has acknowledged DELETE", id, control);
+                    return;
+                }
+            } catch (IOException e) {
+                record.add("engine %s: no answer to DELETE from %s", id, control);
+            }
+        }
+    }
+
     @Override
     public void close() {
         stopped = true;
