--- a/review/standins/Programs.java
+++ b/review/standins/Programs.java
@@ -25,19 +25,21 @@
     final int readyPort;
     final int controlPort;
     final int forwardPort;
+    private final int adminPort;
     private final Map<String, Process> running = new LinkedHashMap<>();
     private final Path root = Path.of("").toAbsolutePath();
 
     Programs() throws IOException {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> running.values().forEach(Process::destroyForcibly)));
         folder = Files.createTempDirectory("review");
-        // below the ephemeral range; the admin port of the templates is fixed, and each program has its own address
-        int[] ports = freePorts(5);
+        // below the ephemeral range
+        int[] ports = freePorts(6);
         peerPort = ports[0];
         forwardPort = ports[1];
         frontPort = ports[2];
         readyPort = ports[3];
         controlPort = ports[4];
+        adminPort = ports[5];
     }
 
     private static int[] freePorts(int count) {
@@ -93,7 +95,7 @@
         values.put("bounds.graceS", "8");
         Files.createDirectories(dataFolder(host));
         Path settings = folder.resolve(role + "-" + host + ".json");
-        Files.writeString(settings, render(Files.readString(root.resolve("deploy/" + role + ".json")), values));
+        Files.writeString(settings, render(template(role), values));
         ProcessBuilder b = new ProcessBuilder(command(role));
         b.directory(root.toFile());
         b.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
@@ -104,6 +106,11 @@
         running.put(role + " " + host, b.start());
     }
 
+    /** Returns the template with a free port in place of the fixed one for metrics. */
+    private String template(String role) throws IOException {
+        return Files.readString(root.resolve("deploy/" + role + ".json")).replace(":9464", ":" + adminPort);
+    }
+
     private List<String> command(String role) throws IOException {
         String text = Files.readString(root.resolve("deploy/system.toml"));
         Matcher m = Pattern.compile("\\[roles\\." + role + "]\\s+run = \"([^\"]+)\"").matcher(text);
@@ -122,6 +129,10 @@
         return p != null && p.isAlive();
     }
 
+    int exitCode(String role, String host) {
+        return running.get(role + " " + host).exitValue();
+    }
+
     /** Sends SIGTERM, and SIGKILL after the grace period. */
     void terminate(String role, String host, long graceMillis) throws InterruptedException {
         Process p = running.remove(role + " " + host);
