--- a/review/standins/ManyChangesThenKilled.java
+++ b/review/standins/ManyChangesThenKilled.java
@@ -17,7 +17,7 @@
     /** The provider starts a process that has ended again after a short delay. */
     private static final long RESTART_MILLIS = 1_000;
 
-    /** Eleven times the routes that one big_config of the sites' days adds. */
+    /** Eleven times what one big_config adds on the sites' days. */
     private static final int ROUTES = 11 * 410;
     /** PROTOCOL.md: "a day may be long and contain hundreds of changes". */
     private static final int CHANGES = 500;
