--- a/review/standins/ManyChangesThenKilled.java
+++ b/review/standins/ManyChangesThenKilled.java
@@ -47,13 +47,17 @@
         record.add("started control on %s, bootstrap true", HOSTS);
         Operator operator = new Operator();
         List<String> routes = routes();
+        List<String> order = new ArrayList<>(nodes);
         for (int version = 1; version <= CHANGES; version++) {
             String body = Manifests.of(version, routes);
-            Operator.Answer a = operator.callUntilAnswered("PUT", nodes, body, 15_000);
+            Operator.Answer a = operator.callUntilAnswered("PUT", order, body, 15_000);
             if (a.status() != 200) {
                 record.add("PUT version %d: %d from %s", version, a.status(), a.node());
                 return 2;
             }
+            // the next change goes to the node that has acknowledged this one
+            order.remove(a.node());
+            order.add(0, a.node());
             if (version == 1 || version % 50 == 0) {
                 record.add("PUT version %d, %d bytes: %d from %s", version, body.length(), a.status(), a.node());
             }
