--- a/review/standins/ManyChangesThenKilled.java
+++ b/review/standins/ManyChangesThenKilled.java
@@ -46,7 +46,7 @@
         List<String> nodes = HOSTS.stream().map(programs::control).toList();
         record.add("started control on %s, bootstrap true", HOSTS);
         Operator operator = new Operator();
-        List<String> routes = routes();
+        List<String> routes = routes(ROUTES);
         List<String> order = new ArrayList<>(nodes);
         for (int version = 1; version <= CHANGES; version++) {
             String body = Manifests.of(version, routes);
@@ -105,10 +105,11 @@
         }
     }
 
-    private static List<String> routes() {
+    /** Returns routes like those that the sites' manifests grow by. */
+    static List<String> routes(int count) {
         Random random = new Random(51);
         List<String> out = new ArrayList<>();
-        for (int i = 0; i < ROUTES; i++) {
+        for (int i = 0; i < count; i++) {
             String name = "r-" + word(random, 7);
             String prefix = "/" + word(random, 4) + i + "/";
             out.add(Manifests.route(name, prefix, "idempotent", 1_000 + 500 * random.nextInt(10)));
--- a/review/standins/Resources.java
+++ b/review/standins/Resources.java
@@ -21,9 +21,13 @@
         }
     }
 
-    static String property(String key) throws IOException {
+    static String property(String key) {
         Properties out = new Properties();
-        out.load(new StringReader(text("platform.properties")));
+        try {
+            out.load(new StringReader(text("platform.properties")));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
         return out.getProperty(key);
     }
 }
