--- a/review/standins/ManyChangesThenKilled.java
+++ b/review/standins/ManyChangesThenKilled.java
@@ -46,7 +46,7 @@
         List<String> nodes = HOSTS.stream().map(programs::control).toList();
         record.add("started control on %s, bootstrap true", HOSTS);
         Operator operator = new Operator();
-        List<String> routes = routes(ROUTES);
+        List<String> routes = routes();
         List<String> order = new ArrayList<>(nodes);
         for (int version = 1; version <= CHANGES; version++) {
             String body = Manifests.of(version, routes);
@@ -105,11 +105,10 @@
         }
     }
 
-    /** Returns routes like those that the sites' manifests grow by. */
-    static List<String> routes(int count) {
+    private static List<String> routes() {
         Random random = new Random(51);
         List<String> out = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < ROUTES; i++) {
             String name = "r-" + word(random, 7);
             String prefix = "/" + word(random, 4) + i + "/";
             out.add(Manifests.route(name, prefix, "idempotent", 1_000 + 500 * random.nextInt(10)));
--- a/review/standins/Operator.java
+++ b/review/standins/Operator.java
@@ -42,13 +42,9 @@
     }
 
     /** Sends the check-in of an engine to a node; returns the status. */
-    int checkIn(String node, String id, String address, int sequence, long born)
-            throws IOException, InterruptedException {
-        String body = Resources.text("check-in.json")
-                .replace("@address@", address)
-                .replace("@sequence@", Integer.toString(sequence))
-                .replace("@born@", Long.toString(born));
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node + "/instances/" + id))
+    int checkIn(String node) throws IOException, InterruptedException {
+        String body = Resources.text("check-in.json").replace("@born@", Long.toString(System.currentTimeMillis()));
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node + "/instances/i-1"))
                 .PUT(HttpRequest.BodyPublishers.ofString(body))
                 .header("Content-Type", "application/json")
                 .timeout(Duration.ofSeconds(1))
--- a/review/standins/Resources.java
+++ b/review/standins/Resources.java
@@ -21,13 +21,9 @@
         }
     }
 
-    static String property(String key) {
+    static String property(String key) throws IOException {
         Properties out = new Properties();
-        try {
-            out.load(new StringReader(text("platform.properties")));
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        out.load(new StringReader(text("platform.properties")));
         return out.getProperty(key);
     }
 }
