Log requests that end without a complete response, and what is known about a stalled head

The logs could not tell whether a request ended without a response (an error that is no refusal, a closed connection), nor why a stream left a head that was still working: the line of the abandoned attempt named the silence only. Each request now leaves a line with its id when its connection closes early, with the stack trace of an error; the line of an abandoned attempt names the controller's report. A counter hallwall_relay_incomplete tells the two causes apart. No decision changes.

--- a/serving/src/main/java/org/hallwall/serving/relay/RelayMetrics.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayMetrics.java
@@ -34,6 +34,7 @@
     private final Counter retryDecisions;
     private final Counter heldBackRequests;
     private final Counter forwards;
+    private final Counter incomplete;
     private final Histogram firstByte;
 
     /**
@@ -77,6 +78,11 @@
                 .help("Requests sent to or received from other entries, by direction")
                 .labelNames("direction")
                 .register(registry);
+        incomplete = Counter.builder()
+                .name("hallwall_relay_incomplete")
+                .help("Requests whose connection was closed before a complete response, by cause")
+                .labelNames("cause")
+                .register(registry);
         firstByte = Histogram.builder()
                 .name("hallwall_relay_first_seconds")
                 .help("Time to the first byte of an answer")
@@ -112,6 +118,10 @@
         refusals.labelValues(Integer.toString(status)).inc();
     }
 
+    void countIncomplete(String cause) {
+        incomplete.labelValues(cause).inc();
+    }
+
     void recordFirstByte(long millis) {
         firstByte.observe(millis / MILLIS_PER_SECOND);
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -171,10 +171,13 @@
         } catch (RelayRefusal e) {
             response = writer.writeRefusal(req, res, e);
         }
-        return response.doFinally(s -> {
-            inFlight.decrementAndGet();
-            forwardedInFlight.addAndGet(-forwardedCount);
-        });
+        long start = context.now();
+        return response.doOnError(e -> writer.logIncomplete(req, context.now() - start, e))
+                .doOnCancel(() -> writer.logCancelled(req, context.now() - start))
+                .doFinally(s -> {
+                    inFlight.decrementAndGet();
+                    forwardedInFlight.addAndGet(-forwardedCount);
+                });
     }
 
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -99,6 +99,24 @@
         return writeBody(res, (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Logs that a connection is closed without a complete response because of an error. */
+    void logIncomplete(HttpServerRequest req, long afterMillis, Throwable e) {
+        context.metrics().countIncomplete("error");
+        LOG.errorf(
+                e,
+                "request %s: connection closed without a complete response after %d ms",
+                req.requestHeaders().get(context.headerNames().attemptId()),
+                afterMillis);
+    }
+
+    /** Logs that the client, or the shutdown of this entry, has closed the connection before the response was complete. */
+    void logCancelled(HttpServerRequest req, long afterMillis) {
+        context.metrics().countIncomplete("closed");
+        LOG.infof(
+                "request %s: connection was closed before the response was complete, after %d ms",
+                req.requestHeaders().get(context.headerNames().attemptId()), afterMillis);
+    }
+
     private static void copyHeaders(HttpServerResponse res, HttpHeaders from) {
         HttpHeaders out = res.responseHeaders();
         from.forEach(h -> out.add(h.getKey(), h.getValue()));
--- a/serving/src/main/java/org/hallwall/serving/relay/StallPolicy.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StallPolicy.java
@@ -63,6 +63,15 @@
         return stalledHeads.shouldAbandon(head, lastProgressAt, timeout.millis());
     }
 
+    /** Describes what is known about a stalled recipient, for logs. */
+    String describe(NextHop hop) {
+        if (detector.isPartitioned()) {
+            return "this entry has lost its links";
+        }
+        StalledHead head = hop.isEntry() ? null : toStalledHead(hop.target());
+        return head == null ? "the recipient has no group" : stalledHeads.describe(head);
+    }
+
     /** Reports that the connection to a target has failed, if it is the head of a group. */
     void reportUnreachable(ServingTarget target) {
         StalledHead head = toStalledHead(target);
--- a/serving/src/main/java/org/hallwall/serving/relay/StalledHeads.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StalledHeads.java
@@ -108,6 +108,15 @@
         }
     }
 
+    /** Returns what the controller has reported about a head, for logs. */
+    String describe(StalledHead head) {
+        Query q = queries.get(head.group());
+        if (q == null) {
+            return "the controller was not queried";
+        }
+        return q.answered ? "the controller reports " + q.answer : "the controller has not responded";
+    }
+
     /**
      * Reports an unreachable head without waiting for the response.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -153,7 +153,8 @@
         }
         if (stalled && stallPolicy.shouldAbandon(a.hop, timeout, lastProgressAt, now) && canRetryElsewhere(a, now)) {
             retryCharged = true;
-            a.fail(AttemptFailure.abandoned("no event for " + (now - lastProgressAt) + " ms"));
+            a.fail(AttemptFailure.abandoned(
+                    "no event for " + (now - lastProgressAt) + " ms, " + stallPolicy.describe(a.hop)));
         }
     }
 
