A stalled request is also sent to a second target and goes on with the one that responds first

What callers saw: a target that paused for a second cost a request its answer. Streams were cut after their first events, before them and for idempotent requests callers got 502, 504 or the 500 of another target, although the first target went on in time. Cause: a run was abandoned on a guess (silence, an attempt timeout) before anything had taken its place; if the other targets were busy or failed, nothing was left. The retry of a buffered request also ran on a timer thread, beside state that is confined to the I/O thread. Change: an abandoned attempt becomes a hedged one. The first run stays open, a second one is started under the same conditions as before (attempts of the route, retry budget, another target that is not ejected), and the run that delivers the next event, or the whole response, first is the one; the other is cancelled at once and counts as a run. A second run's rejection or failure decides nothing while the first is open. Streams are joined at Last-Event-Id only. A request that may have ended a target is not hedged. An entry that runs a forwarded request does not hedge it; it returns a stream of a group that is known to be lost, as before. Timers run on the I/O thread. Why it holds: an attempt ends only by its own response or failure, by a response of the other one, by the deadline, or by the client. StreamRun is split into StreamAttempt and StreamProgress, BufferedRun into BufferedAttempt.

--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -171,6 +171,18 @@
         return holdBack.isHeld(features, brokenOffBy, brokenOffAtStart);
     }
 
+    /**
+     * Returns whether a target has ended while it ran a request, or may have.
+     *
+     * @param features the request, or null if it was not digested
+     * @return true if it is a suspect, held back or not, or if a run of it has failed recently at a target whose fate is not known
+     */
+    public boolean isSuspect(RequestFeatures features) {
+        return features != null
+                && (suspectView.isSuspect(features.request())
+                        || !failures.targetsWithAny(List.of(features.request())).isEmpty());
+    }
+
     /**
      * Checks whether a request may be sent. A held request may be sent if the control plane grants a trial of everything in it that is
      * held.
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -49,6 +50,7 @@
     private final Set<InstanceId> failedEntries = new HashSet<>();
     private Verdict verdict = Verdict.NOT_RUN;
     private RequestHistory history;
+    private final List<NextHop> open = new ArrayList<>();
     private int unsentCount;
     private int sendCount;
     private int unreachableCount;
@@ -67,9 +69,36 @@
     /** Selects an untried recipient and records the attempt; returns null if none is left. */
     NextHop nextHop() {
         NextHop hop = chooseHop();
-        if (hop == null) {
-            return null;
-        }
+        return hop == null ? null : recordStart(hop);
+    }
+
+    /** Returns whether the request may be sent to a second target while the first one runs it. */
+    boolean mayHedge() {
+        // an entry runs a forwarded request at one target, and a suspect might crash both
+        return mayRetry()
+                && !request.isForwarded()
+                && rejections() <= MAX_REJECTIONS
+                && !context.crashWatch().isSuspect(features())
+                && !isHeldBack();
+    }
+
+    /**
+     * Selects a recipient for a second attempt beside one that is stalled, if the route, the retry budget and the other targets allow
+     * it.
+     *
+     * @param now the current time, in milliseconds
+     * @return the recipient, or null
+     */
+    NextHop nextHedge(long now) {
+        NextHop hop = mayHedge() ? chooseHop() : null;
+        boolean usable = hop != null
+                && !hop.state().isEjected(now)
+                && context.retryBudget().tryRetry(request.service());
+        return usable ? recordStart(hop) : null;
+    }
+
+    private NextHop recordStart(NextHop hop) {
+        open.add(hop);
         triedRecipients.add(hop.target().instance());
         if (hop.isEntry()) {
             forwardCount++;
@@ -90,7 +119,7 @@
     }
 
     /** Selects an untried recipient; returns null if none is left. */
-    NextHop chooseHop() {
+    private NextHop chooseHop() {
         List<ServingTarget> candidates = context.candidates().available(request);
         EntryForwarder forwarder = context.forwarder();
         if (forwarder.shouldForward(request, candidates, triedRecipients, unreachableCount)) {
@@ -133,21 +162,42 @@
         return retryAfterMillis > 0 ? retryAfterMillis : context.candidates().retryAfterMillis(request);
     }
 
-    /** Returns whether the request may run again after the current attempt. */
+    /** Returns whether the request may run once more besides the attempts in progress. */
     boolean mayRetry() {
         return request.route().isRetryable()
-                && history.runs() + 1 < request.route().maxAttempts();
+                && history.runs() + open.size() < request.route().maxAttempts();
+    }
+
+    private boolean isHeldBack() {
+        return context.crashWatch().isWatching()
+                && context.crashWatch().isHeld(features(), history.disconnectedBy(), history.disconnectedAtStartBy());
     }
 
     Verdict verdict() {
         return verdict;
     }
 
-    /** Returns the attempts that have reached targets, at all entries. */
+    /** Returns the finished attempts that have reached targets, at all entries. */
     RequestHistory history() {
         return history;
     }
 
+    /**
+     * Returns the history that is sent along with an attempt.
+     *
+     * @param hop the attempt
+     * @return the finished attempts, and the run of each other attempt in progress
+     */
+    RequestHistory historyBefore(NextHop hop) {
+        RequestHistory out = history;
+        for (NextHop other : open) {
+            if (other != hop) {
+                out = out.withRunInProgress(other);
+            }
+        }
+        return out;
+    }
+
     /**
      * Adds the attempts to a response for the entry that has forwarded the request, if it was forwarded.
      *
@@ -159,7 +209,7 @@
         if (request.isForwarded()) {
             RequestHistory.Outcome outcome =
                     BufferedResponse.isFailure(status) ? RequestHistory.Outcome.RAN : RequestHistory.Outcome.STARTED;
-            ForwardHeaders.writeHistory(to, history.with(hop.target().instance(), outcome));
+            ForwardHeaders.writeHistory(to, historyBefore(hop).with(hop.target().instance(), outcome));
         }
     }
 
@@ -182,12 +232,39 @@
         return unsentCount + history.rejections();
     }
 
-    /** Records that the current attempt was aborted without a response. */
+    /** Records that an attempt was aborted without a response. */
     void abandon(NextHop hop, ResponseProgress progress) {
+        recordEnd(hop, AttemptFailure.abandoned("aborted"), progress);
         verdict = verdict.combineWith(Verdict.MAY_HAVE_RUN);
         markAbandoned(hop, progress);
     }
 
+    /** Records that an attempt was cancelled because another one has responded first. */
+    void recordSuperseded(NextHop hop, ResponseProgress progress) {
+        abandon(hop, progress);
+        context.metrics().countAttempt("superseded");
+        LOG.infof(
+                "request %s: attempt at %s cancelled after %d ms, another one has responded first; %d of %d runs counted",
+                request.attemptId(),
+                hop.target().instance(),
+                context.now() - request.receivedAt(),
+                history.runs(),
+                request.route().maxAttempts());
+    }
+
+    /** Adds a finished attempt to the history; returns whether it has reached a target. */
+    private boolean recordEnd(NextHop hop, AttemptFailure f, ResponseProgress progress) {
+        open.remove(hop);
+        RequestHistory before = historyBefore(hop);
+        RequestHistory after = hop.historyAfter(before, f, progress);
+        history = after;
+        for (NextHop other : open) {
+            history = history.withoutRunInProgress(other);
+        }
+        triedRecipients.addAll(history.targets());
+        return !after.equals(before);
+    }
+
     /** Records that the current attempt was abandoned while the target may still run it. */
     void markAbandoned(NextHop hop, ResponseProgress progress) {
         if (!hop.isEntry()) {
@@ -220,17 +297,13 @@
      * @param f the failure
      * @param progress how much of the response the recipient had sent
      * @param events the number of events received before
-     * @param charged whether the retry was already charged to the budget
      * @return the decision
      */
-    RetryDecision recordFailure(
-            NextHop hop, AttemptFailure f, ResponseProgress progress, long events, boolean charged) {
+    RetryDecision recordFailure(NextHop hop, AttemptFailure f, ResponseProgress progress, long events) {
         ServingTarget target = hop.target();
         context.metrics().countAttempt(f.verdict().name());
-        RequestHistory before = history;
-        history = hop.historyAfter(before, f, progress);
-        triedRecipients.addAll(history.targets());
-        if (history.equals(before) && f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
+        boolean reached = recordEnd(hop, f, progress);
+        if (!reached && f.kind() != AttemptFailure.Kind.UNAVAILABLE) {
             unsentCount++;
         }
         retryAfterMillis = Math.max(retryAfterMillis, f.retryAfterMillis());
@@ -243,8 +316,7 @@
             updateCrashWatch(hop, f, progress);
         }
         verdict = verdict.combineWith(f.verdict());
-        boolean arrived = hop.hasReport() ? !history.equals(before) : f.hasReachedTarget();
-        RetryDecision decision = decide(f, arrived, charged);
+        RetryDecision decision = decide(f, hop.hasReport() ? reached : f.hasReachedTarget());
         context.metrics().countRetryDecision(request.service(), decision);
         LOG.infof(
                 "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); %d of %d runs counted; attempt %d of %s%s",
@@ -300,7 +372,10 @@
         }
     }
 
-    private RetryDecision decide(AttemptFailure f, boolean arrived, boolean charged) {
+    private RetryDecision decide(AttemptFailure f, boolean arrived) {
+        if (!open.isEmpty()) {
+            return RetryDecision.IN_PROGRESS;
+        }
         boolean allowed = f.verdict() == Verdict.NOT_RUN
                 ? rejections() <= MAX_REJECTIONS
                 : request.route().isRetryable()
@@ -312,13 +387,9 @@
             // only the entry that received the request from the client knows all of its runs
             return RetryDecision.RETURNED;
         }
-        if (context.crashWatch().isWatching()
-                && context.crashWatch().isHeld(features(), history.disconnectedBy(), history.disconnectedAtStartBy())) {
+        if (isHeldBack()) {
             return RetryDecision.HELD_BACK;
         }
-        if (charged) {
-            return RetryDecision.GRANTED;
-        }
         if (!arrived) {
             return RetryDecision.UNCHARGED;
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -18,109 +18,208 @@
  */
 package org.hallwall.serving.relay;
 
-import java.time.Duration;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
-import org.hallwall.serving.crash.ResponseProgress;
+import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
-import reactor.netty.ByteBufFlux;
+import reactor.core.publisher.Sinks;
 import reactor.netty.http.client.HttpClientResponse;
 
-/** Relays one request whose response is forwarded only when it is complete. */
-final class BufferedRun {
+/**
+ * Relays one request whose response is forwarded only when it is complete. If a target is late, a hedged attempt at another one is
+ * started, and the first complete response that is no server error is returned. Confined to one I/O thread.
+ */
+final class BufferedRun implements BufferedAttempt.Listener {
 
-    /** Fraction of the latency objective after which a retryable request is sent to another target. */
-    private static final double ATTEMPT_TIMEOUT_FACTOR = 0.8;
+    private static final Logger LOG = Logger.getLogger(BufferedRun.class);
+    /** Fraction of the latency objective after which a retryable request is also sent to another target. */
+    private static final double HEDGE_DELAY_FACTOR = 0.8;
 
-    private static final long MIN_ATTEMPT_TIMEOUT_MILLIS = 60;
-    /** Attempt timeouts after which another entry is abandoned; it may repeat attempts that have not run. */
-    private static final long ENTRY_TIMEOUT_FACTOR = 2;
+    private static final long MIN_HEDGE_DELAY_MILLIS = 60;
+    /** Factor of the delay for another entry; it may repeat attempts that have not run. */
+    private static final long ENTRY_DELAY_FACTOR = 2;
+    /** Time between two checks whether a hedged attempt can be started, in milliseconds. */
+    private static final long HEDGE_RETRY_MILLIS = 100;
 
     private final RelayContext context;
     private final RelayRequest request;
+    private final EventLoop loop;
     private final Attempts attempts;
+    private final Sinks.One<BufferedResponse> result = Sinks.one();
+    private BufferedAttempt primary;
+    private BufferedAttempt hedge;
     private BufferedResponse failedResponse;
-    private ResponseProgress progress = ResponseProgress.NONE;
+    private ScheduledFuture<?> hedgeTimer;
+    private ScheduledFuture<?> deadlineTimer;
+    private boolean done;
 
-    BufferedRun(RelayContext context, RelayRequest request) {
+    BufferedRun(RelayContext context, RelayRequest request, EventLoop loop) {
         this.context = context;
         this.request = request;
+        this.loop = loop;
         this.attempts = new Attempts(context, request);
     }
 
     /** Starts the request; emits the response or a {@link RelayRefusal}. */
     Mono<BufferedResponse> start() {
-        return Mono.defer(this::startAttempt);
+        loop.execute(() -> {
+            if (!done) {
+                long remainingMillis = Math.max(0, request.deadlineAt() - context.now());
+                deadlineTimer = loop.schedule(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+                startAttempt();
+            }
+        });
+        return result.asMono().doOnCancel(this::cancel);
     }
 
-    private Mono<BufferedResponse> startAttempt() {
-        long now = context.now();
-        long remainingMillis = request.deadlineAt() - now;
-        if (remainingMillis <= 0) {
-            return fail("the deadline has passed");
+    private void startAttempt() {
+        if (context.now() >= request.deadlineAt()) {
+            fail("the deadline has passed");
+            return;
         }
         NextHop hop = attempts.nextHop();
         if (hop == null) {
-            return fail(attempts.describeNoHop());
+            fail(attempts.describeNoHop());
+            return;
         }
-        TargetState state = hop.state();
-        state.requestStarted();
-        progress = ResponseProgress.NONE;
-        return hop.send(request, null, attempts.history(), (head, body) -> readResponse(hop, head, body))
-                .next()
-                .switchIfEmpty(Mono.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response ended prematurely")))
-                .timeout(Duration.ofMillis(attemptTimeoutMillis(hop, remainingMillis)))
-                .onErrorMap(e -> e instanceof AttemptFailure
-                        ? e
-                        : AttemptFailure.abandoned("no response within the attempt timeout"))
-                .doOnCancel(() -> attempts.markAbandoned(hop, progress))
-                .doFinally(s -> state.requestEnded())
-                .flatMap(a -> checkResponse(state, a))
-                .onErrorResume(AttemptFailure.class, f -> retryOrFail(hop, f));
-    }
-
-    private Mono<BufferedResponse> readResponse(NextHop hop, HttpClientResponse head, ByteBufFlux body) {
-        progress = ResponseProgress.BEGUN;
-        HttpHeaders headers = context.forwardedHeaders().forResponse(head.responseHeaders());
-        attempts.writeHistory(headers, hop, head.status().code());
-        return body.aggregate()
-                .asByteArray()
-                .defaultIfEmpty(new byte[0])
-                .map(bytes -> new BufferedResponse(head.status().code(), headers, bytes));
-    }
-
-    /** Returns the timeout of the attempt; shorter than the deadline if the request can be retried. */
-    private long attemptTimeoutMillis(NextHop hop, long remainingMillis) {
-        if (!attempts.mayRetry()) {
-            return remainingMillis;
+        primary = new BufferedAttempt(hop, this, context.now());
+        primary.start(request, attempts.historyBefore(hop));
+        if (!done && primary.hop() == hop) {
+            scheduleHedge(hedgeDelayMillis(hop));
         }
-        long timeoutMillis = (long) (request.route().latencyObjectiveMillis() * ATTEMPT_TIMEOUT_FACTOR);
-        long factor = hop.isEntry() ? ENTRY_TIMEOUT_FACTOR : 1;
-        return Math.min(remainingMillis, factor * Math.max(MIN_ATTEMPT_TIMEOUT_MILLIS, timeoutMillis));
     }
 
-    private Mono<BufferedResponse> checkResponse(TargetState state, BufferedResponse response) {
+    private long hedgeDelayMillis(NextHop hop) {
+        long delayMillis = (long) (request.route().latencyObjectiveMillis() * HEDGE_DELAY_FACTOR);
+        return Math.max(MIN_HEDGE_DELAY_MILLIS, delayMillis) * (hop.isEntry() ? ENTRY_DELAY_FACTOR : 1);
+    }
+
+    private void scheduleHedge(long delayMillis) {
+        cancel(hedgeTimer);
+        hedgeTimer = loop.schedule(this::startHedge, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void startHedge() {
+        if (done || primary == null || hedge != null || !attempts.mayHedge()) {
+            return;
+        }
+        NextHop hop = attempts.nextHedge(context.now());
+        if (hop == null) {
+            scheduleHedge(HEDGE_RETRY_MILLIS);
+            return;
+        }
+        LOG.infof(
+                "request %s: no response from %s after %d ms; second attempt at %s",
+                request.attemptId(),
+                primary.hop().target().instance(),
+                context.now() - primary.startedAt(),
+                hop.target().instance());
+        hedge = new BufferedAttempt(hop, this, context.now());
+        hedge.start(request, attempts.historyBefore(hop));
+    }
+
+    private void onDeadline() {
+        if (!done) {
+            abandonAll();
+            fail("no response before the deadline");
+        }
+    }
+
+    /** Cancels the request because the client has disconnected. */
+    private void cancel() {
+        if (!done) {
+            abandonAll();
+            finish();
+        }
+    }
+
+    @Override
+    public HttpHeaders onHead(BufferedAttempt a, HttpClientResponse response) {
+        HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
+        attempts.writeHistory(out, a.hop(), response.status().code());
+        return out;
+    }
+
+    @Override
+    public void onResponse(BufferedAttempt a, BufferedResponse response) {
         attempts.markAnswered();
+        if (response.isFailure()) {
+            failedResponse = response;
+            onFailure(a, new AttemptFailure(Verdict.RAN, "the target responded with status " + response.status()));
+            return;
+        }
         if (response.isSuccess()) {
             attempts.markEstablished();
         }
-        if (!response.isFailure()) {
-            state.recordSuccess();
-            context.metrics().countAttempt("answered");
-            return Mono.just(response);
+        a.hop().state().recordSuccess();
+        context.metrics().countAttempt("answered");
+        BufferedAttempt loser = other(a);
+        if (loser != null) {
+            loser.cancel();
+            attempts.recordSuperseded(loser.hop(), loser.progress());
+            if (loser.startedAt() < a.startedAt()) {
+                loser.hop().state().recordFailure(context.now());
+            }
+        }
+        finish();
+        result.tryEmitValue(response);
+    }
+
+    @Override
+    public void onFailure(BufferedAttempt a, AttemptFailure f) {
+        primary = other(a);
+        hedge = null;
+        boolean retry = attempts.recordFailure(a.hop(), f, a.progress(), 0).isRetry();
+        if (primary != null) {
+            scheduleHedge(HEDGE_RETRY_MILLIS);
+        } else if (retry) {
+            startAttempt();
+        } else {
+            fail(f.getMessage());
+        }
+    }
+
+    private BufferedAttempt other(BufferedAttempt a) {
+        return a == primary ? hedge : primary;
+    }
+
+    /** Returns the last error response of a target, if there is one, and a refusal otherwise. */
+    private void fail(String reason) {
+        finish();
+        if (failedResponse != null) {
+            result.tryEmitValue(failedResponse);
+        } else {
+            result.tryEmitError(attempts.toRefusal(reason));
+        }
+    }
+
+    private void abandonAll() {
+        abandon(primary);
+        abandon(hedge);
+    }
+
+    private void abandon(BufferedAttempt a) {
+        if (a != null) {
+            a.cancel();
+            attempts.abandon(a.hop(), a.progress());
         }
-        failedResponse = response;
-        return Mono.error(new AttemptFailure(Verdict.RAN, "the target responded with status " + response.status()));
     }
 
-    private Mono<BufferedResponse> retryOrFail(NextHop hop, AttemptFailure f) {
-        return attempts.recordFailure(hop, f, progress, 0, false).isRetry()
-                ? Mono.defer(this::startAttempt)
-                : fail(f.getMessage());
+    private void finish() {
+        done = true;
+        cancel(hedgeTimer);
+        cancel(deadlineTimer);
+        primary = null;
+        hedge = null;
     }
 
-    private Mono<BufferedResponse> fail(String reason) {
-        return failedResponse != null ? Mono.just(failedResponse) : Mono.error(attempts.toRefusal(reason));
+    private static void cancel(ScheduledFuture<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -215,7 +215,7 @@
         if (!isForwardedAtOnce(r)) {
             context.candidates().recordArrival(r);
         }
-        return new BufferedRun(context, r)
+        return new BufferedRun(context, r, channel(req).eventLoop())
                 .start()
                 .takeUntilOther(whenClosed(req))
                 .flatMap(a -> {
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestHistory.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestHistory.java
@@ -86,6 +86,21 @@
         return new RequestHistory(contacts, unknownRuns + 1);
     }
 
+    /** Returns a history with the run of an attempt in progress. */
+    RequestHistory withRunInProgress(NextHop hop) {
+        return hop.isEntry() ? withUnknownRun() : with(hop.target().instance(), Outcome.STARTED);
+    }
+
+    /** Returns a history without the run of an attempt in progress; see {@link #withRunInProgress}. */
+    RequestHistory withoutRunInProgress(NextHop hop) {
+        if (hop.isEntry()) {
+            return new RequestHistory(contacts, Math.max(0, unknownRuns - 1));
+        }
+        List<Contact> out = new ArrayList<>(contacts);
+        out.remove(new Contact(hop.target().instance(), Outcome.STARTED));
+        return new RequestHistory(out, unknownRuns);
+    }
+
     boolean isEmpty() {
         return contacts.isEmpty() && unknownRuns == 0;
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryDecision.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryDecision.java
@@ -30,6 +30,8 @@
     GRANTED(true, "retried on the budget"),
     /** The retry budget is exhausted. */
     REFUSED(false, "not retried, the retry budget is exhausted"),
+    /** Another attempt is in progress and decides what becomes of the request. */
+    IN_PROGRESS(false, "another attempt is in progress"),
     /** The request has run here, and the entry that forwarded it decides whether it runs again. */
     RETURNED(false, "returned to the forwarding entry"),
     /** The request has crashed targets and would likely crash another one. */
--- a/serving/src/main/java/org/hallwall/serving/relay/StallPolicy.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StallPolicy.java
@@ -21,7 +21,7 @@
 import org.hallwall.serving.reachability.PartitionDetector;
 import org.hallwall.serving.target.FeedMessage.StalledHead;
 
-/** Decides whether a stalled stream leaves its recipient. Confined to the I/O thread. */
+/** Decides whether a stalled stream is also sent to another recipient. Confined to the I/O thread. */
 final class StallPolicy {
 
     private final PartitionDetector detector;
@@ -39,7 +39,7 @@
     }
 
     /**
-     * Returns whether a stalled stream should leave its recipient.
+     * Returns whether another recipient should be tried beside a stalled one.
      *
      * @param hop the current attempt
      * @param timeout the stall timeout of the stream
@@ -47,7 +47,7 @@
      * @param now the current time, in milliseconds
      * @return true if the recipient is considered lost
      */
-    boolean shouldAbandon(NextHop hop, StallTimeout timeout, long lastProgressAt, long now) {
+    boolean shouldHedge(NextHop hop, StallTimeout timeout, long lastProgressAt, long now) {
         long silentMillis = now - lastProgressAt;
         if (hop.isEntry()) {
             return silentMillis > timeout.millisForEntry();
@@ -60,7 +60,13 @@
         if (head == null) {
             return silentMillis > timeout.millisWithoutGroup();
         }
-        return stalledHeads.shouldAbandon(head, lastProgressAt, timeout.millis());
+        return stalledHeads.isLikelyLost(head, lastProgressAt, timeout.millis());
+    }
+
+    /** Returns whether the group of a stalled recipient has lost a member, according to the controller. */
+    boolean isKnownLost(NextHop hop, long lastProgressAt) {
+        StalledHead head = hop.isEntry() ? null : toStalledHead(hop.target());
+        return head != null && stalledHeads.isKnownLost(head, lastProgressAt);
     }
 
     /** Describes what is known about a stalled recipient, for logs. */
--- a/serving/src/main/java/org/hallwall/serving/relay/StalledHeads.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StalledHeads.java
@@ -41,9 +41,9 @@
      * scheduling delays.
      */
     private static final long ANSWER_TIMEOUT_MILLIS = 60;
-    /** Stall timeouts after which a stream leaves a busy head; one and a half times the maximum pause. */
+    /** Stall timeouts after which a busy head counts as lost; one and a half times the maximum pause. */
     private static final double WORKING_TIMEOUT_FACTOR = 4.5;
-    /** Stall timeouts after which a stream leaves a head of unknown liveness. */
+    /** Stall timeouts after which a head of unknown liveness counts as lost. */
     private static final double UNKNOWN_TIMEOUT_FACTOR = 2;
     /** Stall timeouts before another query about a head that was recently found busy. */
     private static final double REPEATED_QUERY_FACTOR = 1.6;
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Returns whether a stream should be moved away from a silent head. The first call of a silence queries the
+     * Returns whether a silent head is likely lost, so that its streams should also be sent to another one. The first call of a silence queries the
      * controller.
      *
      * @param head the head
@@ -84,7 +84,7 @@
      * @param stallTimeoutMillis the silence after which the controller is queried
      * @return true if the group has lost a member, or if the head is silent for too long
      */
-    boolean shouldAbandon(StalledHead head, long silentSince, long stallTimeoutMillis) {
+    boolean isLikelyLost(StalledHead head, long silentSince, long stallTimeoutMillis) {
         long now = ticker.millis();
         long silence = now - silentSince;
         Query q = queries.get(head.group());
@@ -108,6 +108,12 @@
         }
     }
 
+    /** Returns whether the controller has reported that the group of a silent head has lost a member. */
+    boolean isKnownLost(StalledHead head, long silentSince) {
+        Query q = queries.get(head.group());
+        return q != null && q.sentAt > silentSince && q.answer == GroupLiveness.LOST;
+    }
+
     /** Returns what the controller has reported about a head, for logs. */
     String describe(StalledHead head) {
         Query q = queries.get(head.group());
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -21,27 +21,25 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
-import org.hallwall.serving.crash.ResponseProgress;
 import org.jboss.logging.Logger;
-import org.reactivestreams.Publisher;
-import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
-import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClientResponse;
 
 /**
- * Relays one request with an event stream response. Complete events are forwarded as they arrive. If a target fails or
- * stalls, the stream is resumed at another target after the last complete event. Confined to one I/O thread.
+ * Relays one request with an event stream response. Complete events are forwarded as they arrive. If a target fails, the stream is
+ * resumed at another target after the last complete event. If it stalls, a hedged attempt at another target is started, and the stream
+ * continues with the attempt that delivers the next event first. Confined to one I/O thread.
  */
-final class StreamRun {
+final class StreamRun implements StreamAttempt.Listener {
 
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
-    private static final String EVENT_STREAM = "text/event-stream";
+    /** Time between a failed hedged attempt and the next one, in milliseconds. */
+    private static final long HEDGE_RETRY_MILLIS = 100;
+
     private final RelayContext context;
     private final RelayRequest request;
     private final AdmissionWindow window;
@@ -50,18 +48,14 @@
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
     private final Attempts attempts;
     private final StallPolicy stallPolicy;
+    private final StreamProgress progress;
     private final Runnable progressCheck = this::checkProgress;
-    private Attempt current;
+    private StreamAttempt primary;
+    private StreamAttempt hedge;
+    private long nextHedgeAt;
     private boolean headSent;
     private boolean done;
-    private boolean retryCharged;
-    private String lastEventId;
-    private long lastId = EventStreamDecoder.Event.NO_ID;
-    private long progressAt;
     private int resumptions;
-    private long eventCount;
-    private long longestPause;
-    private long firstEventMillis;
 
     StreamRun(RelayContext context, RelayRequest request, AdmissionWindow window, EventLoop loop, String lastEventId) {
         this.window = window;
@@ -70,10 +64,7 @@
         this.attempts = new Attempts(context, request);
         this.stallPolicy = new StallPolicy(context.forwarder().detector(), context.stalledHeads());
         this.loop = loop;
-        this.lastEventId = lastEventId;
-        if (lastEventId != null) {
-            lastId = parseEventId(lastEventId);
-        }
+        this.progress = new StreamProgress(lastEventId);
     }
 
     /** Starts the request; emits the response head or a {@link RelayRefusal}. */
@@ -99,19 +90,13 @@
         }
         LOG.infof(
                 "request %s: client disconnected after %d ms and %d events",
-                request.attemptId(), context.now() - request.receivedAt(), eventCount);
-        if (current != null) {
-            attempts.markAbandoned(current.hop, current.progress());
-        }
+                request.attemptId(), context.now() - request.receivedAt(), progress.events());
+        abandonAll();
         finish();
     }
 
     private void startAttempt() {
-        if (done) {
-            return;
-        }
-        long now = context.now();
-        if (request.deadlineAt() <= now) {
+        if (context.now() >= request.deadlineAt()) {
             abort("the deadline has passed");
             return;
         }
@@ -120,104 +105,172 @@
             abort(attempts.describeNoHop());
             return;
         }
-        Attempt a = new Attempt(hop);
-        current = a;
-        progressAt = now;
-        a.state.requestStarted();
-        a.subscription = hop.send(request, lastEventId, attempts.history(), a::readResponse)
-                .subscribe(a::onChunk, a::fail, a::complete);
+        primary = new StreamAttempt(context, hop, this);
+        primary.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
 
-    /** Checks the deadline, and whether the current target has stalled or no longer serves. */
     private void checkProgress() {
-        if (done || current == null) {
+        if (done) {
             return;
         }
         long now = context.now();
         if (now >= request.deadlineAt()) {
-            current.cancel();
-            attempts.abandon(current.hop, current.progress());
+            abandonAll();
             abort("the deadline has passed");
             return;
         }
-        Attempt a = current;
-        if (!context.state().targets().isStillServing(a.target)) {
-            a.fail(AttemptFailure.abandoned("the group no longer serves"));
+        if (primary == null || hedge != null || now < nextHedgeAt || !shouldHedge(primary, now)) {
             return;
         }
-        long lastProgressAt = Math.max(progressAt, a.state.lastProgressAt());
-        StallTimeout timeout = StallTimeout.of(request.route(), eventCount == 0, a.state);
-        boolean stalled = now - lastProgressAt > timeout.millis();
-        if (stalled && !a.hop.isEntry()) {
-            context.forwarder().detector().suspectSilence();
+        if (request.isForwarded()) {
+            returnIfLost(primary);
+        } else {
+            startHedge(now);
         }
-        if (stalled && stallPolicy.shouldAbandon(a.hop, timeout, lastProgressAt, now) && canRetryElsewhere(a, now)) {
-            retryCharged = true;
-            a.fail(AttemptFailure.abandoned(
-                    "no event for " + (now - lastProgressAt) + " ms, " + stallPolicy.describe(a.hop)));
+    }
+
+    /** Returns a stream at a lost group to the entry that forwarded it, which decides about another run. */
+    private void returnIfLost(StreamAttempt a) {
+        boolean lost = !context.state().targets().isStillServing(a.hop().target())
+                || stallPolicy.isKnownLost(a.hop(), lastProgressAt(a));
+        if (lost && attempts.mayRetry()) {
+            a.fail(AttemptFailure.abandoned("the group has lost a member"));
         }
     }
 
-    /**
-     * Returns whether the route, the other targets and the retry budget allow a retry of the stalled stream. A retry of a forwarded
-     * request is charged by the entry that forwarded it.
-     */
-    private boolean canRetryElsewhere(Attempt a, long now) {
-        if (!attempts.mayRetry()) {
+    /** Returns whether an attempt has stalled and is likely lost, or its target has announced that it no longer serves. */
+    private boolean shouldHedge(StreamAttempt a, long now) {
+        if (!context.state().targets().isStillServing(a.hop().target())) {
+            return true;
+        }
+        long lastProgressAt = lastProgressAt(a);
+        StallTimeout timeout =
+                StallTimeout.of(request.route(), progress.events() == 0, a.hop().state());
+        if (now - lastProgressAt <= timeout.millis()) {
             return false;
         }
-        NextHop other = attempts.chooseHop();
-        return other != null
-                && !other.state().isEjected(now)
-                && (request.isForwarded() || context.retryBudget().tryRetry(request.service()));
+        if (!a.hop().isEntry()) {
+            context.forwarder().detector().suspectSilence();
+        }
+        return stallPolicy.shouldHedge(a.hop(), timeout, lastProgressAt, now);
     }
 
-    private void attemptFailed(Attempt a, AttemptFailure f) {
-        if (f.isUnreachable() && !a.hop.isEntry()) {
-            stallPolicy.reportUnreachable(a.target);
-        }
-        if (attempts.recordFailure(a.hop, f, a.progress(), eventCount, retryCharged)
-                .isRetry()) {
-            retryCharged = false;
-            resumptions += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
-            startAttempt();
-        } else {
-            abort(f.getMessage());
+    private long lastProgressAt(StreamAttempt a) {
+        return Math.max(
+                Math.max(a.startedAt(), progress.deliveredAt()), a.hop().state().lastProgressAt());
+    }
+
+    private void startHedge(long now) {
+        NextHop hop = attempts.nextHedge(now);
+        if (hop == null) {
+            return;
         }
+        LOG.infof(
+                "request %s: no event from %s for %d ms after %d events, %s; second attempt at %s",
+                request.attemptId(),
+                primary.hop().target().instance(),
+                now - lastProgressAt(primary),
+                progress.events(),
+                stallPolicy.describe(primary.hop()),
+                hop.target().instance());
+        hedge = new StreamAttempt(context, hop, this);
+        hedge.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
 
-    private void abort(String reason) {
-        if (done) {
+    private StreamAttempt other(StreamAttempt a) {
+        return a == primary ? hedge : primary;
+    }
+
+    /** Continues with one of two attempts and cancels the other one. */
+    private void select(StreamAttempt a) {
+        StreamAttempt loser = other(a);
+        primary = a;
+        hedge = null;
+        if (loser == null) {
             return;
         }
-        finish();
-        if (headSent) {
-            LOG.warnf(
-                    "request %s: stream %s after %d events, %d ms: %s",
-                    request.attemptId(),
-                    request.isForwarded()
-                            ? "returned to entry " + request.forward().sender()
-                            : "aborted",
-                    eventCount,
-                    context.now() - request.receivedAt(),
-                    reason);
-            context.metrics().countRefusal(0);
-            events.tryEmitError(new RelayRefusal(502, Verdict.RAN, reason, 0));
-        } else {
-            head.tryEmitError(attempts.toRefusal(reason));
+        loser.cancel();
+        attempts.recordSuperseded(loser.hop(), loser.progress());
+        if (loser.startedAt() < a.startedAt()) {
+            resumptions++;
+            loser.hop().state().recordFailure(context.now());
         }
     }
 
-    private void finish() {
-        done = true;
-        context.streamMonitor().remove(progressCheck);
-        if (current != null) {
-            current.cancel();
+    @Override
+    public HttpHeaders onHead(StreamAttempt a, HttpClientResponse response) {
+        HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
+        attempts.writeHistory(out, a.hop(), response.status().code());
+        return out;
+    }
+
+    @Override
+    public void onEvent(StreamAttempt a, EventStreamDecoder.Event e) {
+        if (a.hasJustEstablished()) {
+            attempts.markEstablished();
+        }
+        if (progress.isNext(e)) {
+            select(a);
+            deliver(a, e);
+        } else if (progress.isAfterGap(e)) {
+            a.fail(new AttemptFailure(Verdict.RAN, "event " + e.id() + " received after " + progress.lastId()));
         }
     }
 
-    private void attemptCompleted(Attempt a) {
-        a.state.recordSuccess();
+    private void deliver(StreamAttempt a, EventStreamDecoder.Event e) {
+        long now = context.now();
+        TargetState state = a.hop().state();
+        if (progress.events() > 0) {
+            state.recordGap(now - Math.max(progress.deliveredAt(), a.startedAt()));
+        }
+        progress.record(e, now, request.receivedAt());
+        if (progress.events() == 1) {
+            context.metrics().recordFirstByte(progress.firstEventMillis());
+            if (attempts.history().runs() == 0) {
+                window.recordFirstEvent(
+                        (double) progress.firstEventMillis() / request.route().latencyObjectiveMillis(), now);
+            }
+        }
+        state.recordProgress(now);
+        if (!headSent) {
+            headSent = true;
+            context.metrics().countResponse(a.status());
+            head.tryEmitValue(new Head(a.status(), a.headers(), null));
+        }
+        events.tryEmitNext(Unpooled.wrappedBuffer(e.bytes()));
+    }
+
+    @Override
+    public void onWholeResponse(StreamAttempt a, byte[] body) {
+        if (BufferedResponse.isFailure(a.status()) && (other(a) != null || attempts.mayRetry())) {
+            a.fail(new AttemptFailure(Verdict.RAN, "the target responded with status " + a.status()));
+            return;
+        }
+        if (headSent) {
+            a.fail(new AttemptFailure(Verdict.RAN, "the response is not an event stream, status " + a.status()));
+            return;
+        }
+        select(a);
+        a.end();
+        attempts.markAnswered();
+        if (BufferedResponse.isSuccess(a.status())) {
+            attempts.markEstablished();
+        }
+        finish();
+        headSent = true;
+        context.metrics().countResponse(a.status());
+        head.tryEmitValue(new Head(a.status(), a.headers(), body));
+    }
+
+    @Override
+    public void onComplete(StreamAttempt a) {
+        if (progress.events() == 0) {
+            a.fail(AttemptFailure.truncated("the stream ended before its first event"));
+            return;
+        }
+        select(a);
+        a.end();
+        a.hop().state().recordSuccess();
         attempts.markAnswered();
         attempts.markEstablished();
         context.metrics().countAttempt("answered");
@@ -226,49 +279,74 @@
                 "request %s on %s: %d events in %d ms from %s, first after %d ms, longest pause %d ms, %d resumed, %d rejected",
                 request.attemptId(),
                 request.route().name(),
-                eventCount,
+                progress.events(),
                 context.now() - request.receivedAt(),
-                a.target.instance(),
-                firstEventMillis,
-                longestPause,
+                a.hop().target().instance(),
+                progress.firstEventMillis(),
+                progress.longestPauseMillis(),
                 resumptions,
                 attempts.rejections());
         events.tryEmitComplete();
     }
 
-    private void deliver(Attempt a, EventStreamDecoder.Event e) {
-        long now = context.now();
-        if (eventCount == 0) {
-            firstEventMillis = now - request.receivedAt();
-            context.metrics().recordFirstByte(firstEventMillis);
-            if (attempts.history().runs() == 0) {
-                window.recordFirstEvent(
-                        (double) firstEventMillis / request.route().latencyObjectiveMillis(), now);
-            }
+    @Override
+    public void onFailure(StreamAttempt a, AttemptFailure f) {
+        if (f.isUnreachable() && !a.hop().isEntry()) {
+            stallPolicy.reportUnreachable(a.hop().target());
+        }
+        primary = other(a);
+        hedge = null;
+        boolean retry = attempts.recordFailure(a.hop(), f, a.progress(), progress.events())
+                .isRetry();
+        if (primary != null) {
+            nextHedgeAt = context.now() + HEDGE_RETRY_MILLIS;
+        } else if (retry) {
+            resumptions += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
+            startAttempt();
         } else {
-            longestPause = Math.max(longestPause, now - progressAt);
-            a.state.recordGap(now - progressAt);
+            abort(f.getMessage());
         }
-        progressAt = now;
-        a.state.recordProgress(now);
-        eventCount++;
-        if (e.id() != EventStreamDecoder.Event.NO_ID) {
-            lastId = e.id();
-            lastEventId = Long.toString(e.id());
+    }
+
+    private void abort(String reason) {
+        finish();
+        if (headSent) {
+            LOG.warnf(
+                    "request %s: stream %s after %d events, %d ms: %s",
+                    request.attemptId(),
+                    request.isForwarded()
+                            ? "returned to entry " + request.forward().sender()
+                            : "aborted",
+                    progress.events(),
+                    context.now() - request.receivedAt(),
+                    reason);
+            context.metrics().countRefusal(0);
+            events.tryEmitError(new RelayRefusal(502, Verdict.RAN, reason, 0));
+        } else {
+            head.tryEmitError(attempts.toRefusal(reason));
         }
-        if (!headSent) {
-            headSent = true;
-            context.metrics().countResponse(a.status);
-            head.tryEmitValue(new Head(a.status, a.headers, null));
+    }
+
+    private void abandonAll() {
+        abandon(primary);
+        abandon(hedge);
+    }
+
+    private void abandon(StreamAttempt a) {
+        if (a != null) {
+            a.cancel();
+            attempts.abandon(a.hop(), a.progress());
         }
-        events.tryEmitNext(Unpooled.wrappedBuffer(e.bytes()));
     }
 
-    private static long parseEventId(String text) {
-        try {
-            return Long.parseLong(text);
-        } catch (NumberFormatException e) {
-            return EventStreamDecoder.Event.NO_ID;
+    private void finish() {
+        done = true;
+        context.streamMonitor().remove(progressCheck);
+        if (primary != null) {
+            primary.cancel();
+        }
+        if (hedge != null) {
+            hedge.cancel();
         }
     }
 
@@ -280,137 +358,4 @@
      * @param body the complete body, or null if the response is an event stream
      */
     record Head(int status, HttpHeaders headers, byte[] body) {}
-
-    /** An attempt at a target. */
-    private final class Attempt {
-
-        private final NextHop hop;
-        private final ServingTarget target;
-        private final TargetState state;
-        private final EventStreamDecoder decoder = new EventStreamDecoder();
-        private Disposable subscription;
-        private int status;
-        private HttpHeaders headers;
-        private int events;
-        private boolean ended;
-
-        Attempt(NextHop hop) {
-            this.hop = hop;
-            this.target = hop.target();
-            this.state = hop.state();
-        }
-
-        ResponseProgress progress() {
-            return ResponseProgress.ofStream(headers != null, events);
-        }
-
-        Publisher<Chunk> readResponse(HttpClientResponse response, ByteBufFlux body) {
-            status = response.status().code();
-            headers = context.forwardedHeaders().forResponse(response.responseHeaders());
-            attempts.writeHistory(headers, hop, status);
-            String type = response.responseHeaders().get(HttpHeaderNames.CONTENT_TYPE, "");
-            if (type.startsWith(EVENT_STREAM) && BufferedResponse.isSuccess(status)) {
-                return body.asByteArray().map(b -> new Chunk(b, false));
-            }
-            return body.aggregate().asByteArray().defaultIfEmpty(new byte[0]).map(b -> new Chunk(b, true));
-        }
-
-        void onChunk(Chunk chunk) {
-            if (ended || done) {
-                return;
-            }
-            if (!hop.isEntry()) {
-                context.forwarder().detector().recordReceived();
-            }
-            if (chunk.buffered()) {
-                onBufferedResponse(chunk.bytes());
-                return;
-            }
-            try {
-                for (EventStreamDecoder.Event e : decoder.decode(chunk.bytes())) {
-                    onEvent(e);
-                }
-            } catch (IllegalArgumentException e) {
-                fail(new AttemptFailure(Verdict.RAN, e.getMessage()));
-            }
-        }
-
-        private void onEvent(EventStreamDecoder.Event e) {
-            if (ended) {
-                return;
-            }
-            ResponseProgress before = progress();
-            events++;
-            if (progress() != before && progress() == ResponseProgress.ESTABLISHED) {
-                attempts.markEstablished();
-            }
-            boolean isNext = e.id() == EventStreamDecoder.Event.NO_ID
-                    || lastId == EventStreamDecoder.Event.NO_ID
-                    || e.id() == lastId + 1;
-            if (isNext) {
-                deliver(this, e);
-            } else if (e.id() > lastId) {
-                fail(new AttemptFailure(Verdict.RAN, "event " + e.id() + " received after " + lastId));
-            }
-        }
-
-        /** Handles a response that is not an event stream: an error of the target, or a complete response. */
-        private void onBufferedResponse(byte[] body) {
-            if (BufferedResponse.isFailure(status) && attempts.mayRetry()) {
-                fail(new AttemptFailure(Verdict.RAN, "the target responded with status " + status));
-                return;
-            }
-            if (headSent) {
-                fail(new AttemptFailure(Verdict.RAN, "the response is not an event stream, status " + status));
-                return;
-            }
-            ended = true;
-            state.requestEnded();
-            attempts.markAnswered();
-            if (BufferedResponse.isSuccess(status)) {
-                attempts.markEstablished();
-            }
-            finish();
-            headSent = true;
-            context.metrics().countResponse(status);
-            head.tryEmitValue(new Head(status, headers, body));
-        }
-
-        void fail(Throwable e) {
-            if (ended || done) {
-                return;
-            }
-            cancel();
-            AttemptFailure f =
-                    e instanceof AttemptFailure a ? a : new AttemptFailure(Verdict.MAY_HAVE_RUN, e.toString());
-            attemptFailed(this, f);
-        }
-
-        void complete() {
-            if (ended || done) {
-                return;
-            }
-            if (decoder.hasPartialEvent() || eventCount == 0) {
-                // without a length, a crash closes the connection like the end of a response
-                fail(AttemptFailure.truncated("the stream ended within an event"));
-                return;
-            }
-            ended = true;
-            state.requestEnded();
-            attemptCompleted(this);
-        }
-
-        void cancel() {
-            if (!ended) {
-                ended = true;
-                state.requestEnded();
-                if (subscription != null) {
-                    subscription.dispose();
-                }
-            }
-        }
-    }
-
-    /** Part of a response body, or all of it. */
-    private record Chunk(byte[] bytes, boolean buffered) {}
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedForwards.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedForwards.java
@@ -428,7 +428,7 @@
 
         private void failed(NextHop hop, AttemptFailure f) {
             hop.state().requestEnded();
-            if (attempts.recordFailure(hop, f, ResponseProgress.NONE, 0, false).isRetry()) {
+            if (attempts.recordFailure(hop, f, ResponseProgress.NONE, 0).isRetry()) {
                 next();
             } else {
                 onEnd.accept(this, false);
--- a/serving/src/test/java/org/hallwall/serving/relay/StalledHeadsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/StalledHeadsTest.java
@@ -48,8 +48,8 @@
         return sink.asMono();
     }
 
-    private boolean shouldAbandon(long silentSince) {
-        return heads.shouldAbandon(HEAD, silentSince, STALL_TIMEOUT_MILLIS);
+    private boolean isLikelyLost(long silentSince) {
+        return heads.isLikelyLost(HEAD, silentSince, STALL_TIMEOUT_MILLIS);
     }
 
     @ParameterizedTest
@@ -64,10 +64,10 @@
     })
     void responseDecides(GroupLiveness response, long after, boolean leaves) {
         long silentSince = now - 101;
-        Assertions.assertFalse(shouldAbandon(silentSince));
+        Assertions.assertFalse(isLikelyLost(silentSince));
         responses.get(0).tryEmitValue(response);
         now += after;
-        Assertions.assertEquals(leaves, shouldAbandon(silentSince));
+        Assertions.assertEquals(leaves, isLikelyLost(silentSince));
         Assertions.assertEquals(1, responses.size());
     }
 
@@ -82,29 +82,29 @@
     void missingResponseCountsOnlyIfTheControllerIsReachable(boolean reachable, long after, boolean leaves) {
         controllerReachable = reachable;
         long silentSince = now - 101;
-        shouldAbandon(silentSince);
+        isLikelyLost(silentSince);
         now += after;
-        Assertions.assertEquals(leaves, shouldAbandon(silentSince));
+        Assertions.assertEquals(leaves, isLikelyLost(silentSince));
     }
 
     @Test
     void laterSilenceIsQueriedAgain() {
-        shouldAbandon(now - 101);
+        isLikelyLost(now - 101);
         responses.get(0).tryEmitValue(GroupLiveness.WORKING);
         now += 2_000;
-        Assertions.assertFalse(shouldAbandon(now - 101));
+        Assertions.assertFalse(isLikelyLost(now - 101));
         responses.get(1).tryEmitValue(GroupLiveness.LOST);
-        Assertions.assertTrue(shouldAbandon(now - 101));
+        Assertions.assertTrue(isLikelyLost(now - 101));
     }
 
     /** Each query probes every member of the group. */
     @ParameterizedTest
     @CsvSource({"101, 1", "161, 2"})
     void recentlyBusyHeadIsQueriedLater(long silence, int queries) {
-        shouldAbandon(now - 101);
+        isLikelyLost(now - 101);
         responses.get(0).tryEmitValue(GroupLiveness.WORKING);
         now += 400;
-        shouldAbandon(now - silence);
+        isLikelyLost(now - silence);
         Assertions.assertEquals(queries, responses.size());
     }
 
