An unexpected error in the relay ends in a response, never in a silent connection

What callers saw: nothing, until their own timeout. An error that is no refusal (an exception or an Error of any type) left the request without a response, or closed its connection without bytes; a stream whose first attempt could not be started was not even ended by its deadline. Cause: only RelayRefusal was turned into a response, and the steps that run on timers and on the target's signals had nobody to report to. Change: each such step runs guarded; an unexpected error ends the run, cancels its attempts, is logged with its stack trace and counted (hallwall_relay_incomplete{cause=error}), and the caller gets 502 MAY_HAVE_RUN, or a closed connection after the head of a stream. Refusals after the head no longer try to write a second head. Why it holds: all entry points of StreamRun and BufferedRun are guarded: start, timers, stall checks, head, chunks, end, failure.

--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
@@ -52,6 +52,9 @@
     /** Is notified of the response; not after the attempt was cancelled. */
     interface Listener {
 
+        /** Runs a step of the attempt and handles its unexpected errors. */
+        void runGuarded(Runnable step);
+
         /** Returns the headers of the response for the client. */
         HttpHeaders onHead(BufferedAttempt a, HttpClientResponse head);
 
@@ -73,7 +76,7 @@
         Disposable sent = hop.send(request, null, history, this::readResponse)
                 .next()
                 .switchIfEmpty(Mono.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response ended prematurely")))
-                .subscribe(this::onResponse, this::onError);
+                .subscribe(r -> listener.runGuarded(() -> onResponse(r)), e -> listener.runGuarded(() -> onError(e)));
         if (!ended) {
             subscription = sent;
         }
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -66,16 +66,45 @@
 
     /** Starts the request; emits the response or a {@link RelayRefusal}. */
     Mono<BufferedResponse> start() {
-        loop.execute(() -> {
+        loop.execute(() -> runGuarded(() -> {
             if (!done) {
                 long remainingMillis = Math.max(0, request.deadlineAt() - context.now());
-                deadlineTimer = loop.schedule(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+                deadlineTimer = schedule(this::onDeadline, remainingMillis);
                 startAttempt();
             }
-        });
+        }));
         return result.asMono().doOnCancel(this::cancel);
     }
 
+    private ScheduledFuture<?> schedule(Runnable step, long delayMillis) {
+        return loop.schedule(() -> runGuarded(step), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a step; an unexpected error ends the request instead of leaving it without a response. */
+    @Override
+    public void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            if (done) {
+                LOG.errorf(e, "request %s: unexpected error after its end", request.attemptId());
+            } else {
+                cancelAttempts();
+                finish();
+                result.tryEmitError(e);
+            }
+        }
+    }
+
+    private void cancelAttempts() {
+        if (primary != null) {
+            primary.cancel();
+        }
+        if (hedge != null) {
+            hedge.cancel();
+        }
+    }
+
     private void startAttempt() {
         if (context.now() >= request.deadlineAt()) {
             fail("the deadline has passed");
@@ -100,7 +129,7 @@
 
     private void scheduleHedge(long delayMillis) {
         cancel(hedgeTimer);
-        hedgeTimer = loop.schedule(this::startHedge, delayMillis, TimeUnit.MILLISECONDS);
+        hedgeTimer = schedule(this::startHedge, delayMillis);
     }
 
     private void startHedge() {
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -168,16 +168,13 @@
                     req,
                     res,
                     forwarded ? receiver.receiveForwarded(req, forwardedInFlight.get()) : receiver.receive(req));
-        } catch (RelayRefusal e) {
-            response = writer.writeRefusal(req, res, e);
+        } catch (RelayRefusal | RuntimeException | Error e) {
+            response = writer.writeError(req, res, e, channel(req));
         }
-        long start = context.now();
-        return response.doOnError(e -> writer.logIncomplete(req, context.now() - start, e))
-                .doOnCancel(() -> writer.logCancelled(req, context.now() - start))
-                .doFinally(s -> {
-                    inFlight.decrementAndGet();
-                    forwardedInFlight.addAndGet(-forwardedCount);
-                });
+        return response.doOnCancel(() -> writer.logCancelled(req)).doFinally(s -> {
+            inFlight.decrementAndGet();
+            forwardedInFlight.addAndGet(-forwardedCount);
+        });
     }
 
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
@@ -187,7 +184,7 @@
                 .flatMap(this::rejectIfHeldBack)
                 .flatMap(r ->
                         r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r))
-                .onErrorResume(RelayRefusal.class, e -> writer.writeRefusal(req, res, e));
+                .onErrorResume(e -> writer.writeError(req, res, e, channel(req)));
     }
 
     /** Determines the features of the request if there are crash suspects. */
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import org.hallwall.core.verdict.Verdict;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -99,22 +100,38 @@
         return writeBody(res, (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Logs that a connection is closed without a complete response because of an error. */
-    void logIncomplete(HttpServerRequest req, long afterMillis, Throwable e) {
-        context.metrics().countIncomplete("error");
-        LOG.errorf(
-                e,
-                "request %s: connection closed without a complete response after %d ms",
-                req.requestHeaders().get(context.headerNames().attemptId()),
-                afterMillis);
+    /**
+     * Responds to a request that has ended with an error of any type. After the head of a response, the connection is closed instead, so
+     * that the client notices that the response is incomplete.
+     */
+    Mono<Void> writeError(HttpServerRequest req, HttpServerResponse res, Throwable e, Channel channel) {
+        RelayRefusal refusal = e instanceof RelayRefusal r
+                ? r
+                : new RelayRefusal(
+                        502,
+                        Verdict.MAY_HAVE_RUN,
+                        "internal error, " + e.getClass().getSimpleName(),
+                        0);
+        if (refusal != e) {
+            context.metrics().countIncomplete("error");
+            LOG.errorf(
+                    e,
+                    "request %s: failed with an unexpected error",
+                    req.requestHeaders().get(context.headerNames().attemptId()));
+        }
+        if (res.hasSentHeaders()) {
+            channel.close();
+            return Mono.empty();
+        }
+        return writeRefusal(req, res, refusal);
     }
 
     /** Logs that the client, or the shutdown of this entry, has closed the connection before the response was complete. */
-    void logCancelled(HttpServerRequest req, long afterMillis) {
+    void logCancelled(HttpServerRequest req) {
         context.metrics().countIncomplete("closed");
         LOG.infof(
-                "request %s: connection was closed before the response was complete, after %d ms",
-                req.requestHeaders().get(context.headerNames().attemptId()), afterMillis);
+                "request %s: connection was closed before the response was complete",
+                req.requestHeaders().get(context.headerNames().attemptId()));
     }
 
     private static void copyHeaders(HttpServerResponse res, HttpHeaders from) {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
@@ -61,6 +61,9 @@
     /** Is notified of the response; not after the attempt has ended. */
     interface Listener {
 
+        /** Runs a step of the attempt and handles its unexpected errors. */
+        void runGuarded(Runnable step);
+
         /** Returns the headers of the response for the client. */
         HttpHeaders onHead(StreamAttempt a, HttpClientResponse head);
 
@@ -87,7 +90,10 @@
     void start(RelayRequest request, String lastEventId, RequestHistory history) {
         hop.state().requestStarted();
         Disposable sent = hop.send(request, lastEventId, history, this::readResponse)
-                .subscribe(this::onChunk, this::fail, this::onEnd);
+                .subscribe(
+                        c -> listener.runGuarded(() -> onChunk(c)),
+                        e -> listener.runGuarded(() -> fail(e)),
+                        () -> listener.runGuarded(this::onEnd));
         if (ended) {
             sent.dispose();
         } else {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -49,7 +49,7 @@
     private final Attempts attempts;
     private final StallPolicy stallPolicy;
     private final StreamProgress progress;
-    private final Runnable progressCheck = this::checkProgress;
+    private final Runnable progressCheck = () -> runGuarded(this::checkProgress);
     private StreamAttempt primary;
     private StreamAttempt hedge;
     private long nextHedgeAt;
@@ -69,15 +69,31 @@
 
     /** Starts the request; emits the response head or a {@link RelayRefusal}. */
     Mono<Head> start() {
-        loop.execute(() -> {
+        loop.execute(() -> runGuarded(() -> {
             if (!done) {
                 context.streamMonitor().add(loop, progressCheck);
                 startAttempt();
             }
-        });
+        }));
         return head.asMono();
     }
 
+    /** Runs a step; an unexpected error ends the request instead of leaving it without a response. */
+    @Override
+    public void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            if (done) {
+                LOG.errorf(e, "request %s: unexpected error after its end", request.attemptId());
+            } else {
+                finish();
+                head.tryEmitError(e);
+                events.tryEmitError(e);
+            }
+        }
+    }
+
     /** Returns the events; terminates with an error if the stream cannot be completed. */
     Flux<ByteBuf> events() {
         return events.asFlux();
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.EventLoop;
@@ -93,6 +94,8 @@
     private final CrashWatch crashes;
     private final RelayServer server;
     private volatile GroupLiveness liveness = GroupLiveness.UNKNOWN;
+    private final AtomicInteger readingsLeft = new AtomicInteger();
+    private volatile Throwable readingError;
 
     RelayFixture() throws ProgramException {
         this(100);
@@ -137,12 +140,35 @@
                         () -> List.copyOf(availableEntries),
                         balancer,
                         new EntryClient(loops, NAMES, new InstanceId("entry"), state, Ticker.SYSTEM)),
-                Ticker.SYSTEM));
+                this::readClock));
         server.open(new NetAddress("127.0.0.1", 0), loops);
         server.openForwarding(new NetAddress("127.0.0.1", 0), loops);
         state.applyConfiguration(configuration(objectiveMillis));
     }
 
+    /** Makes one reading of the relay's clock fail, after some that succeed. */
+    void failReading(int readingsBefore, Throwable error) {
+        readingError = error;
+        readingsLeft.set(readingsBefore);
+    }
+
+    /** Returns whether the failure of {@link #failReading} has happened. */
+    boolean hasFailed() {
+        return readingsLeft.get() < 0;
+    }
+
+    private long readClock() {
+        if (readingError != null && readingsLeft.getAndDecrement() == 0) {
+            RelayFixture.<RuntimeException>throwUnchecked(readingError);
+        }
+        return Ticker.SYSTEM.millis();
+    }
+
+    @SuppressWarnings("unchecked")
+    private static <E extends Throwable> void throwUnchecked(Throwable e) throws E {
+        throw (E) e;
+    }
+
     /** Stands in for {@link PermitExchange}, without the network. */
     private void askForPermits() {
         List<PermitDemand> asks = permits.dueRequests();
