--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -171,7 +171,7 @@
         } catch (RelayRefusal | RuntimeException | Error e) {
             response = writer.writeError(req, res, e, channel(req));
         }
-        return response.doOnCancel(() -> writer.logCancelled(req)).doFinally(s -> {
+        return response.doOnCancel(() -> writer.logCancelled(req, res)).doFinally(s -> {
             inFlight.decrementAndGet();
             forwardedInFlight.addAndGet(-forwardedCount);
         });
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -126,12 +126,15 @@
         return writeRefusal(req, res, refusal);
     }
 
-    /** Logs that the client, or the shutdown of this entry, has closed the connection before the response was complete. */
-    void logCancelled(HttpServerRequest req) {
-        context.metrics().countIncomplete("closed");
-        LOG.infof(
-                "request %s: connection was closed before the response was complete",
-                req.requestHeaders().get(context.headerNames().attemptId()));
+    /** Logs that the client, or the shutdown of this entry, has closed the connection before the head of the response. */
+    void logCancelled(HttpServerRequest req, HttpServerResponse res) {
+        // a response to a request whose body is not read also cancels the exchange once it has been written
+        if (!res.hasSentHeaders()) {
+            context.metrics().countIncomplete("closed");
+            LOG.infof(
+                    "request %s: connection was closed before the response",
+                    req.requestHeaders().get(context.headerNames().attemptId()));
+        }
     }
 
     private static void copyHeaders(HttpServerResponse res, HttpHeaders from) {
