A stream without a first event leaves a lost group when no other target takes it at once

The caller can still be refused then and try again, so such a stream is abandoned as before the change; one that has delivered events stays, since nothing better is left for it. Hedged attempts that are rejected follow each other at growing intervals, so that the rejections that a request may have are not used up within 0.4 s. PausingTargetTest, RelayTest, ForwardedAttemptsTest: 114 pass.

--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -37,8 +37,8 @@
 final class StreamRun implements StreamAttempt.Listener {
 
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
-    /** Time between a failed hedged attempt and the next one, in milliseconds. */
-    private static final long HEDGE_RETRY_MILLIS = 100;
+    /** Time between the first failed hedged attempt and the next one, in milliseconds; doubles with each. */
+    private static final long MIN_HEDGE_RETRY_MILLIS = 100;
 
     private final RelayContext context;
     private final RelayRequest request;
@@ -53,6 +53,7 @@
     private StreamAttempt primary;
     private StreamAttempt hedge;
     private long nextHedgeAt;
+    private int failedHedges;
     private boolean headSent;
     private boolean done;
     private int resumptions;
@@ -147,13 +148,16 @@
 
     /** Returns a stream at a lost group to the entry that forwarded it, which decides about another run. */
     private void returnIfLost(StreamAttempt a) {
-        boolean lost = !context.state().targets().isStillServing(a.hop().target())
-                || stallPolicy.isKnownLost(a.hop(), lastProgressAt(a));
-        if (lost && attempts.mayRetry()) {
+        if (isKnownLost(a) && attempts.mayRetry()) {
             a.fail(AttemptFailure.abandoned("the group has lost a member"));
         }
     }
 
+    private boolean isKnownLost(StreamAttempt a) {
+        return !context.state().targets().isStillServing(a.hop().target())
+                || stallPolicy.isKnownLost(a.hop(), lastProgressAt(a));
+    }
+
     /** Returns whether an attempt has stalled and is likely lost, or its target has announced that it no longer serves. */
     private boolean shouldHedge(StreamAttempt a, long now) {
         if (!context.state().targets().isStillServing(a.hop().target())) {
@@ -312,10 +316,16 @@
         }
         primary = other(a);
         hedge = null;
+        if (primary != null && !headSent && isKnownLost(primary)) {
+            // the caller can still be refused, which is better than waiting for the end of a lost group
+            abandon(primary);
+            primary = null;
+        }
         boolean retry = attempts.recordFailure(a.hop(), f, a.progress(), progress.events())
                 .isRetry();
         if (primary != null) {
-            nextHedgeAt = context.now() + HEDGE_RETRY_MILLIS;
+            nextHedgeAt = context.now() + (MIN_HEDGE_RETRY_MILLIS << failedHedges);
+            failedHedges++;
         } else if (retry) {
             resumptions += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
             startAttempt();
