--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
@@ -77,7 +77,9 @@
                 .next()
                 .switchIfEmpty(Mono.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response ended prematurely")))
                 .subscribe(r -> listener.runGuarded(() -> onResponse(r)), e -> listener.runGuarded(() -> onError(e)));
-        if (!ended) {
+        if (ended) {
+            sent.dispose();
+        } else {
             subscription = sent;
         }
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -37,7 +37,7 @@
 final class StreamRun implements StreamAttempt.Listener {
 
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
-    /** Time between the first failed hedged attempt and the next one, in milliseconds; doubles with each. */
+    /** Time between a hedged attempt that fails, or for which no target is free, and the next one, in milliseconds; doubles with failures. */
     private static final long MIN_HEDGE_RETRY_MILLIS = 100;
 
     private final RelayContext context;
@@ -183,6 +183,7 @@
     private void startHedge(long now) {
         NextHop hop = attempts.nextHedge(now);
         if (hop == null) {
+            nextHedgeAt = now + MIN_HEDGE_RETRY_MILLIS;
             return;
         }
         LOG.infof(
