Hedged attempts after an independent review: lost hedges, other statuses, errors after the end of a run

The response is now always emitted, and errors of the virtual machine are wrapped, since Reactor throws them again instead of signalling them. A client that leaves during its upload is no error.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -73,7 +73,7 @@
     }
 
     /** Returns whether the request may be sent to a second target while the first one runs it. */
-    boolean mayHedge() {
+    private boolean mayHedge() {
         // an entry runs a forwarded request at one target, and a suspect might crash both
         return mayRetry()
                 && !request.isForwarded()
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -86,12 +86,12 @@
         try {
             step.run();
         } catch (RuntimeException | Error e) {
-            if (done) {
-                LOG.errorf(e, "request %s: unexpected error after its end", request.attemptId());
-            } else {
+            LOG.errorf(e, "request %s: unexpected error", request.attemptId());
+            try {
                 cancelAttempts();
                 finish();
-                result.tryEmitError(e);
+            } finally {
+                result.tryEmitError(ErrorSignals.toSignal(e));
             }
         }
     }
@@ -133,7 +133,7 @@
     }
 
     private void startHedge() {
-        if (done || primary == null || hedge != null || !attempts.mayHedge()) {
+        if (done || primary == null || hedge != null || !attempts.mayRetry()) {
             return;
         }
         NextHop hop = attempts.nextHedge(context.now());
@@ -176,7 +176,7 @@
     @Override
     public void onResponse(BufferedAttempt a, BufferedResponse response) {
         attempts.markAnswered();
-        if (response.isFailure()) {
+        if (response.isFailure() || other(a) != null && !response.isSuccess()) {
             failedResponse = response;
             onFailure(a, new AttemptFailure(Verdict.RAN, "the target responded with status " + response.status()));
             return;
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -180,13 +180,23 @@
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
         int maxBodyBytes = context.state().routes().configuration().limits().maxBodyBytes();
         return RequestBody.read(req, maxBodyBytes)
-                .map(body -> withFeatures(toRequest.apply(body)))
-                .flatMap(this::rejectIfHeldBack)
-                .flatMap(r ->
-                        r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r))
+                .flatMap(guarded(body -> rejectIfHeldBack(withFeatures(toRequest.apply(body)))))
+                .flatMap(guarded(r ->
+                        r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r)))
                 .onErrorResume(e -> writer.writeError(req, res, e, channel(req)));
     }
 
+    /** Turns each error of a step into an error signal; Reactor itself rethrows errors of the virtual machine. */
+    private static <A, B> Function<A, Mono<B>> guarded(Function<A, Mono<B>> step) {
+        return a -> {
+            try {
+                return step.apply(a);
+            } catch (RuntimeException | Error e) {
+                return Mono.error(ErrorSignals.toSignal(e));
+            }
+        };
+    }
+
     /** Determines the features of the request if there are crash suspects. */
     private RelayRequest withFeatures(RelayRequest r) {
         CrashWatch crashes = context.crashWatch();
@@ -215,11 +225,11 @@
         return new BufferedRun(context, r, channel(req).eventLoop())
                 .start()
                 .takeUntilOther(whenClosed(req))
-                .flatMap(a -> {
+                .flatMap(guarded(a -> {
                     context.metrics().countResponse(a.status());
                     context.metrics().recordFirstByte(context.now() - r.receivedAt());
                     return writer.writeBuffered(res, a);
-                });
+                }));
     }
 
     private Mono<Void> relayStream(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
@@ -239,12 +249,12 @@
         GenericFutureListener<Future<Void>> onClose = f -> run.cancel();
         channel.closeFuture().addListener(onClose);
         return run.start()
-                .flatMap(h -> {
+                .flatMap(guarded(h -> {
                     if (h.body() != null) {
                         return writer.writeBuffered(res, new BufferedResponse(h.status(), h.headers(), h.body()));
                     }
                     return writer.writeStream(req, res, h, run.events(), channel);
-                })
+                }))
                 .doOnCancel(run::cancel)
                 .doFinally(s -> {
                     context.admission().release(window, r);
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -30,6 +30,7 @@
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.channel.AbortedException;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -112,6 +113,10 @@
                         Verdict.MAY_HAVE_RUN,
                         "internal error, " + e.getClass().getSimpleName(),
                         0);
+        if (AbortedException.isConnectionReset(e)) {
+            logCancelled(req, res);
+            return Mono.empty();
+        }
         if (refusal != e) {
             context.metrics().countIncomplete("error");
             LOG.errorf(
@@ -123,9 +128,19 @@
             channel.close();
             return Mono.empty();
         }
+        removeTargetHeaders(res.responseHeaders());
         return writeRefusal(req, res, refusal);
     }
 
+    /** Removes headers that were copied from a response which could not be written. */
+    private static void removeTargetHeaders(HttpHeaders headers) {
+        String connection = headers.get(HttpHeaderNames.CONNECTION);
+        headers.clear();
+        if (connection != null) {
+            headers.set(HttpHeaderNames.CONNECTION, connection);
+        }
+    }
+
     /** Logs that the client, or the shutdown of this entry, has closed the connection before the head of the response. */
     void logCancelled(HttpServerRequest req, HttpServerResponse res) {
         // a response to a request whose body is not read also cancels the exchange once it has been written
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -85,12 +85,12 @@
         try {
             step.run();
         } catch (RuntimeException | Error e) {
-            if (done) {
-                LOG.errorf(e, "request %s: unexpected error after its end", request.attemptId());
-            } else {
+            LOG.errorf(e, "request %s: unexpected error", request.attemptId());
+            try {
                 finish();
-                head.tryEmitError(e);
-                events.tryEmitError(e);
+            } finally {
+                head.tryEmitError(ErrorSignals.toSignal(e));
+                events.tryEmitError(ErrorSignals.toSignal(e));
             }
         }
     }
@@ -136,7 +136,11 @@
             abort("the deadline has passed");
             return;
         }
-        if (primary == null || hedge != null || now < nextHedgeAt || !shouldHedge(primary, now)) {
+        if (hedge != null) {
+            checkHedge(now);
+            return;
+        }
+        if (primary == null || now < nextHedgeAt || !shouldHedge(primary, now)) {
             return;
         }
         if (request.isForwarded()) {
@@ -146,9 +150,16 @@
         }
     }
 
-    /** Returns a stream at a lost group to the entry that forwarded it, which decides about another run. */
+    /** Makes room for another hedged attempt if the group of this one is lost too; the first attempt goes on. */
+    private void checkHedge(long now) {
+        if (shouldHedge(hedge, now) && isKnownLost(hedge)) {
+            hedge.fail(AttemptFailure.abandoned("the group has lost a member"));
+        }
+    }
+
+    /** Returns a stream without events at a lost group to the entry that forwarded it, which decides about another run. */
     private void returnIfLost(StreamAttempt a) {
-        if (isKnownLost(a) && attempts.mayRetry()) {
+        if (!headSent && isKnownLost(a) && attempts.mayRetry()) {
             a.fail(AttemptFailure.abandoned("the group has lost a member"));
         }
     }
@@ -263,7 +274,8 @@
 
     @Override
     public void onWholeResponse(StreamAttempt a, byte[] body) {
-        if (BufferedResponse.isFailure(a.status()) && (other(a) != null || attempts.mayRetry())) {
+        boolean retryable = BufferedResponse.isFailure(a.status()) && attempts.mayRetry();
+        if (retryable || other(a) != null && !BufferedResponse.isSuccess(a.status())) {
             a.fail(new AttemptFailure(Verdict.RAN, "the target responded with status " + a.status()));
             return;
         }
@@ -325,7 +337,8 @@
         boolean retry = attempts.recordFailure(a.hop(), f, a.progress(), progress.events())
                 .isRetry();
         if (primary != null) {
-            nextHedgeAt = context.now() + (MIN_HEDGE_RETRY_MILLIS << failedHedges);
+            long delayMillis = isKnownLost(primary) ? 0 : MIN_HEDGE_RETRY_MILLIS << failedHedges;
+            nextHedgeAt = context.now() + delayMillis;
             failedHedges++;
         } else if (retry) {
             resumptions += f.verdict() == Verdict.NOT_RUN ? 0 : 1;
--- a/serving/src/test/java/org/hallwall/serving/relay/PausingTargetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/PausingTargetTest.java
@@ -33,6 +33,8 @@
 import java.util.stream.IntStream;
 
 import org.hallwall.serving.target.GroupLiveness;
+import org.hallwall.serving.target.GroupMembership;
+import org.hallwall.serving.target.GroupState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
@@ -69,6 +71,7 @@
         BUSY(rejection(503)),
         TOO_MANY_REQUESTS(rejection(429)),
         ERROR((r, c) -> c.send("HTTP/1.1 500 Error\r\nX-Attempt: ATTEMPT\r\nContent-Length: 0\r\n\r\n")),
+        NOT_FOUND((r, c) -> c.send("HTTP/1.1 404 Not Found\r\nX-Attempt: ATTEMPT\r\nContent-Length: 0\r\n\r\n")),
         RESET((r, c) -> c.reset()),
         SILENT((r, c) -> c.awaitClose());
 
@@ -189,6 +192,9 @@
             for (Other o : Other.values()) {
                 out.add(Arguments.of(m, o, GroupLiveness.WORKING));
                 out.add(Arguments.of(m, o, GroupLiveness.UNKNOWN));
+                if (m == Moment.BETWEEN_EVENTS || m == Moment.BEFORE_END) {
+                    out.add(Arguments.of(m, o, GroupLiveness.LOST));
+                }
             }
         }
         return out;
@@ -206,6 +212,32 @@
         Assertions.assertTrue(runsStarted() <= 1 + 4, "the first run, and the rejected attempts that are allowed");
     }
 
+    /** What the tables of the entry say about a group whose stream is in progress. */
+    private enum Announcement {
+        CLOSED,
+        GONE
+    }
+
+    @ParameterizedTest
+    @EnumSource(Announcement.class)
+    void streamOfAGroupThatLeavesTheTablesIsCompleted(Announcement what) throws Exception {
+        ScriptedTarget.Script pausing = (r, c) -> {
+            c.send(EVENTS).chunk(event(1)).chunk(event(2));
+            if (what == Announcement.GONE) {
+                relay.remove("i-1");
+            } else {
+                GroupMembership closed = new GroupMembership("g-i-1", 1, 0, GroupState.READY);
+                relay.announce("llm", "i-1", targets.get(0).port(), closed);
+            }
+            pause();
+            c.chunk(events(3)).send(LAST_CHUNK);
+        };
+        addTargets("llm", 1, pausing, Other.BUSY.script);
+        HttpResponse<String> a = send("stream");
+        Assertions.assertEquals(200, a.statusCode());
+        Assertions.assertEquals(events(1), a.body());
+    }
+
     static List<Arguments> requestsBesideOtherTargets() {
         List<Arguments> out = new ArrayList<>();
         for (Moment m : List.of(Moment.BEFORE_HEAD, Moment.AFTER_HEAD, Moment.BETWEEN_EVENTS)) {
--- a/serving/src/test/java/org/hallwall/serving/relay/UnexpectedErrorTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/UnexpectedErrorTest.java
@@ -25,6 +25,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
@@ -75,34 +78,61 @@
         for (String kind : List.of("stream", "idempotent", "non_idempotent")) {
             for (Throwable e :
                     List.of(new IllegalStateException("test"), new AssertionError("test"), new StackOverflowError())) {
-                out.add(Arguments.of(kind, e));
+                for (Targets which : Targets.values()) {
+                    out.add(Arguments.of(kind, e, which));
+                }
             }
         }
         return out;
     }
 
+    /** The targets of the requests. */
+    private enum Targets {
+        GOOD(false, true),
+        BAD(true, false),
+        BOTH(true, true);
+
+        private final boolean bad;
+        private final boolean good;
+
+        Targets(boolean bad, boolean good) {
+            this.bad = bad;
+            this.good = good;
+        }
+    }
+
+    private void addTargets(Targets which) throws Exception {
+        if (which.bad) {
+            addTarget((r, c) -> c.send(ERROR));
+            addTarget((r, c) -> c.reset());
+        }
+        if (which.good) {
+            addTarget((r, c) -> {
+                if (r.line().contains("/stream/")) {
+                    c.send(EVENTS).chunk(EVENT).send("0\r\n\r\n");
+                } else {
+                    c.send(WHOLE);
+                }
+            });
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("requestsAndErrors")
-    void requestGetsAResponseWhateverFails(String kind, Throwable error) throws Exception {
-        addTarget((r, c) -> c.send(ERROR));
-        addTarget((r, c) -> {
-            if (r.line().contains("/stream/")) {
-                c.send(EVENTS).chunk(EVENT).send("0\r\n\r\n");
-            } else {
-                c.send(WHOLE);
-            }
-        });
+    void requestGetsAResponseWhateverFails(String kind, Throwable error, Targets which) throws Exception {
+        addTargets(which);
         int failures = 0;
         for (int n = 0; n < MAX_READINGS; n++) {
             relay.failReading(n, error);
-            HttpResponse<String> a = send(kind, n);
+            int status = send(kind, n);
             failures += relay.hasFailed() ? 1 : 0;
-            Assertions.assertTrue(List.of(200, 500, 502).contains(a.statusCode()), a.statusCode() + ": " + a.body());
+            Assertions.assertTrue(List.of(200, 500, 502).contains(status), "status " + status);
         }
         Assertions.assertTrue(failures > 3, failures + " readings failed");
     }
 
-    private HttpResponse<String> send(String kind, int number) throws Exception {
+    /** Returns the status; 502 if the response was cut after its head, which the client notices as well. */
+    private int send(String kind, int number) throws Exception {
         HttpRequest r = HttpRequest.newBuilder(
                         URI.create("http://127.0.0.1:" + relay.port() + "/" + kind + "/x" + number))
                 .timeout(Duration.ofSeconds(10))
@@ -110,6 +140,13 @@
                 .header("X-Model", "m")
                 .header("X-Key", "secret")
                 .build();
-        return client.send(r, HttpResponse.BodyHandlers.ofString());
+        // the timeout of the request ends with the head of the response
+        CompletableFuture<HttpResponse<String>> response = client.sendAsync(r, HttpResponse.BodyHandlers.ofString());
+        try {
+            return response.get(10, TimeUnit.SECONDS).statusCode();
+        } catch (ExecutionException e) {
+            Assertions.assertTrue(kind.equals("stream") && relay.hasFailed(), () -> "cut: " + e.getCause());
+            return 502;
+        }
     }
 }
