Timers of the relay go on when a task has thrown

What operators would see: after one exception in the check of a stream no stall of any stream would be noticed until the last stream had ended; after one in the exchange of loads an entry would go by its own counts alone until its restart. Read in the code, not seen in a run. Cause: a timer of the event loop ends for good when its task throws, and the failure is kept in a future that nobody reads. Change: GuardedTask logs the failure of a task with its cause, once for consecutive failures, and lets the timer go on. StreamMonitor guards each check by itself, so that one does not stop the others; LoadExchange guards its tick. Why it holds: nothing that a task throws reaches the timer, errors such as OutOfMemoryError included.

--- a/serving/src/main/java/org/hallwall/serving/relay/LoadExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/LoadExchange.java
@@ -75,7 +75,8 @@
     }
 
     void start() {
-        timer = loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        timer = loop.scheduleAtFixedRate(
+                new GuardedTask("exchange of loads", this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     void setEntryCount(int count) {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamMonitor.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamMonitor.java
@@ -18,9 +18,9 @@
  */
 package org.hallwall.serving.relay;
 
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -32,17 +32,17 @@
     /** Interval between checks, in milliseconds; a fraction of the shortest stall timeout. */
     private static final long CHECK_INTERVAL_MILLIS = 20;
 
-    private final Set<Runnable> checks = new LinkedHashSet<>();
+    private final Map<Runnable, GuardedTask> checks = new LinkedHashMap<>();
     private ScheduledFuture<?> timer;
 
     /**
-     * Adds a check.
+     * Adds a check; one that fails runs again, and does not keep the others from running.
      *
      * @param loop the I/O thread
      * @param check the check to run at each interval
      */
     void add(EventLoop loop, Runnable check) {
-        checks.add(check);
+        checks.putIfAbsent(check, new GuardedTask("check of a stream", check));
         if (timer == null) {
             timer = loop.scheduleAtFixedRate(
                     this::runChecks, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -64,6 +64,6 @@
             timer = null;
             return;
         }
-        List.copyOf(checks).forEach(Runnable::run);
+        List.copyOf(checks.values()).forEach(GuardedTask::run);
     }
 }
