The group controller asks for leadership again after its queue was full

What operators would see: a leader that controls no groups any more, without a line in the log, until its process restarts. Read in the code, not seen in a run. Cause: the mark that a confirmation is in progress was cleared by a task in the controller's queue; if the queue was full when the confirmation arrived, the task was dropped and the mark stayed. Change: the mark is cleared by the thread that confirms if the queue does not accept the task; the next tick asks again. Why it holds: each confirmation ends with the mark cleared, in the queue or outside of it.

--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -99,7 +99,7 @@
     private long term = -1;
     private long leaderSince;
     private long lastStatusAt;
-    private boolean confirmingLeadership;
+    private volatile boolean confirmingLeadership;
 
     /**
      * Creates a controller; {@link #start()} starts it.
@@ -201,13 +201,18 @@
             return;
         }
         confirmingLeadership = true;
-        voter.leaseReadIndex()
-                .whenComplete((index, e) -> eventLoop.offer(() -> {
-                    confirmingLeadership = false;
-                    if (e == null) {
-                        runStep();
-                    }
-                }));
+        voter.leaseReadIndex().whenComplete((index, e) -> {
+            boolean accepted = eventLoop.offer(() -> {
+                confirmingLeadership = false;
+                if (e == null) {
+                    runStep();
+                }
+            });
+            if (!accepted) {
+                // the queue is full: the next tick asks again
+                confirmingLeadership = false;
+            }
+        });
     }
 
     private void runStep() {
