A member without a fabric domain no longer stops the group controller

What operators would see: while one engine of a serving group announces no fabric domain, each step of the controller throws, so that no group of its service is formed, opened or repaired. Cause: the domain, which may be null, was a key of a sorted map (CrossDomainGroups, DomainInventory) and was compared with others. Change: members without a domain count for none. A group that is adopted from such a head counts for no domain, as cross-domain groups do. Figures: six new cases of GroupPlanTest (each rank; planned and adopted groups) fail with a NullPointerException before. Why it holds: PlannedGroup.fabricDomain is never null now, and free engines have a domain (GroupPlan.freeEngines). In such a case the domain is planned with one engine fewer: with three more engines the new joins may warm up spares instead of forming a group.

--- a/serving/src/main/java/org/hallwall/serving/group/CrossDomainGroups.java
+++ b/serving/src/main/java/org/hallwall/serving/group/CrossDomainGroups.java
@@ -71,7 +71,8 @@
     }
 
     /**
-     * Returns whether a domain could form a faster group from its members of a cross-domain group and its free engines.
+     * Returns whether a domain could form a faster group from its members of a cross-domain group and its free engines. Members
+     * without a domain count for none.
      *
      * @param model the group's model
      * @param members the group's members
@@ -90,7 +91,10 @@
             if (e == null) {
                 return false;
             }
-            byDomain.merge(e.record().fabricDomain(), 1, Integer::sum);
+            String domain = e.record().fabricDomain();
+            if (domain != null) {
+                byDomain.merge(domain, 1, Integer::sum);
+            }
         }
         if (byDomain.size() < 2) {
             return false;
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -178,6 +178,12 @@
 
     // --- groups of a previous controller, or whose head has recovered
 
+    /** Returns the domain of a head's group; one of an unknown domain counts for no domain, as do cross-domain groups. */
+    private static String domainOf(Engine head) {
+        String domain = head.record().fabricDomain();
+        return domain == null ? GroupFormation.CROSS_DOMAIN : domain;
+    }
+
     private void adoptGroups(long now, EngineSpec spec, Map<InstanceId, Engine> engines) {
         for (Engine e : engines.values()) {
             GroupMembership m = e.record().group();
@@ -189,8 +195,7 @@
             EngineModel model =
                     e.record().model() == null ? null : spec.model(e.record().model());
             if (model != null && members.size() == model.size()) {
-                PlannedGroup g = new PlannedGroup(
-                        m.name(), m.epoch(), model.name(), e.record().fabricDomain(), members, now);
+                PlannedGroup g = new PlannedGroup(m.name(), m.epoch(), model.name(), domainOf(e), members, now);
                 groups.put(g.name(), g);
                 if (m.state() == GroupState.READY) {
                     // the previous controller may have ordered it to open
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -102,6 +102,37 @@
         return plan.freeEngines(engines).values().stream().mapToInt(List::size).sum();
     }
 
+    /** A group that serves stays as it is, and other engines of the service are still assigned. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void aMemberWithoutAFabricDomainDoesNotStopThePlan(int rank) {
+        PlannedGroup g = openGroup();
+        int n = Integer.parseInt(g.members().get(rank).value().substring(2));
+        GroupState state = rank == 0 ? GroupState.OPEN : GroupState.READY;
+        engine(n, null, new GroupMembership(g.name(), g.epoch(), rank, state), TargetRecord.Presence.SERVING, false);
+        for (int i = 4; i <= 6; i++) {
+            engine(i, null);
+        }
+        Assertions.assertEquals(3, of(step(), TargetOrder.Join.class).size());
+        Assertions.assertTrue(plan.groups().contains(g) && !g.isEnding());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void adoptsAGroupWithAMemberWithoutAFabricDomain(int rank) {
+        PlannedGroup g = openGroup();
+        int n = Integer.parseInt(g.members().get(rank).value().substring(2));
+        GroupState state = rank == 0 ? GroupState.OPEN : GroupState.READY;
+        engine(n, null, new GroupMembership(g.name(), g.epoch(), rank, state), TargetRecord.Presence.SERVING, false);
+        plan = new GroupPlan(2, Mechanisms.ALL);
+        step();
+        for (int i = 4; i <= 6; i++) {
+            engine(i, null);
+        }
+        Assertions.assertEquals(3, of(step(), TargetOrder.Join.class).size());
+        Assertions.assertTrue(plan.groups().stream().anyMatch(a -> a.name().equals(g.name()) && !a.isEnding()));
+    }
+
     @Test
     void joinsAllMembersAndOpensWhenAllAreReady() {
         engine(1, null);
