Bound the size of a response that is read as a whole

Callers of an entry lost their requests when one target sent a body without end: the entry read it until the attempt's timeout or its heap ran out, on routes whose responses are buffered and for error bodies on stream routes.

Cause: the bodies were aggregated without a limit, in direct memory first.

Change: BoundedBody reads a body up to a limit and cancels beyond it, which closes the connection. Responses may have 4 MiB, the usual limit of request bodies, refusals of other entries 64 KiB.

--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
@@ -20,6 +20,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.program.BoundedBody;
 import org.hallwall.serving.crash.ResponseProgress;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -94,9 +95,7 @@
     private Mono<BufferedResponse> readResponse(HttpClientResponse head, ByteBufFlux body) {
         progress = ResponseProgress.BEGUN;
         HttpHeaders headers = listener.onHead(this, head);
-        return body.aggregate()
-                .asByteArray()
-                .defaultIfEmpty(new byte[0])
+        return BoundedBody.read(body, BufferedResponse.MAX_BODY_BYTES)
                 .map(bytes -> new BufferedResponse(head.status().code(), headers, bytes));
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
@@ -29,6 +29,11 @@
  */
 record BufferedResponse(int status, HttpHeaders headers, byte[] body) {
 
+    /**
+     * Maximum size of a body that is read as a whole, in bytes; a request body of the usual limit can be returned.
+     */
+    static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
     /** The lowest status of a server error. */
     private static final int MIN_SERVER_ERROR = 500;
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
@@ -29,6 +29,7 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.program.BoundedBody;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -47,6 +48,8 @@
     private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(10);
     private static final int MAX_CONNECTIONS_PER_ENTRY = 128;
     private static final int MAX_HEAD_BYTES = 65_536;
+    /** Maximum size of the text of a refusal, in bytes. */
+    private static final int MAX_REFUSAL_BYTES = 65_536;
 
     private final HttpClient client;
     private final HeaderNames names;
@@ -144,9 +147,7 @@
             hop.recordReport(history);
             long retryAfterMillis =
                     RelayRefusal.parseRetryAfter(head.responseHeaders().get(HttpHeaderNames.RETRY_AFTER));
-            return body.aggregate()
-                    .asString()
-                    .defaultIfEmpty("")
+            return BoundedBody.readText(body, MAX_REFUSAL_BYTES)
                     .flatMapMany(text -> Flux.error(AttemptFailure.refusedByEntry(
                             refused,
                             "entry " + hop.target().instance() + " responded with "
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.program.BoundedBody;
 import org.hallwall.serving.crash.ResponseProgress;
 import org.reactivestreams.Publisher;
 import reactor.core.Disposable;
@@ -131,7 +132,7 @@
                 && BufferedResponse.isSuccess(status)) {
             return body.asByteArray().map(b -> new Chunk(b, false));
         }
-        return body.aggregate().asByteArray().defaultIfEmpty(new byte[0]).map(b -> new Chunk(b, true));
+        return BoundedBody.read(body, BufferedResponse.MAX_BODY_BYTES).map(b -> new Chunk(b, true));
     }
 
     private void onChunk(Chunk chunk) {
