Keep a duty's thread running after an error

An entry whose feed thread had ended by an OutOfMemoryError went by its last configuration and targets for good, and said that it was ready.

Cause: EventLoopThread and FeedFollower handled RuntimeException only; an Error ended the thread, or the loop of polls.

Change: any failure of a task is logged with its cause and the thread goes on; a log that fails in turn does not end it. A follower whose consumer fails polls again. An entry is ready only while its feed thread runs. Ending the process instead would lose the requests in flight, and a task that failed for memory leaves what it had allocated to the collector.

--- a/core/src/main/java/org/hallwall/core/duty/EventLoopThread.java
+++ b/core/src/main/java/org/hallwall/core/duty/EventLoopThread.java
@@ -84,6 +84,15 @@
         return true;
     }
 
+    /**
+     * Returns whether the thread runs tasks.
+     *
+     * @return false before the start and once the event loop is stopping
+     */
+    public boolean isRunning() {
+        return thread.isAlive() && !stopping;
+    }
+
     /**
      * Returns the state of the task queue.
      *
@@ -141,11 +150,21 @@
         parked.set(false);
     }
 
+    /** Runs a task; the thread outlives any failure, since its process stays in service. */
     private void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            LOG.errorf(e, "duty: task failed on thread %s", name);
+        } catch (Throwable e) {
+            logSafely(e);
+        }
+    }
+
+    /** Logs a failure; without memory, the log may fail too. */
+    private void logSafely(Throwable failure) {
+        try {
+            LOG.errorf(failure, "duty: task failed on thread %s", name);
+        } catch (Throwable ignored) {
+            // the next failure is logged once there is memory
         }
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -219,12 +219,13 @@
 
     /**
      * Returns whether the entry can serve requests: it has a configuration, target state and the list of crash
-     * suspects, and is not shutting down.
+     * suspects, follows their changes, and is not shutting down.
      *
      * @return true if the entry is ready
      */
     public boolean isReady() {
         return !stopping
+                && feedThread.isRunning()
                 && state.routes().configuration().version() > 0
                 && firstUpdateAt >= 0
                 && crashWatch.isReady()
--- a/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
@@ -145,9 +145,9 @@
             boot = news.boot();
             after = news.next();
             heardAfter = news.heardNext();
-        } catch (RuntimeException e) {
-            LOG.errorf(e, "feed: an answer of control instance %s cannot be processed", name);
+        } catch (RuntimeException | Error e) {
             scheduleRetry();
+            LOG.errorf(e, "feed: an answer of control instance %s cannot be processed", name);
             return;
         }
         poll();
