Request a configuration again if it was not applied

An entry could go by an old configuration until the next change: a version counted as received before the queue of the feed thread had accepted it, and also after its parsing had failed, so that it was not sent again.

Change: ConfigurationUpdates holds what was received. A version counts as received while it waits; if the queue is full it is forgotten at once, and a failure of any kind is logged and lets the version be requested again after 1 s (so that a version that always fails does not fill the link). Updates without a configuration count as no receipt, and the other parts of an update are applied even if its configuration is not.

--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/ConfigurationUpdates.java
@@ -0,0 +1,124 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.io.IOException;
+import java.util.function.LongSupplier;
+
+import org.hallwall.core.time.Ticker;
+import org.hallwall.serving.config.ConfigurationException;
+import org.hallwall.serving.target.FeedMessage;
+import org.jboss.logging.Logger;
+
+/**
+ * Applies the configurations that an entry receives. A version that is waiting to be applied is not requested again; one that could not
+ * be applied is, after a delay.
+ */
+final class ConfigurationUpdates {
+
+    private static final Logger LOG = Logger.getLogger(ConfigurationUpdates.class);
+    /** Time until a version that could not be applied is requested again, in milliseconds. */
+    static final long RETRY_DELAY_MILLIS = 1_000;
+
+    private final LongSupplier activeVersion;
+    private final Activation activation;
+    private final Ticker ticker;
+    private long receivedVersion;
+    private boolean failed;
+    private long failedAt;
+
+    /**
+     * Creates a component that has received nothing.
+     *
+     * @param activeVersion supplies the version in use
+     * @param activation puts a configuration to use
+     * @param ticker the clock
+     */
+    ConfigurationUpdates(LongSupplier activeVersion, Activation activation, Ticker ticker) {
+        this.activeVersion = activeVersion;
+        this.activation = activation;
+        this.ticker = ticker;
+    }
+
+    /** Puts a configuration to use. */
+    @FunctionalInterface
+    interface Activation {
+
+        /**
+         * Parses a configuration and puts it to use.
+         *
+         * @param compressed the compressed configuration
+         * @throws IOException if it cannot be decompressed
+         * @throws ConfigurationException if it is invalid
+         */
+        void activate(byte[] compressed) throws IOException, ConfigurationException;
+    }
+
+    /**
+     * Returns the newest version that need not be sent again.
+     *
+     * @return the version; zero if there is none
+     */
+    synchronized long knownVersion() {
+        if (failed && ticker.millis() - failedAt >= RETRY_DELAY_MILLIS) {
+            forget();
+        }
+        return Math.max(receivedVersion, activeVersion.getAsLong());
+    }
+
+    /**
+     * Records that an update is waiting to be applied.
+     *
+     * @param news the update
+     */
+    synchronized void markReceived(FeedMessage.Changes news) {
+        if (news.configuration() != null && news.configurationVersion() > receivedVersion) {
+            receivedVersion = news.configurationVersion();
+            failed = false;
+        }
+    }
+
+    /** Has what was received, but is not in use, sent again. */
+    synchronized void forget() {
+        receivedVersion = 0;
+        failed = false;
+    }
+
+    /**
+     * Applies the configuration of an update if it is newer than the one in use.
+     *
+     * @param news the update
+     */
+    void apply(FeedMessage.Changes news) {
+        if (news.configuration() == null || news.configurationVersion() <= activeVersion.getAsLong()) {
+            return;
+        }
+        try {
+            activation.activate(news.configuration());
+        } catch (IOException | ConfigurationException | RuntimeException | Error e) {
+            markFailed();
+            LOG.errorf(e, "configuration: version %d cannot be applied", news.configurationVersion());
+        }
+    }
+
+    private synchronized void markFailed() {
+        failed = true;
+        failedAt = ticker.millis();
+    }
+}
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -29,7 +29,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -105,7 +104,8 @@
     private final RelayServer server;
     private final EventLoopThread feedThread;
     private final Map<String, String> bootIds = new HashMap<>();
-    private final AtomicLong latestReceivedVersion = new AtomicLong();
+    private final ConfigurationUpdates configurations =
+            new ConfigurationUpdates(this::configurationVersion, this::activate, ticker);
     private ScheduledFuture<?> crashCheck;
     private volatile TargetGateway gateway;
     private volatile long firstUpdateAt = -1;
@@ -352,7 +352,7 @@
                         m.instance().value(),
                         link,
                         false,
-                        this::receivedVersion,
+                        configurations::knownVersion,
                         crashWatch::version,
                         admission::streamDemand,
                         onFeedThread(news -> applyUpdate(m.instance().value(), news)));
@@ -362,11 +362,6 @@
         }
     }
 
-    /** Returns the newest configuration version received, applied or not, so that it is not sent again. */
-    private long receivedVersion() {
-        return Math.max(latestReceivedVersion.get(), configurationVersion());
-    }
-
     private long configurationVersion() {
         return state.routes().configuration().version();
     }
@@ -374,8 +369,9 @@
     /** Hands updates to the feed thread; throws if its queue is full, so that the follower requests them again. */
     private Consumer<FeedMessage.Changes> onFeedThread(Consumer<FeedMessage.Changes> consumer) {
         return news -> {
-            latestReceivedVersion.accumulateAndGet(news.configurationVersion(), Math::max);
+            configurations.markReceived(news);
             if (!feedThread.offer(() -> consumer.accept(news))) {
+                configurations.forget();
                 throw new IllegalStateException("the queue of the feed thread is full");
             }
         };
@@ -386,9 +382,7 @@
         if (!news.boot().equals(bootIds.put(control, news.boot())) || news.lost() != null) {
             state.setLostTargets(control, news.lost() == null ? List.of() : news.lost());
         }
-        if (news.configuration() != null) {
-            applyConfiguration(news);
-        }
+        configurations.apply(news);
         if (!news.records().isEmpty() || news.lost() != null) {
             state.refreshTargets();
         }
@@ -408,15 +402,8 @@
         }
     }
 
-    private void applyConfiguration(FeedMessage.Changes news) {
-        if (news.configurationVersion() <= configurationVersion()) {
-            return;
-        }
-        try {
-            state.applyConfiguration(reader.read(Gzip.decompress(news.configuration())));
-        } catch (IOException | ConfigurationException e) {
-            LOG.errorf(e, "configuration: version %d cannot be parsed", news.configurationVersion());
-        }
+    private void activate(byte[] compressed) throws IOException, ConfigurationException {
+        state.applyConfiguration(reader.read(Gzip.decompress(compressed)));
     }
 
     /** Returns the targets that accept connections according to what they have announced and responded. */
