Limit the memory that the bodies of requests hold together

From about 16 uploads of 4 MB at once the heap of an entry ran out, and connections were closed without a response.

Cause: each body was collected up to maxBodyBytes, with its copies, and kept for retries; nothing limited their sum.

A declared length is reserved before the body is read, in one array of that length; a chunked body reserves as it grows. What does not fit is refused with 503, as not run, with Retry-After 0.5 s. A reservation ends with its request.

--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -180,7 +180,7 @@
                         new Balancer(settings.failureDomain(), new FleetLoad(ticker), settings.mechanisms(), ticker),
                         new EntryClient(loops, names, settings.instance(), state, ticker)),
                 ticker);
-        this.server = new RelayServer(context);
+        this.server = new RelayServer(context, BodyMemory.ofProcess());
         this.feedThread = new EventLoopThread("feeds", RING_SIZE, TICK_MILLIS, () -> {});
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -56,6 +56,7 @@
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
 
     private final RelayContext context;
+    private final BodyMemory bodyMemory;
     private final ResponseWriter writer;
     private final RequestReceiver receiver;
     private final AtomicInteger inFlight = new AtomicInteger();
@@ -68,9 +69,11 @@
      * Creates a server that is not listening yet; see {@link #open}.
      *
      * @param context the shared components
+     * @param bodyMemory limits the memory of request bodies
      */
-    public RelayServer(RelayContext context) {
+    public RelayServer(RelayContext context, BodyMemory bodyMemory) {
         this.context = context;
+        this.bodyMemory = bodyMemory;
         this.writer = new ResponseWriter(context);
         this.receiver = new RequestReceiver(context);
     }
@@ -182,12 +185,14 @@
 
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
         int maxBodyBytes = context.state().routes().configuration().limits().maxBodyBytes();
-        return RequestBody.read(req, maxBodyBytes)
+        BodyMemory.Reservation memory = bodyMemory.open();
+        return RequestBody.read(req, maxBodyBytes, memory)
                 .map(body -> withFeatures(toRequest.apply(body)))
                 .flatMap(this::rejectIfHeldBack)
                 .flatMap(r ->
                         r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r))
-                .onErrorResume(RelayRefusal.class, e -> writer.writeRefusal(req, res, e));
+                .onErrorResume(RelayRefusal.class, e -> writer.writeRefusal(req, res, e))
+                .doFinally(s -> memory.release());
     }
 
     /** Determines the features of the request if there are crash suspects. */
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestBody.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestBody.java
@@ -18,46 +18,89 @@
  */
 package org.hallwall.serving.relay;
 
-import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.hallwall.core.verdict.Verdict;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 
-/** Reads the bodies of client requests. */
+/** Reads the body of a client request into reserved memory. */
 final class RequestBody {
 
     /** Maximum length of a Content-Length value; longer ones exceed every limit. */
     private static final int MAX_LENGTH_DIGITS = 9;
 
-    private RequestBody() {}
+    private static final int INITIAL_BYTES = 1_024;
+    /** Retry-After if the bodies in flight hold all memory, in milliseconds; about the time to serve some of them. */
+    private static final long MEMORY_RETRY_AFTER_MILLIS = 500;
+
+    private final int maxBytes;
+    private final BodyMemory.Reservation memory;
+    private byte[] bytes = new byte[0];
+    private int size;
+
+    private RequestBody(int maxBytes, BodyMemory.Reservation memory) {
+        this.maxBytes = maxBytes;
+        this.memory = memory;
+    }
 
     /**
-     * Reads a complete body.
+     * Reads a complete body. If its length is known, its memory is reserved before it is read.
      *
      * @param req the request
      * @param maxBytes the maximum size of the body, in bytes
-     * @return the body, or a {@link RelayRefusal} if it is too large
+     * @param memory the memory for the body
+     * @return the body, or a {@link RelayRefusal} if it is too large or does not fit into the memory
      */
-    static Mono<byte[]> read(HttpServerRequest req, int maxBytes) {
-        String length = req.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
-        if (length != null && (length.length() > MAX_LENGTH_DIGITS || Long.parseLong(length) > maxBytes)) {
-            return Mono.error(tooLarge());
+    static Mono<byte[]> read(HttpServerRequest req, int maxBytes, BodyMemory.Reservation memory) {
+        RequestBody body = new RequestBody(maxBytes, memory);
+        try {
+            String length = req.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
+            if (length != null) {
+                body.allocate(length.length() > MAX_LENGTH_DIGITS ? Long.MAX_VALUE : Long.parseLong(length));
+            }
+        } catch (RelayRefusal e) {
+            return Mono.error(e);
         }
         return req.receive()
-                .asByteArray()
-                .collect(ByteArrayOutputStream::new, (out, chunk) -> {
-                    if (out.size() + chunk.length > maxBytes) {
-                        throw Exceptions.propagate(tooLarge());
-                    }
-                    out.writeBytes(chunk);
-                })
-                .map(ByteArrayOutputStream::toByteArray)
+                .doOnNext(body::append)
+                .then(Mono.fromSupplier(body::toByteArray))
                 .onErrorMap(Exceptions::unwrap);
     }
 
+    private void append(ByteBuf chunk) {
+        int length = chunk.readableBytes();
+        try {
+            if (length > maxBytes - size) {
+                throw tooLarge();
+            }
+            if (size + length > bytes.length) {
+                allocate(Math.min(maxBytes, Math.max(size + length, Math.max(INITIAL_BYTES, 2 * bytes.length))));
+            }
+        } catch (RelayRefusal e) {
+            throw Exceptions.propagate(e);
+        }
+        chunk.getBytes(chunk.readerIndex(), bytes, size, length);
+        size += length;
+    }
+
+    private void allocate(long capacity) throws RelayRefusal {
+        if (capacity > maxBytes) {
+            throw tooLarge();
+        }
+        if (!memory.tryExtend(capacity)) {
+            throw RelayRefusal.notRun("the bodies of other requests hold all memory", MEMORY_RETRY_AFTER_MILLIS);
+        }
+        bytes = Arrays.copyOf(bytes, (int) capacity);
+    }
+
+    private byte[] toByteArray() {
+        return size == bytes.length ? bytes : Arrays.copyOf(bytes, size);
+    }
+
     private static RelayRefusal tooLarge() {
         return new RelayRefusal(413, Verdict.NOT_RUN, "the request body is too large", 0);
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -91,6 +91,7 @@
     private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
     private final AtomicLong sequence = new AtomicLong();
     private final CrashWatch crashes;
+    private final BodyMemory bodyMemory;
     private final RelayServer server;
     private volatile GroupLiveness liveness = GroupLiveness.UNKNOWN;
 
@@ -108,6 +109,13 @@
 
     /** The latency objective determines the attempt timeout. */
     RelayFixture(double ratio, double extraRetries, long objectiveMillis) throws ProgramException {
+        this(ratio, extraRetries, objectiveMillis, BodyMemory.ofProcess(), 10_000);
+    }
+
+    /** Limits the bodies of requests, together and each. */
+    RelayFixture(double ratio, double extraRetries, long objectiveMillis, BodyMemory memory, int maxBodyBytes)
+            throws ProgramException {
+        this.bodyMemory = memory;
         RetryBudget budget = new RetryBudget(ratio, extraRetries, 10_000, true, Ticker.SYSTEM);
         budget.recordEntryCount(1);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
@@ -119,28 +127,30 @@
         io.scheduleAtFixedRate(crashes::tick, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         crashes.applyUpdate(new SuspectUpdate(new byte[RequestDigester.KEY_BYTES], 1, true, List.of(), List.of()));
         TargetLinks links = TargetLinks.create(loops, AddressTranslator.IDENTITY, this::endpoints, io, Ticker.SYSTEM);
-        server = new RelayServer(new RelayContext(
-                state,
-                new CandidateTargets(state, availability, permits, () -> 0),
-                balancer,
-                new TargetClient(loops, NAMES, availability, links, Ticker.SYSTEM),
-                budget,
-                new ForwardedHeaders(NAMES),
-                NAMES,
-                new StalledHeads(this::queryHead, () -> true, Ticker.SYSTEM),
-                new AdmissionControl(balancer, fleet, Mechanisms.ALL, Ticker.SYSTEM),
-                new StreamMonitor(),
-                new RelayMetrics(new PrometheusRegistry()),
-                crashes,
-                new EntryForwarder(
-                        links,
-                        () -> List.copyOf(availableEntries),
+        server = new RelayServer(
+                new RelayContext(
+                        state,
+                        new CandidateTargets(state, availability, permits, () -> 0),
                         balancer,
-                        new EntryClient(loops, NAMES, new InstanceId("entry"), state, Ticker.SYSTEM)),
-                Ticker.SYSTEM));
+                        new TargetClient(loops, NAMES, availability, links, Ticker.SYSTEM),
+                        budget,
+                        new ForwardedHeaders(NAMES),
+                        NAMES,
+                        new StalledHeads(this::queryHead, () -> true, Ticker.SYSTEM),
+                        new AdmissionControl(balancer, fleet, Mechanisms.ALL, Ticker.SYSTEM),
+                        new StreamMonitor(),
+                        new RelayMetrics(new PrometheusRegistry()),
+                        crashes,
+                        new EntryForwarder(
+                                links,
+                                () -> List.copyOf(availableEntries),
+                                balancer,
+                                new EntryClient(loops, NAMES, new InstanceId("entry"), state, Ticker.SYSTEM)),
+                        Ticker.SYSTEM),
+                bodyMemory);
         server.open(new NetAddress("127.0.0.1", 0), loops);
         server.openForwarding(new NetAddress("127.0.0.1", 0), loops);
-        state.applyConfiguration(configuration(objectiveMillis));
+        state.applyConfiguration(configuration(objectiveMillis, maxBodyBytes));
     }
 
     /** Stands in for {@link PermitExchange}, without the network. */
@@ -151,7 +161,7 @@
         }
     }
 
-    private static Configuration configuration(long objectiveMillis) {
+    private static Configuration configuration(long objectiveMillis, int maxBodyBytes) {
         List<Route> routes = new ArrayList<>();
         for (RequestKind k : RequestKind.values()) {
             routes.add(new Route(
@@ -178,7 +188,7 @@
                 List.of(
                         new WorkspaceKeys("w", List.of("secret"), null),
                         new WorkspaceKeys("v", List.of("other"), null)),
-                new CallerLimits(2_000, 10_000, 1_000, 1_000));
+                new CallerLimits(2_000, maxBodyBytes, 1_000, 1_000));
     }
 
     /** Adds a plain target, or the head of a group with one member. */
