--- a/log/src/main/java/org/hallwall/log/InMemoryLog.java
+++ b/log/src/main/java/org/hallwall/log/InMemoryLog.java
@@ -29,6 +29,7 @@
     private final List<LogEntry> entries = new ArrayList<>();
     private long baseIndex;
     private long baseTerm;
+    private long bytes;
 
     InMemoryLog(long baseIndex, long baseTerm, List<LogEntry> retained) {
         reset(baseIndex, baseTerm, retained);
@@ -40,6 +41,7 @@
         List<LogEntry> copy = List.copyOf(retained);
         entries.clear();
         entries.addAll(copy);
+        bytes = sumBytes(entries);
     }
 
     long baseIndex() {
@@ -92,16 +94,17 @@
 
     void append(LogEntry entry) {
         entries.add(entry);
+        bytes += LogLimits.bytesOf(entry);
     }
 
     void truncateFrom(long index) {
         int keep = (int) (index - baseIndex - 1);
-        entries.subList(keep, entries.size()).clear();
+        removeRange(keep, entries.size());
     }
 
     void discardUpTo(long index) {
         long term = termAt(index);
-        entries.subList(0, (int) (index - baseIndex)).clear();
+        removeRange(0, (int) (index - baseIndex));
         baseIndex = index;
         baseTerm = term;
     }
@@ -112,7 +115,38 @@
         return List.copyOf(entries.subList(from, to));
     }
 
+    /** Returns entries after an index: at least one if there is any, and none after the bound on bytes is reached. */
+    List<LogEntry> batchAfter(long index, int maxEntries, long maxBytes) {
+        List<LogEntry> batch = new ArrayList<>();
+        long batchBytes = 0;
+        for (long i = index + 1; i <= lastIndex() && batch.size() < maxEntries && batchBytes < maxBytes; i++) {
+            batch.add(get(i));
+            batchBytes += LogLimits.bytesOf(get(i));
+        }
+        return batch;
+    }
+
+    /** Returns the bytes of all entries. */
+    long bytes() {
+        return bytes;
+    }
+
+    /** Returns the bytes of the entries after an index. */
+    long bytesAfter(long index) {
+        return sumBytes(entries.subList((int) (index - baseIndex), entries.size()));
+    }
+
     int size() {
         return entries.size();
     }
+
+    private void removeRange(int from, int to) {
+        List<LogEntry> removed = entries.subList(from, to);
+        bytes -= sumBytes(removed);
+        removed.clear();
+    }
+
+    private static long sumBytes(List<LogEntry> list) {
+        return list.stream().mapToLong(LogLimits::bytesOf).sum();
+    }
 }
--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -183,6 +183,24 @@
         return commitIndex - log.baseIndex();
     }
 
+    /**
+     * Returns the bytes of the committed entries that the snapshot does not cover.
+     *
+     * @return the number of bytes
+     */
+    public long committedBytesSinceSnapshot() {
+        return log.bytes() - uncommittedBytes();
+    }
+
+    /**
+     * Returns the bytes of the entries that are not known to be committed.
+     *
+     * @return the number of bytes
+     */
+    public long uncommittedBytes() {
+        return log.bytesAfter(commitIndex);
+    }
+
     /**
      * Returns the entries after the snapshot.
      *
@@ -599,7 +617,7 @@
             return;
         }
         prev = Math.min(prev, log.lastIndex());
-        List<LogEntry> entries = log.entriesAfter(prev, MAX_BATCH_ENTRIES);
+        List<LogEntry> entries = log.batchAfter(prev, MAX_BATCH_ENTRIES, LogLimits.MAX_BATCH_BYTES);
         send(to, new AppendRequest(term, self, prev, log.termAt(prev), entries, commitIndex, now));
         f.markSentUpTo(prev + entries.size());
     }
--- a/log/src/main/java/org/hallwall/log/LogStore.java
+++ b/log/src/main/java/org/hallwall/log/LogStore.java
@@ -223,24 +223,28 @@
     }
 
     private List<LogEntry> loadEntries(LogSnapshot snapshot) throws IOException {
-        byte[] bytes = Files.readAllBytes(directory.resolve(ENTRIES));
-        RecordCodec.ScanResult scan = RecordCodec.scan(ENTRIES, bytes);
-        if (scan.validLength() < bytes.length) {
-            LOG.warnf(
-                    "log: truncated an incomplete record of %d bytes at the end of the entries file",
-                    bytes.length - scan.validLength());
-            entries.truncate(scan.validLength());
-            entries.force(true);
-        }
         List<LogEntry> loaded = new ArrayList<>();
-        for (byte[] content : scan.contents()) {
-            for (LogEntry e : MAPPER.readValue(content, new TypeReference<List<LogEntry>>() {})) {
-                mergeLoaded(loaded, e, snapshot.index());
+        try (RecordReader reader = new RecordReader(directory, ENTRIES)) {
+            for (byte[] content = reader.next(); content != null; content = reader.next()) {
+                for (LogEntry e : MAPPER.readValue(content, new TypeReference<List<LogEntry>>() {})) {
+                    mergeLoaded(loaded, e, snapshot.index());
+                }
             }
+            truncateAfter(reader);
         }
         return loaded;
     }
 
+    private void truncateAfter(RecordReader reader) throws IOException {
+        if (reader.validLength() < reader.length()) {
+            LOG.warnf(
+                    "log: truncated an incomplete record of %d bytes at the end of the entries file",
+                    reader.length() - reader.validLength());
+            entries.truncate(reader.validLength());
+            entries.force(true);
+        }
+    }
+
     private static void mergeLoaded(List<LogEntry> loaded, LogEntry e, long snapshotIndex) throws LogStoreException {
         if (e.index() <= snapshotIndex) {
             loaded.clear();
@@ -260,12 +264,12 @@
     }
 
     private <T> T readSingleRecord(String file, Class<T> type) throws LogStoreException {
-        try {
-            RecordCodec.ScanResult scan = RecordCodec.scan(file, Files.readAllBytes(directory.resolve(file)));
-            if (scan.contents().size() != 1) {
+        try (RecordReader reader = new RecordReader(directory, file)) {
+            byte[] content = reader.next();
+            if (content == null || reader.next() != null) {
                 throw new LogStoreException(file + " is damaged");
             }
-            return MAPPER.readValue(scan.contents().get(0), type);
+            return MAPPER.readValue(content, type);
         } catch (LogStoreException e) {
             throw e;
         } catch (IOException e) {
--- a/log/src/main/java/org/hallwall/log/LogVoter.java
+++ b/log/src/main/java/org/hallwall/log/LogVoter.java
@@ -38,6 +38,9 @@
  */
 public final class LogVoter implements Closeable {
 
+    /** The maximum size of a command; larger ones are refused. */
+    public static final int MAX_COMMAND_BYTES = LogLimits.MAX_COMMAND_BYTES;
+
     private static final Logger LOG = Logger.getLogger(LogVoter.class);
     private static final int QUEUE_CAPACITY = 1_024;
     private static final long TICK_MILLIS = 40;
@@ -127,6 +130,11 @@
      */
     public CompletableFuture<Object> propose(byte[] command) {
         CompletableFuture<Object> outcome = new CompletableFuture<>();
+        if (command.length > MAX_COMMAND_BYTES) {
+            outcome.completeExceptionally(notRun(
+                    "the command has " + command.length + " bytes, more than the limit of " + MAX_COMMAND_BYTES));
+            return outcome;
+        }
         if (!eventLoop.offer(() -> doPropose(command, outcome))) {
             outcome.completeExceptionally(notRun("the log queue is full"));
         }
@@ -222,6 +230,10 @@
             outcome.completeExceptionally(notRun("the log storage has failed"));
             return;
         }
+        if (replica.uncommittedBytes() + command.length > LogLimits.MAX_UNCOMMITTED_BYTES) {
+            outcome.completeExceptionally(notRun("too many bytes of commands wait for a quorum"));
+            return;
+        }
         OptionalLong index = replica.propose(ticker.millis(), command);
         if (index.isEmpty()) {
             outcome.completeExceptionally(notRun("this voter is not the leader"));
@@ -301,7 +313,8 @@
     }
 
     private void compactIfNeeded() throws LogStoreException {
-        if (replica.committedSinceSnapshot() < SNAPSHOT_THRESHOLD) {
+        if (replica.committedSinceSnapshot() < SNAPSHOT_THRESHOLD
+                && replica.committedBytesSinceSnapshot() < LogLimits.SNAPSHOT_THRESHOLD_BYTES) {
             return;
         }
         LogSnapshot snapshot = replica.compact(machine.snapshot());
--- a/log/src/main/java/org/hallwall/log/RecordCodec.java
+++ b/log/src/main/java/org/hallwall/log/RecordCodec.java
@@ -19,15 +19,13 @@
 package org.hallwall.log;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.zip.CRC32C;
 
-/** Encodes and decodes the records of a stored file: magic number, length, checksum, content. */
+/** Encodes the records of a stored file: magic number, length, checksum, content. */
 final class RecordCodec {
 
-    private static final int MAGIC = 0x4857_4C31;
-    private static final int HEADER_BYTES = 12;
+    static final int MAGIC = 0x4857_4C31;
+    static final int HEADER_BYTES = 12;
 
     private RecordCodec() {}
 
@@ -37,58 +35,9 @@
         return out.flip();
     }
 
-    /**
-     * Reads all records up to an incomplete one at the end; an invalid record before a valid one is reported as
-     * corruption.
-     */
-    static ScanResult scan(String file, byte[] bytes) throws LogStoreException {
-        ByteBuffer in = ByteBuffer.wrap(bytes);
-        List<byte[]> contents = new ArrayList<>();
-        int at = 0;
-        while (at < bytes.length) {
-            byte[] content = read(in, at);
-            if (content == null) {
-                requireTornTail(file, in, at);
-                break;
-            }
-            contents.add(content);
-            at += HEADER_BYTES + content.length;
-        }
-        return new ScanResult(contents, at);
-    }
-
-    private static void requireTornTail(String file, ByteBuffer in, int bad) throws LogStoreException {
-        for (int at = bad + 1; at + HEADER_BYTES <= in.limit(); at++) {
-            if (in.getInt(at) == MAGIC && read(in, at) != null) {
-                throw new LogStoreException(file + " is damaged at byte " + bad + ": a valid record follows at " + at);
-            }
-        }
-    }
-
-    private static byte[] read(ByteBuffer in, int at) {
-        if (at + HEADER_BYTES > in.limit() || in.getInt(at) != MAGIC) {
-            return null;
-        }
-        int length = in.getInt(at + 4);
-        if (length < 0 || length > in.limit() - at - HEADER_BYTES) {
-            return null;
-        }
-        byte[] content = new byte[length];
-        in.get(at + HEADER_BYTES, content);
-        return checksum(content) == in.getInt(at + 8) ? content : null;
-    }
-
-    private static int checksum(byte[] content) {
+    static int checksum(byte[] content) {
         CRC32C crc = new CRC32C();
         crc.update(content, 0, content.length);
         return (int) crc.getValue();
     }
-
-    /**
-     * The records of a file.
-     *
-     * @param contents the contents of the records in order
-     * @param validLength the length of the valid records in bytes
-     */
-    record ScanResult(List<byte[]> contents, int validLength) {}
 }
--- /dev/null
+++ b/log/src/test/java/org/hallwall/log/HeapPeak.java
@@ -0,0 +1,39 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.log;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryPoolMXBean;
+import java.lang.management.MemoryType;
+
+/** Reads the peak of the used heap since the start of the process. */
+final class HeapPeak {
+
+    private HeapPeak() {}
+
+    static long bytes() {
+        long sum = 0;
+        for (MemoryPoolMXBean pool : ManagementFactory.getMemoryPoolMXBeans()) {
+            if (pool.getType() == MemoryType.HEAP) {
+                sum += pool.getPeakUsage().getUsed();
+            }
+        }
+        return sum;
+    }
+}
