Refuse a configuration that the log cannot hold with 400 and the sizes

What operators saw: without this, a configuration beyond the limit of a command is answered with 503 "the leader has no quorum" and sent again without end. Cause: any failure of a proposal became an unknown outcome. Why it holds: the limit is a constant of the log, checked before anything is stored, so no configuration that was accepted once is refused later. Test: ControlNodeTest.refusesConfigurationThatLogCannotHold.

--- a/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
@@ -112,6 +112,11 @@
             return readLinearizably(() -> accepted(version));
         }
         byte[] command = ConfigurationStateMachine.command(version, Gzip.compress(bytes));
+        if (command.length > LogVoter.MAX_COMMAND_BYTES) {
+            LOG.warnf("configuration: version %d refused, %d bytes compressed", version, command.length);
+            return Mono.just(new ConfigurationReply.Invalid("the configuration has " + command.length
+                    + " bytes compressed, more than the limit of " + LogVoter.MAX_COMMAND_BYTES));
+        }
         return Mono.fromFuture(voter.propose(command)).map(currentVersion -> accepted(version));
     }
 
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -27,12 +27,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 import org.awaitility.Awaitility;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.log.LogRole;
+import org.hallwall.log.LogVoter;
 import org.hallwall.serving.config.CallerLimits;
 import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.ConfigurationException;
@@ -167,6 +169,24 @@
         Awaitility.await().atMost(TIMEOUT).until(() -> text.equals(readBack()));
     }
 
+    // guards against a configuration that the log cannot hold and that is answered as if it could be sent again
+    @Test
+    void refusesConfigurationThatLogCannotHold() {
+        accept("1 a");
+        StringBuilder text = new StringBuilder("2 ");
+        Random random = new Random(1);
+        while (text.length() < 3 * LogVoter.MAX_COMMAND_BYTES) {
+            text.append(Long.toHexString(random.nextLong()));
+        }
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> nodes.values().stream()
+                        .anyMatch(n -> put(n, text.toString()) instanceof ConfigurationReply.Invalid r
+                                && r.reason().contains("more than the limit")));
+        accept("3 b");
+        Assertions.assertEquals("3 b", readBack());
+    }
+
     @Test
     void theHighestVersionIsCurrentAndFollowersRedirectToTheLeader() {
         accept("5 five");
