A control process that stops as planned leaves the voters before it ends

Operators lost an acknowledged manifest for good: after a planned replacement the voter that had ended still counted in a set of four, whose quorum is three, and the next lost disk left two.

A process now asks the leader to remove it (single-server change, committed by the others) while there are more voters than twice the tolerated disk losses plus one, and only if those that remain are a healthy quorum. A leader steps down first and names its successor, which may be elected at once since nobody holds the lease of its term. A voter that is needed stays and returns with its disk. A voter that has learned of its removal gives no vote. A removed instance that restarts asks at once whether it was removed and joins again.

--- a/log/src/main/java/org/hallwall/log/LogMessage.java
+++ b/log/src/main/java/org/hallwall/log/LogMessage.java
@@ -52,7 +52,10 @@
                 .register(11, VoteReply.class)
                 .register(12, AppendRequest.class)
                 .register(13, AppendReply.class)
-                .register(14, SnapshotRequest.class);
+                .register(14, SnapshotRequest.class)
+                .register(15, LeaveRequest.class)
+                .register(16, LeaveReply.class)
+                .register(17, TransferRequest.class);
     }
 
     /**
@@ -65,6 +68,8 @@
      * @param preVote whether this is a pre-vote
      * @param startId identifies this start of the candidate until it hears from a leader; zero afterwards
      * @param allJustStarted whether no voter has heard from a leader since its start, so that no lease can exist
+     * @param transfer whether the leader of the term before has stepped down in favour of the candidate, so that its
+     *     lease has ended
      */
     record VoteRequest(
             long term,
@@ -73,7 +78,8 @@
             long lastTerm,
             boolean preVote,
             long startId,
-            boolean allJustStarted)
+            boolean allJustStarted,
+            boolean transfer)
             implements LogMessage {}
 
     /**
@@ -127,4 +133,29 @@
      * @param sentAt the time of sending by the leader's clock, echoed in the reply
      */
     record SnapshotRequest(long term, InstanceId from, LogSnapshot snapshot, long sentAt) implements LogMessage {}
+
+    /**
+     * Asks the leader to remove the sender from the voters, since its process is about to end.
+     *
+     * @param term the sender's term
+     * @param from the sender
+     */
+    record LeaveRequest(long term, InstanceId from) implements LogMessage {}
+
+    /**
+     * Answers a request to leave once it is decided.
+     *
+     * @param term the leader's term
+     * @param from the leader
+     * @param status what has been decided
+     */
+    record LeaveReply(long term, InstanceId from, LeaveStatus status) implements LogMessage {}
+
+    /**
+     * Tells a voter to start an election at once, since the sender no longer leads.
+     *
+     * @param term the term that the sender has led
+     * @param from the sender
+     */
+    record TransferRequest(long term, InstanceId from) implements LogMessage {}
 }
--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -28,7 +28,10 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.log.LogMessage.AppendReply;
 import org.hallwall.log.LogMessage.AppendRequest;
+import org.hallwall.log.LogMessage.LeaveReply;
+import org.hallwall.log.LogMessage.LeaveRequest;
 import org.hallwall.log.LogMessage.SnapshotRequest;
+import org.hallwall.log.LogMessage.TransferRequest;
 import org.hallwall.log.LogMessage.VoteReply;
 import org.hallwall.log.LogMessage.VoteRequest;
 
@@ -61,6 +64,7 @@
     private long nextHeartbeatAt;
     private long lastSentAt = Long.MIN_VALUE;
     private long lastLeaderContactAt;
+    private LeaveStatus leaveStatus = LeaveStatus.NOT_REQUESTED;
     private final ColdStartDetector coldStartDetector;
 
     /**
@@ -110,9 +114,9 @@
             }
         } else if (now >= electionDeadline) {
             coldStartDetector.stop();
-            startElection(now, true);
+            startElection(now, true, false);
         } else if (coldStartDetector.isProbeDue(now)) {
-            sendVoteRequests(term + 1, true, false);
+            sendVoteRequests(term + 1, true, false, false);
         }
         return drainActions();
     }
@@ -251,14 +255,20 @@
             handleAppendReply(now, m);
         } else if (message instanceof SnapshotRequest m) {
             handleSnapshotRequest(now, m);
+        } else if (message instanceof LeaveRequest m) {
+            handleLeaveRequest(now, m.from());
+        } else if (message instanceof LeaveReply m) {
+            handleLeaveReply(m);
+        } else if (message instanceof TransferRequest m) {
+            handleTransferRequest(now, m);
         }
     }
 
     // --- elections
 
-    private void startElection(long now, boolean preVote) {
+    private void startElection(long now, boolean preVote, boolean transfer) {
         resetElectionDeadline(now);
-        if (!admissions.canVote() || !voters.contains(self)) {
+        if (!admissions.canVote() || !voters.contains(self) || leaveStatus != LeaveStatus.NOT_REQUESTED) {
             return;
         }
         leader = null;
@@ -271,14 +281,17 @@
             saveVote(term + 1, self);
         }
         sendVoteRequests(
-                preVote ? term + 1 : term, preVote, coldStartDetector.haveAllJustStarted(Set.copyOf(voters.others())));
+                preVote ? term + 1 : term,
+                preVote,
+                coldStartDetector.haveAllJustStarted(Set.copyOf(voters.others())),
+                transfer);
         if (!preVote) {
             coldStartDetector.stop();
         }
         countVotes(now);
     }
 
-    private void sendVoteRequests(long proposedTerm, boolean preVote, boolean allJustStarted) {
+    private void sendVoteRequests(long proposedTerm, boolean preVote, boolean allJustStarted, boolean transfer) {
         for (InstanceId v : voters.others()) {
             send(
                     v,
@@ -289,18 +302,21 @@
                             log.lastTerm(),
                             preVote,
                             coldStartDetector.startId(),
-                            allJustStarted));
+                            allJustStarted,
+                            transfer));
         }
     }
 
     private void handleVoteRequest(long now, VoteRequest m) {
         boolean noLeaderPossible = m.allJustStarted() && coldStartDetector.isJustStarted();
+        boolean hasSteppedDown = m.transfer() && m.term() == term + 1;
         boolean leaderIsRecent = role == LogRole.LEADER
-                || !noLeaderPossible && now - lastLeaderContactAt < timing.electionTimeoutMillis();
+                || !noLeaderPossible && !hasSteppedDown && now - lastLeaderContactAt < timing.electionTimeoutMillis();
         if (!m.preVote() && m.term() > term && !leaderIsRecent) {
             adoptTerm(now, m.term());
         }
-        boolean granted = !leaderIsRecent && admissions.canVote() && isLogUpToDate(m) && canGrantVote(m);
+        boolean mayVote = admissions.canVote() && leaveStatus != LeaveStatus.REMOVED;
+        boolean granted = !leaderIsRecent && mayVote && isLogUpToDate(m) && canGrantVote(m);
         if (granted && !m.preVote()) {
             coldStartDetector.stop();
             saveVote(term, m.from());
@@ -339,7 +355,7 @@
                 adoptTerm(now, m.term());
             }
             if (role != LogRole.CANDIDATE && coldStartDetector.haveAllJustStarted(Set.copyOf(voters.others()))) {
-                startElection(now, false);
+                startElection(now, false, false);
             }
             return;
         }
@@ -358,7 +374,7 @@
             return;
         }
         if (role == LogRole.PRE_CANDIDATE) {
-            startElection(now, false);
+            startElection(now, false, false);
         } else if (role == LogRole.CANDIDATE) {
             becomeLeader(now);
         }
@@ -572,6 +588,63 @@
         }
     }
 
+    /**
+     * Asks to leave the voters, and hands leadership over first. Must be repeated until the status is decided. From now
+     * on this voter starts no election; it votes until its removal is committed.
+     *
+     * @param now the clock in milliseconds
+     * @return the status of the request
+     */
+    public LeaveStatus leave(long now) {
+        if (leaveStatus.isDecided()) {
+            return leaveStatus;
+        }
+        leaveStatus = voters.others().isEmpty() ? LeaveStatus.KEPT : LeaveStatus.REQUESTED;
+        if (role == LogRole.LEADER) {
+            transferLeadership(now);
+        } else if (leader != null) {
+            send(leader, new LeaveRequest(term, self));
+        }
+        return leaveStatus;
+    }
+
+    private void transferLeadership(long now) {
+        InstanceId successor = membershipPolicy.successor(now, commitIndex);
+        if (successor != null) {
+            // The lease ends before the request is sent: voters trust the successor that there is none.
+            becomeFollower(now);
+            send(successor, new TransferRequest(term, self));
+        }
+    }
+
+    private void handleTransferRequest(long now, TransferRequest m) {
+        if (m.term() == term && role == LogRole.FOLLOWER && m.from().equals(leader)) {
+            startElection(now, false, true);
+        }
+    }
+
+    private void handleLeaveRequest(long now, InstanceId leaving) {
+        if (!canChangeVoters()) {
+            return;
+        }
+        if (!voters.contains(leaving)) {
+            send(leaving, new LeaveReply(term, self, LeaveStatus.REMOVED));
+        } else if (!membershipPolicy.exceedsTargetSize()) {
+            send(leaving, new LeaveReply(term, self, LeaveStatus.KEPT));
+        } else {
+            List<InstanceId> remaining = membershipPolicy.votersAfterLeave(now, leaving, commitIndex);
+            if (remaining != null) {
+                changeVoters(now, remaining);
+            }
+        }
+    }
+
+    private void handleLeaveReply(LeaveReply m) {
+        if (leaveStatus == LeaveStatus.REQUESTED && m.term() >= term) {
+            leaveStatus = m.status();
+        }
+    }
+
     /** Allows one change at a time, and only for a leader that has committed an entry of its own term. */
     private boolean canChangeVoters() {
         return role == LogRole.LEADER && log.termAt(commitIndex) == term && voters.lastChangeIndex() <= commitIndex;
--- a/log/src/main/java/org/hallwall/log/LogVoter.java
+++ b/log/src/main/java/org/hallwall/log/LogVoter.java
@@ -55,6 +55,7 @@
     private final Map<Long, PendingProposal> pending = new HashMap<>();
     private volatile ReplicaState state;
     private volatile boolean leaseHeld;
+    private CompletableFuture<LeaveStatus> leave;
     private boolean failed;
 
     /**
@@ -119,6 +120,19 @@
         });
     }
 
+    /**
+     * Hands leadership over and leaves the voters if there are more of them than needed.
+     *
+     * @return the outcome; does not complete while no leader can decide
+     */
+    public CompletableFuture<LeaveStatus> leave() {
+        CompletableFuture<LeaveStatus> outcome = new CompletableFuture<>();
+        if (!eventLoop.offer(() -> leave = outcome)) {
+            outcome.completeExceptionally(notRun("the log queue is full"));
+        }
+        return outcome;
+    }
+
     /**
      * Proposes a command.
      *
@@ -210,6 +224,18 @@
         perform(replica.tick(ticker.millis()));
         leaseHeld = replica.holdsLease(ticker.millis());
         advanceReads();
+        advanceLeave();
+    }
+
+    private void advanceLeave() {
+        if (leave == null || leave.isDone()) {
+            return;
+        }
+        LeaveStatus status = replica.leave(ticker.millis());
+        perform(replica.drainActions());
+        if (status.isDecided()) {
+            leave.complete(status);
+        }
     }
 
     private void advanceReads() {
--- a/log/src/main/java/org/hallwall/log/MembershipPolicy.java
+++ b/log/src/main/java/org/hallwall/log/MembershipPolicy.java
@@ -78,6 +78,46 @@
         return unresponsive == null ? null : voters.without(unresponsive);
     }
 
+    /** Returns whether there are more voters than the tolerated disk failures need. */
+    boolean exceedsTargetSize() {
+        return voters.all().size() > targetSize;
+    }
+
+    /**
+     * Returns the voters without one that stops as planned; null if those that remain have no quorum that responds and
+     * holds all committed entries.
+     */
+    List<InstanceId> votersAfterLeave(long now, InstanceId leaving, long commit) {
+        List<InstanceId> remaining = voters.without(leaving);
+        int healthy = 1;
+        for (InstanceId id : voters.others()) {
+            if (!id.equals(leaving) && isHealthy(now, id, commit)) {
+                healthy++;
+            }
+        }
+        return healthy > remaining.size() / 2 ? remaining : null;
+    }
+
+    /** Returns the healthy voter with the longest log; null if there is none. */
+    InstanceId successor(long now, long commit) {
+        InstanceId found = null;
+        for (InstanceId id : voters.others()) {
+            boolean better = found == null
+                    || followers.get(id).matchIndex() > followers.get(found).matchIndex();
+            if (better && isHealthy(now, id, commit)) {
+                found = id;
+            }
+        }
+        return found;
+    }
+
+    private boolean isHealthy(long now, InstanceId id, long commit) {
+        FollowerProgress f = followers.get(id);
+        return now - f.lastAckSentAt() <= UNRESPONSIVE_MILLIS
+                && admissions.countsTowardQuorum(id, f.folder())
+                && f.matchIndex() >= commit;
+    }
+
     private boolean hasCaughtUp(InstanceId newcomer, long commit) {
         FollowerProgress f = followers.get(newcomer);
         boolean reportsAdmission = f.folder() != null && f.folder().admitted();
--- a/serving/src/main/java/org/hallwall/serving/control/ControlMembership.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlMembership.java
@@ -76,7 +76,8 @@
 
     void start(LogVoter logVoter) {
         voter = logVoter;
-        lastLeaderAt = ticker.millis();
+        // the first check queries at once, so that a removed instance joins again soon after a restart
+        lastLeaderAt = ticker.millis() - LEADERLESS_MILLIS - 1;
         checkTask = Schedulers.parallel()
                 .schedulePeriodically(this::checkMembership, 0, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -21,6 +21,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -28,6 +29,7 @@
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
+import org.hallwall.log.LeaveStatus;
 import org.hallwall.log.LogMessage;
 import org.hallwall.log.LogStore;
 import org.hallwall.log.LogStoreException;
@@ -241,6 +243,23 @@
         return directory;
     }
 
+    /**
+     * Leaves the voters before a planned stop, and hands leadership over. Voters that are needed stay in the set.
+     *
+     * @param timeout the longest time to wait for the decision
+     */
+    public void leave(Duration timeout) {
+        if (voter == null) {
+            return;
+        }
+        membership.close();
+        LeaveStatus status = Mono.fromFuture(voter.leave())
+                .timeout(timeout)
+                .onErrorReturn(LeaveStatus.REQUESTED)
+                .block();
+        LOG.infof("control: %s leaves the voters: %s", settings.self().instance(), status);
+    }
+
     @Override
     public void close() {
         LOG.infof("control: %s stops", settings.self().instance());
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -24,9 +24,12 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.awaitility.Awaitility;
 import org.hallwall.core.id.InstanceId;
@@ -311,4 +314,28 @@
         open(4, "disk", false);
         Assertions.assertNull(nodes.get(4).isMember() ? null : nodes.get(4).configurationService());
     }
+
+    private void awaitVoters(int... numbers) {
+        Set<InstanceId> expected =
+                Arrays.stream(numbers).mapToObj(n -> member(n).instance()).collect(Collectors.toSet());
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> Arrays.stream(numbers)
+                        .allMatch(n -> expected.equals(
+                                        Set.copyOf(nodes.get(n).voter().state().voters()))
+                                && nodes.get(n).isMember()));
+    }
+
+    /** Guards against a quorum that counts an instance which has stopped as planned, so that a lost disk ends it. */
+    @Test
+    void aPlannedReplacementLeavesAQuorumThatMayLoseADisk() throws IOException {
+        accept("7 seven");
+        open(4, "disk", false);
+        awaitVoters(1, 2, 3, 4);
+        nodes.get(1).leave(TIMEOUT);
+        close(1);
+        accept("8 eight");
+        close(2);
+        awaitReadBack("8 eight");
+    }
 }
