A control instance whose known voters are all gone asks the seeds and joins again

Operators lost an acknowledged manifest for good: an instance that was down while the others were replaced knew only addresses that were gone, never joined again, and a lost disk later ended the quorum, in which a silent voter still counted.

A voter without a leader now also asks the seeds of its settings, also of reloaded ones, and the voters that others have reported. An instance with a blank disk that waits for its seeds uses reloaded ones too.

Open: two silent voters in a set of the wanted size or smaller stay until newcomers ask.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlMembers.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlMembers.java
@@ -24,6 +24,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import org.hallwall.core.settings.Json;
@@ -111,12 +112,12 @@
      * Queries the seeds until one returns the members.
      *
      * @param request the query
-     * @param seeds links to the seeds
+     * @param seeds returns links to the seeds, which may change while none responds
      * @return the members
      */
-    public static List<ControlMember> discover(MembersRequest request, List<PeerLink> seeds) {
+    public static List<ControlMember> discover(MembersRequest request, Supplier<List<PeerLink>> seeds) {
         while (true) {
-            Members found = Flux.fromIterable(seeds)
+            Members found = Flux.fromIterable(seeds.get())
                     .flatMap(l -> l.call(request, QUERY_TIMEOUT)
                             .cast(Members.class)
                             .filter(m -> !m.members().isEmpty())
--- a/serving/src/main/java/org/hallwall/serving/control/ControlMembership.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlMembership.java
@@ -20,7 +20,9 @@
 
 import java.io.Closeable;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -62,6 +64,8 @@
     private Disposable checkTask;
     private long lastLeaderAt;
     private volatile boolean replaced;
+    private volatile List<InstanceId> reportedVoters = List.of();
+    private volatile List<InstanceId> seeds;
 
     ControlMembership(
             ControlNodeSettings settings,
@@ -72,6 +76,12 @@
         this.links = links;
         this.voterListener = follow;
         this.ticker = ticker;
+        setSeeds(settings.seeds());
+    }
+
+    /** Sets the instances that are queried besides the known voters, which may all be gone. */
+    void setSeeds(List<ControlMember> updated) {
+        seeds = updated.stream().map(ControlMember::instance).toList();
     }
 
     void start(LogVoter logVoter) {
@@ -106,13 +116,22 @@
             replaced = false;
         }
         if (!state.voters().contains(self) || replaced) {
-            others.forEach(o -> links.apply(o).send(new JoinRequest(self)));
+            reachable(others).forEach(o -> links.apply(o).send(new JoinRequest(self)));
         } else if (now - lastLeaderAt > LEADERLESS_MILLIS) {
-            queryWhetherReplaced(self, others);
+            queryWhetherReplaced(self, reachable(others));
         }
     }
 
-    private void queryWhetherReplaced(InstanceId self, List<InstanceId> others) {
+    /** Returns the known voters, those that another instance has reported, and the seeds, without this instance. */
+    private Set<InstanceId> reachable(List<InstanceId> others) {
+        Set<InstanceId> out = new LinkedHashSet<>(others);
+        out.addAll(reportedVoters);
+        out.addAll(seeds);
+        out.remove(settings.self().instance());
+        return out;
+    }
+
+    private void queryWhetherReplaced(InstanceId self, Set<InstanceId> others) {
         Flux.fromIterable(others)
                 .flatMap(o -> links.apply(o)
                         .call(new MembersRequest(self), QUERY_TIMEOUT)
@@ -124,6 +143,7 @@
                 .next()
                 .subscribe(m -> {
                     LOG.warnf("control: %s was replaced while it was down, the voters are %s", self, m);
+                    reportedVoters = m;
                     replaced = true;
                 });
     }
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -82,6 +82,7 @@
     private final PeerCodec codec = new PeerCodec(messageTypes());
     private final PeerServer peerServer;
     private final ControlMembership membership;
+    private volatile List<ControlMember> currentSeeds;
     private LogStore store;
     private LogVoter voter;
     private GroupController groupController;
@@ -97,6 +98,7 @@
      */
     public ControlNode(ControlNodeSettings settings, ConfigurationReader reader, PermitAllocator permits) {
         this.settings = settings;
+        this.currentSeeds = settings.seeds();
         this.reader = reader;
         this.entryReports = new EntryReports(settings.firstStart(), ticker);
         this.loadSummary = new LoadSummary(ticker);
@@ -243,6 +245,16 @@
         return directory;
     }
 
+    /**
+     * Sets the control instances that are queried when all known ones are gone.
+     *
+     * @param seeds the seeds of the reloaded settings
+     */
+    public void updateSeeds(List<ControlMember> seeds) {
+        currentSeeds = seeds;
+        membership.setSeeds(seeds);
+    }
+
     /**
      * Leaves the voters before a planned stop, and hands leadership over. Voters that are needed stay in the set.
      *
@@ -294,17 +306,20 @@
             memberList.initialize(found);
         } else if (found.isEmpty()) {
             found = ControlMembers.discover(
-                    new FeedMessage.MembersRequest(settings.self().instance()),
-                    settings.seeds().stream()
-                            .map(ControlMember::instance)
-                            .filter(s -> !s.equals(settings.self().instance()))
-                            .map(this::linkTo)
-                            .toList());
+                    new FeedMessage.MembersRequest(settings.self().instance()), this::seedLinks);
             memberList.store(found);
         }
         return found.stream().map(ControlMember::instance).toList();
     }
 
+    private List<PeerLink> seedLinks() {
+        return currentSeeds.stream()
+                .map(ControlMember::instance)
+                .filter(s -> !s.equals(settings.self().instance()))
+                .map(this::linkTo)
+                .toList();
+    }
+
     private PeerLink linkTo(InstanceId id) {
         return links.computeIfAbsent(
                 id,
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -112,13 +112,17 @@
     }
 
     private void open(int n, String disk, boolean firstStart) throws IOException {
+        open(n, disk, firstStart, List.of(member(1), member(2), member(3)));
+    }
+
+    private void open(int n, String disk, boolean firstStart, List<ControlMember> seeds) throws IOException {
         ControlNodeSettings settings = new ControlNodeSettings(
                 "test",
                 member(n),
                 member(n).peer(),
                 folder.resolve(n + disk),
                 firstStart,
-                List.of(member(1), member(2), member(3)),
+                seeds,
                 disksLost,
                 new ControllerTiming(1_000, 1_000, firstStart, 0),
                 Mechanisms.ALL);
@@ -338,4 +342,29 @@
         close(2);
         awaitReadBack("8 eight");
     }
+
+    /** Guards against an instance that never joins again, since all voters that it knows are gone. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anInstanceThatMissedAllReplacementsJoinsThroughTheSeeds(boolean reloaded) throws IOException {
+        accept("7 seven");
+        close(1);
+        open(4, "disk", false);
+        awaitVoters(2, 3, 4);
+        close(2);
+        open(5, "disk", false, List.of(member(3), member(4)));
+        awaitVoters(3, 4, 5);
+        close(3);
+        List<ControlMember> seeds = List.of(member(1), member(4), member(5));
+        if (reloaded) {
+            open(1, "disk", false);
+            nodes.get(1).updateSeeds(seeds);
+        } else {
+            open(1, "disk", false, seeds);
+        }
+        awaitVoters(1, 4, 5);
+        accept("8 eight");
+        close(4);
+        awaitReadBack("8 eight");
+    }
 }
