--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -21,6 +21,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -28,6 +29,7 @@
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
+import org.hallwall.log.LeaveStatus;
 import org.hallwall.log.LogMessage;
 import org.hallwall.log.LogStore;
 import org.hallwall.log.LogStoreException;
@@ -80,6 +82,7 @@
     private final PeerCodec codec = new PeerCodec(messageTypes());
     private final PeerServer peerServer;
     private final ControlMembership membership;
+    private volatile List<ControlMember> currentSeeds;
     private LogStore store;
     private LogVoter voter;
     private GroupController groupController;
@@ -95,6 +98,7 @@
      */
     public ControlNode(ControlNodeSettings settings, ConfigurationReader reader, PermitAllocator permits) {
         this.settings = settings;
+        this.currentSeeds = settings.seeds();
         this.reader = reader;
         this.entryReports = new EntryReports(settings.firstStart(), ticker);
         this.loadSummary = new LoadSummary(ticker);
@@ -241,6 +245,33 @@
         return directory;
     }
 
+    /**
+     * Sets the control instances that are queried when all known ones are gone.
+     *
+     * @param seeds the seeds of the reloaded settings
+     */
+    public void updateSeeds(List<ControlMember> seeds) {
+        currentSeeds = seeds;
+        membership.setSeeds(seeds);
+    }
+
+    /**
+     * Leaves the voters before a planned stop, and hands leadership over. Voters that are needed stay in the set.
+     *
+     * @param timeout the longest time to wait for the decision
+     */
+    public void leave(Duration timeout) {
+        if (voter == null) {
+            return;
+        }
+        membership.close();
+        LeaveStatus status = Mono.fromFuture(voter.leave())
+                .timeout(timeout)
+                .onErrorReturn(LeaveStatus.REQUESTED)
+                .block();
+        LOG.infof("control: %s leaves the voters: %s", settings.self().instance(), status);
+    }
+
     @Override
     public void close() {
         LOG.infof("control: %s stops", settings.self().instance());
@@ -275,17 +306,20 @@
             memberList.initialize(found);
         } else if (found.isEmpty()) {
             found = ControlMembers.discover(
-                    new FeedMessage.MembersRequest(settings.self().instance()),
-                    settings.seeds().stream()
-                            .map(ControlMember::instance)
-                            .filter(s -> !s.equals(settings.self().instance()))
-                            .map(this::linkTo)
-                            .toList());
+                    new FeedMessage.MembersRequest(settings.self().instance()), this::seedLinks);
             memberList.store(found);
         }
         return found.stream().map(ControlMember::instance).toList();
     }
 
+    private List<PeerLink> seedLinks() {
+        return currentSeeds.stream()
+                .map(ControlMember::instance)
+                .filter(s -> !s.equals(settings.self().instance()))
+                .map(this::linkTo)
+                .toList();
+    }
+
     private PeerLink linkTo(InstanceId id) {
         return links.computeIfAbsent(
                 id,
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -24,10 +24,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.awaitility.Awaitility;
 import org.hallwall.core.id.InstanceId;
@@ -111,13 +114,17 @@
     }
 
     private void open(int n, String disk, boolean firstStart) throws IOException {
+        open(n, disk, firstStart, List.of(member(1), member(2), member(3)));
+    }
+
+    private void open(int n, String disk, boolean firstStart, List<ControlMember> seeds) throws IOException {
         ControlNodeSettings settings = new ControlNodeSettings(
                 "test",
                 member(n),
                 member(n).peer(),
                 folder.resolve(n + disk),
                 firstStart,
-                List.of(member(1), member(2), member(3)),
+                seeds,
                 disksLost,
                 new ControllerTiming(1_000, 1_000, firstStart, 0),
                 Mechanisms.ALL);
@@ -331,4 +338,53 @@
         open(4, "disk", false);
         Assertions.assertNull(nodes.get(4).isMember() ? null : nodes.get(4).configurationService());
     }
+
+    private void awaitVoters(int... numbers) {
+        Set<InstanceId> expected =
+                Arrays.stream(numbers).mapToObj(n -> member(n).instance()).collect(Collectors.toSet());
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> Arrays.stream(numbers)
+                        .allMatch(n -> expected.equals(
+                                        Set.copyOf(nodes.get(n).voter().state().voters()))
+                                && nodes.get(n).isMember()));
+    }
+
+    /** Guards against a quorum that counts an instance which has stopped as planned, so that a lost disk ends it. */
+    @Test
+    void aPlannedReplacementLeavesAQuorumThatMayLoseADisk() throws IOException {
+        accept("7 seven");
+        open(4, "disk", false);
+        awaitVoters(1, 2, 3, 4);
+        nodes.get(1).leave(TIMEOUT);
+        close(1);
+        accept("8 eight");
+        close(2);
+        awaitReadBack("8 eight");
+    }
+
+    /** Guards against an instance that never joins again, since all voters that it knows are gone. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anInstanceThatMissedAllReplacementsJoinsThroughTheSeeds(boolean reloaded) throws IOException {
+        accept("7 seven");
+        close(1);
+        open(4, "disk", false);
+        awaitVoters(2, 3, 4);
+        close(2);
+        open(5, "disk", false, List.of(member(3), member(4)));
+        awaitVoters(3, 4, 5);
+        close(3);
+        List<ControlMember> seeds = List.of(member(1), member(4), member(5));
+        if (reloaded) {
+            open(1, "disk", false);
+            nodes.get(1).updateSeeds(seeds);
+        } else {
+            open(1, "disk", false, seeds);
+        }
+        awaitVoters(1, 4, 5);
+        accept("8 eight");
+        close(4);
+        awaitReadBack("8 eight");
+    }
 }
