A target whose request is hedged gets no new requests meanwhile

Cause: a stalled target was ejected only once the second attempt had won, a first event later; until then new streams were sent to the group that had lost a member. Change: the target is ejected when the hedged attempt starts. If its run goes on, its next success ends the ejection's growth. Why it holds: an ejected target still gets requests when no other is left.

--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -147,6 +147,8 @@
                 primary.hop().target().instance(),
                 context.now() - primary.startedAt(),
                 hop.target().instance());
+        // new requests avoid the late target meanwhile
+        primary.hop().state().recordFailure(context.now());
         hedge = new BufferedAttempt(hop, this, context.now());
         hedge.start(request, attempts.historyBefore(hop));
     }
@@ -190,9 +192,6 @@
         if (loser != null) {
             loser.cancel();
             attempts.recordSuperseded(loser.hop(), loser.progress());
-            if (loser.startedAt() < a.startedAt()) {
-                loser.hop().state().recordFailure(context.now());
-            }
         }
         finish();
         result.tryEmitValue(response);
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -205,6 +205,8 @@
                 progress.events(),
                 stallPolicy.describe(primary.hop()),
                 hop.target().instance());
+        // new requests avoid the stalled target meanwhile
+        primary.hop().state().recordFailure(now);
         hedge = new StreamAttempt(context, hop, this);
         hedge.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
@@ -223,10 +225,7 @@
         }
         loser.cancel();
         attempts.recordSuperseded(loser.hop(), loser.progress());
-        if (loser.startedAt() < a.startedAt()) {
-            resumptions++;
-            loser.hop().state().recordFailure(context.now());
-        }
+        resumptions += loser.startedAt() < a.startedAt() ? 1 : 0;
     }
 
     @Override
