--- a/serving/src/main/java/org/hallwall/serving/relay/StallTimeout.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StallTimeout.java
@@ -39,9 +39,9 @@
 
     private static final double PAUSE_GAPS = 2;
     private static final long MIN_STALL_TIMEOUT_MILLIS = 60;
-    /** Stall timeouts after which a stream leaves another entry, which returns streams that stall at its targets. */
+    /** Stall timeouts at another entry after which a stream is hedged; that entry returns streams of lost groups. */
     private static final double ENTRY_TIMEOUT_FACTOR = 4.5;
-    /** Stall timeouts after which a stream leaves a target without a group, whose liveness cannot be queried. */
+    /** Stall timeouts after which a stream is hedged at a target without a group, whose liveness cannot be queried. */
     private static final double UNGROUPED_TIMEOUT_FACTOR = 1.5;
 
     /** Returns the timeout of a stream at a target, before or after its first event. */
@@ -55,12 +55,12 @@
                 MIN_STALL_TIMEOUT_MILLIS, (long) Math.max(target.lateThresholdMillis(), Math.max(limit, usual))));
     }
 
-    /** Returns the time after which a stream leaves another entry. */
+    /** Returns the time after which a stream at another entry is hedged. */
     double millisForEntry() {
         return millis * ENTRY_TIMEOUT_FACTOR;
     }
 
-    /** Returns the time after which a stream leaves a target without a group. */
+    /** Returns the time after which a stream at a target without a group is hedged. */
     double millisWithoutGroup() {
         return millis * UNGROUPED_TIMEOUT_FACTOR;
     }
