Entries receive and parse only what a change of the configuration changed

Cause: each process parsed the whole configuration again (25.8 ms each, twice where one leads), and each entry received the whole from each of the three control instances.

Change: a configuration is a document of segments, one for each element of its top-level arrays. Documents of successive versions share equal segments, and what was parsed from one stays with it. A poll names the version and the checksum that an entry has; a control instance that retains that version answers with the difference. Anything else (another checksum, a version not retained, an older program on either side) falls back to the whole. The checksum of the result guards each difference; an entry whose difference does not apply requests the whole at once. A configuration is validated where it is proposed, not again at each entry.

Ruled out: deltas in the log (an older voter would skip them and diverge), a binary diff library (the parser needs the boundaries of elements in any case).

--- a/serving/src/main/java/org/hallwall/serving/config/ConfigurationReader.java
+++ b/serving/src/main/java/org/hallwall/serving/config/ConfigurationReader.java
@@ -23,11 +23,12 @@
 public interface ConfigurationReader {
 
     /**
-     * Parses and validates a configuration.
+     * Parses a configuration, which {@link ConfigurationValidator} checks before it is accepted. Elements that were parsed for an
+     * earlier version are not parsed again.
      *
-     * @param bytes the operator's bytes
+     * @param document the operator's bytes
      * @return the configuration
-     * @throws ConfigurationException if it cannot be parsed or is not valid
+     * @throws ConfigurationException if it cannot be parsed
      */
-    Configuration read(byte[] bytes) throws ConfigurationException;
+    Configuration read(ConfigurationDocument document) throws ConfigurationException;
 }
--- a/serving/src/main/java/org/hallwall/serving/config/ConfigurationValidator.java
+++ b/serving/src/main/java/org/hallwall/serving/config/ConfigurationValidator.java
@@ -43,9 +43,15 @@
     }
 
     private static void checkRoutes(Configuration c) throws ConfigurationException {
-        Set<String> matches = new HashSet<>();
+        Map<String, Set<String>> prefixesByHost = new HashMap<>();
+        String lastHost = null;
+        Set<String> prefixes = null;
         for (Route r : c.routes()) {
-            if (!matches.add(r.host() + " " + r.pathPrefix())) {
+            if (!r.host().equals(lastHost)) {
+                lastHost = r.host();
+                prefixes = prefixesByHost.computeIfAbsent(lastHost, h -> new HashSet<>());
+            }
+            if (!prefixes.add(r.pathPrefix())) {
                 throw new ConfigurationException("route " + r.name() + " shares host and prefix with another");
             }
             if (r.timeoutMillis() <= 0) {
--- a/serving/src/main/java/org/hallwall/serving/config/RouteTable.java
+++ b/serving/src/main/java/org/hallwall/serving/config/RouteTable.java
@@ -18,10 +18,8 @@
  */
 package org.hallwall.serving.config;
 
-import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.BitSet;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
@@ -29,7 +27,7 @@
 public final class RouteTable {
 
     private final Configuration configuration;
-    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, HostRoutes> routesByHost = new HashMap<>();
     private final Map<String, WorkspaceKeys> workspacesByKey = new HashMap<>();
 
     /**
@@ -39,14 +37,16 @@
      */
     public RouteTable(Configuration configuration) {
         this.configuration = configuration;
+        String lastHost = null;
+        HostRoutes hostRoutes = null;
         for (Route r : configuration.routes()) {
-            routesByHost
-                    .computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
-                    .add(r);
+            // Successive routes usually have the same host.
+            if (!r.host().equals(lastHost)) {
+                lastHost = r.host();
+                hostRoutes = routesByHost.computeIfAbsent(lastHost.toLowerCase(Locale.ROOT), h -> new HostRoutes());
+            }
+            hostRoutes.add(r);
         }
-        Comparator<Route> longestFirst =
-                Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed();
-        routesByHost.values().forEach(routes -> routes.sort(longestFirst));
         for (WorkspaceKeys w : configuration.workspaces()) {
             w.keys().forEach(k -> workspacesByKey.put(k, w));
         }
@@ -76,12 +76,8 @@
         String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
         int query = path.indexOf('?');
         String pathOnly = query < 0 ? path : path.substring(0, query);
-        for (Route r : routesByHost.getOrDefault(name, List.of())) {
-            if (pathOnly.startsWith(r.pathPrefix())) {
-                return r;
-            }
-        }
-        return null;
+        HostRoutes routes = routesByHost.get(name);
+        return routes == null ? null : routes.find(pathOnly);
     }
 
     /**
@@ -102,4 +98,29 @@
     public boolean requiresKeys() {
         return !configuration.workspaces().isEmpty();
     }
+
+    /** The routes of one host. */
+    private static final class HostRoutes {
+
+        private final Map<String, Route> routesByPrefix = new HashMap<>();
+        /** The lengths of the prefixes, of which there are few. */
+        private final BitSet lengths = new BitSet();
+
+        void add(Route r) {
+            routesByPrefix.putIfAbsent(r.pathPrefix(), r);
+            lengths.set(r.pathPrefix().length());
+        }
+
+        Route find(String path) {
+            for (int length = lengths.previousSetBit(path.length());
+                    length >= 0;
+                    length = lengths.previousSetBit(length - 1)) {
+                Route r = routesByPrefix.get(path.substring(0, length));
+                if (r != null) {
+                    return r;
+                }
+            }
+            return null;
+        }
+    }
 }
--- a/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ConfigurationService.java
@@ -27,8 +27,9 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.log.LogVoter;
 import org.hallwall.serving.config.Configuration;
+import org.hallwall.serving.config.ConfigurationDocument;
 import org.hallwall.serving.config.ConfigurationException;
-import org.hallwall.serving.config.ConfigurationReader;
+import org.hallwall.serving.config.VersionedDocument;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 
@@ -41,7 +42,7 @@
 
     private final LogVoter voter;
     private final ConfigurationStateMachine stateMachine;
-    private final ConfigurationReader reader;
+    private final ConfigurationDocuments documents;
     private final InstanceId self;
     private final Function<InstanceId, NetAddress> apiAddresses;
 
@@ -51,19 +52,19 @@
      * @param self this control instance
      * @param voter the voter of this instance
      * @param machine the state machine of the configuration
-     * @param reader parses the operator's bytes
+     * @param documents the documents of the state machine
      * @param apiAddresses returns the API address of a control instance
      */
-    public ConfigurationService(
+    ConfigurationService(
             InstanceId self,
             LogVoter voter,
             ConfigurationStateMachine machine,
-            ConfigurationReader reader,
+            ConfigurationDocuments documents,
             Function<InstanceId, NetAddress> apiAddresses) {
         this.self = self;
         this.voter = voter;
         this.stateMachine = machine;
-        this.reader = reader;
+        this.documents = documents;
         this.apiAddresses = apiAddresses;
     }
 
@@ -74,14 +75,15 @@
      * @return the reply; never an error
      */
     public Mono<ConfigurationReply> put(byte[] bytes) {
+        ConfigurationDocument document = documents.divide(bytes);
         Configuration parsed;
         try {
-            parsed = reader.read(bytes);
+            parsed = documents.validate(document);
         } catch (ConfigurationException e) {
             LOG.infof("configuration: rejected as invalid: %s", e.getMessage());
             return Mono.just(new ConfigurationReply.Invalid(e.getMessage()));
         }
-        return leaderOnly(Mono.defer(() -> commit(parsed.version(), bytes)));
+        return leaderOnly(Mono.defer(() -> commit(new VersionedDocument(parsed.version(), document), bytes)));
     }
 
     /**
@@ -107,16 +109,19 @@
         });
     }
 
-    private Mono<ConfigurationReply> commit(long version, byte[] bytes) {
+    private Mono<ConfigurationReply> commit(VersionedDocument document, byte[] bytes) {
+        long version = document.version();
         if (stateMachine.current().version() >= version) {
             return readLinearizably(() -> accepted(version));
         }
-        byte[] command = ConfigurationStateMachine.command(version, Gzip.compress(bytes));
+        byte[] compressed = Gzip.compress(bytes);
+        byte[] command = ConfigurationStateMachine.command(version, compressed);
         if (command.length > LogVoter.MAX_COMMAND_BYTES) {
             LOG.warnf("configuration: version %d refused, %d bytes compressed", version, command.length);
             return Mono.just(new ConfigurationReply.Invalid("the configuration has " + command.length
                     + " bytes compressed, more than the limit of " + LogVoter.MAX_COMMAND_BYTES));
         }
+        documents.prepare(document, compressed);
         return Mono.fromFuture(voter.propose(command)).map(currentVersion -> accepted(version));
     }
 
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -25,7 +25,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicReference;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
@@ -37,8 +36,6 @@
 import org.hallwall.log.LogVoter;
 import org.hallwall.log.LogVoterConfig;
 import org.hallwall.program.ExitCode;
-import org.hallwall.serving.config.Configuration;
-import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.config.ConfigurationReader;
 import org.hallwall.serving.crash.CrashLedger;
 import org.hallwall.serving.group.ControllerInputs;
@@ -48,6 +45,7 @@
 import org.hallwall.serving.target.FeedFollower;
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
+import org.hallwall.serving.target.KnownConfiguration;
 import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.serving.target.TargetFeed;
 import org.hallwall.serving.target.TargetIds;
@@ -66,7 +64,6 @@
     private static final Logger LOG = Logger.getLogger(ControlNode.class);
 
     private final ControlNodeSettings settings;
-    private final ConfigurationReader reader;
     private final Ticker ticker = Ticker.SYSTEM;
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
@@ -78,7 +75,7 @@
     private final TargetDirectory directory;
     private final ConfigurationStateMachine configurationMachine;
     private final CrashLedger crashLedger = new CrashLedger();
-    private final AtomicReference<Configuration> parsedConfiguration = new AtomicReference<>(Configuration.EMPTY);
+    private final ConfigurationDocuments documents;
     private final PeerCodec codec = new PeerCodec(messageTypes());
     private final PeerServer peerServer;
     private final ControlMembership membership;
@@ -99,7 +96,6 @@
     public ControlNode(ControlNodeSettings settings, ConfigurationReader reader, PermitAllocator permits) {
         this.settings = settings;
         this.currentSeeds = settings.seeds();
-        this.reader = reader;
         this.entryReports = new EntryReports(settings.firstStart(), ticker);
         this.loadSummary = new LoadSummary(ticker);
         this.entryDirectory = new EntryDirectory(new SecureRandom(), ticker);
@@ -107,6 +103,7 @@
         this.feed = new TargetFeed(ticker);
         this.directory = new TargetDirectory(ticker);
         this.configurationMachine = new ConfigurationStateMachine(feed::completeWaiting);
+        this.documents = new ConfigurationDocuments(configurationMachine, reader);
         this.membership = new ControlMembership(settings, this::linkTo, this::startFollower, ticker);
         this.peerServer = new PeerServer(settings.fleet(), codec, this::handle);
     }
@@ -143,7 +140,7 @@
                 ticker,
                 new SecureRandom(),
                 () -> Runtime.getRuntime().halt(ExitCode.FAILURE.code()));
-        ControllerInputs view = new ControllerInputs(directory, this::configuration, entryReports::streams);
+        ControllerInputs view = new ControllerInputs(directory, documents::configuration, entryReports::streams);
         groupController = new GroupController(
                 voter, view, gateway, feed::setLost, settings.timing(), settings.mechanisms(), ticker);
         crashService = new CrashService(voter, crashLedger, System::currentTimeMillis);
@@ -151,7 +148,7 @@
                 settings.self().instance(),
                 voter,
                 configurationMachine,
-                reader,
+                documents,
                 id -> settings.member(id).api());
         directory.onChange(r -> groupController.requestStep());
         voter.start();
@@ -333,7 +330,13 @@
     private void startFollower(InstanceId id) {
         followers.computeIfAbsent(id, i -> {
             FeedFollower f = new FeedFollower(
-                    i.value(), linkTo(i), true, () -> Long.MAX_VALUE, () -> Long.MAX_VALUE, Map::of, this::applyNews);
+                    i.value(),
+                    linkTo(i),
+                    true,
+                    () -> KnownConfiguration.NEWEST,
+                    () -> Long.MAX_VALUE,
+                    Map::of,
+                    this::applyNews);
             f.start();
             return f;
         });
@@ -351,22 +354,6 @@
         news.heard().forEach(directory::recordHeartbeat);
     }
 
-    private Configuration configuration() {
-        ConfigurationStateMachine.StoredConfiguration stored = configurationMachine.current();
-        Configuration parsed = parsedConfiguration.get();
-        if (stored.version() == parsed.version()) {
-            return parsed;
-        }
-        try {
-            Configuration updated = reader.read(Gzip.decompress(stored.compressed()));
-            parsedConfiguration.set(updated);
-            return updated;
-        } catch (IOException | ConfigurationException e) {
-            LOG.errorf(e, "configuration: version %d cannot be parsed by this instance", stored.version());
-            return parsed;
-        }
-    }
-
     private Mono<? extends PeerMessage> handle(InstanceId from, PeerMessage message) {
         if (message instanceof LogMessage m) {
             if (voter != null && m.from().equals(from)) {
@@ -428,15 +415,12 @@
     }
 
     private FeedMessage.Changes createNews(FeedMessage.Poll poll) {
-        ConfigurationStateMachine.StoredConfiguration stored = configurationMachine.current();
-        byte[] compressed = stored.version() > poll.configurationVersion() ? stored.compressed() : null;
-        return feed.news(poll)
+        FeedMessage.Changes changes = feed.news(poll)
                 .with(
-                        stored.version(),
-                        compressed,
                         members(),
                         entryReports.activeCount(),
                         entryReports.peakCount(),
                         crashLedger.changesSince(poll.suspectsVersion()));
+        return documents.addTo(poll, changes);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/ConfigurationUpdates.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ConfigurationUpdates.java
@@ -19,16 +19,16 @@
 package org.hallwall.serving.relay;
 
 import java.io.IOException;
-import java.util.function.LongSupplier;
 
 import org.hallwall.core.time.Ticker;
 import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.target.FeedMessage;
+import org.hallwall.serving.target.KnownConfiguration;
 import org.jboss.logging.Logger;
 
 /**
- * Applies the configurations that an entry receives. A version that is waiting to be applied is not requested again; one that could not
- * be applied is, after a delay.
+ * Applies the configurations that an entry receives. A version that is waiting to be applied is not requested again. One that could not
+ * be applied is: at once as a whole if it was a difference, otherwise after a delay.
  */
 final class ConfigurationUpdates {
 
@@ -36,50 +36,65 @@
     /** Time until a version that could not be applied is requested again, in milliseconds. */
     static final long RETRY_DELAY_MILLIS = 1_000;
 
-    private final LongSupplier activeVersion;
     private final Activation activation;
     private final Ticker ticker;
     private long receivedVersion;
+    private long receivedChecksum;
+    private boolean wholeRequired;
     private boolean failed;
     private long failedAt;
 
     /**
      * Creates a component that has received nothing.
      *
-     * @param activeVersion supplies the version in use
      * @param activation puts a configuration to use
      * @param ticker the clock
      */
-    ConfigurationUpdates(LongSupplier activeVersion, Activation activation, Ticker ticker) {
-        this.activeVersion = activeVersion;
+    ConfigurationUpdates(Activation activation, Ticker ticker) {
         this.activation = activation;
         this.ticker = ticker;
     }
 
     /** Puts a configuration to use. */
-    @FunctionalInterface
     interface Activation {
 
+        /**
+         * Returns the version in use.
+         *
+         * @return the version; zero if there is none
+         */
+        long activeVersion();
+
+        /**
+         * Returns the checksum of the configuration in use.
+         *
+         * @return the checksum; zero if no difference can be applied to it
+         */
+        long activeChecksum();
+
         /**
          * Parses a configuration and puts it to use.
          *
-         * @param compressed the compressed configuration
+         * @param news an update with a configuration
          * @throws IOException if it cannot be decompressed
-         * @throws ConfigurationException if it is invalid
+         * @throws ConfigurationException if it is invalid, or a difference that cannot be applied
          */
-        void activate(byte[] compressed) throws IOException, ConfigurationException;
+        void activate(FeedMessage.Changes news) throws IOException, ConfigurationException;
     }
 
     /**
      * Returns the newest version that need not be sent again.
      *
-     * @return the version; zero if there is none
+     * @return the version, with a checksum if a difference can be applied to it
      */
-    synchronized long knownVersion() {
+    synchronized KnownConfiguration known() {
         if (failed && ticker.millis() - failedAt >= RETRY_DELAY_MILLIS) {
             forget();
         }
-        return Math.max(receivedVersion, activeVersion.getAsLong());
+        long active = activation.activeVersion();
+        boolean waiting = receivedVersion > active;
+        long checksum = waiting ? receivedChecksum : activation.activeChecksum();
+        return new KnownConfiguration(Math.max(receivedVersion, active), wholeRequired ? 0 : checksum);
     }
 
     /**
@@ -88,8 +103,11 @@
      * @param news the update
      */
     synchronized void markReceived(FeedMessage.Changes news) {
-        if (news.configuration() != null && news.configurationVersion() > receivedVersion) {
+        if (news.hasConfiguration() && news.configurationVersion() > receivedVersion) {
             receivedVersion = news.configurationVersion();
+            receivedChecksum = news.configurationDelta() == null
+                    ? 0
+                    : news.configurationDelta().checksum();
             failed = false;
         }
     }
@@ -106,18 +124,28 @@
      * @param news the update
      */
     void apply(FeedMessage.Changes news) {
-        if (news.configuration() == null || news.configurationVersion() <= activeVersion.getAsLong()) {
+        if (!news.hasConfiguration() || news.configurationVersion() <= activation.activeVersion()) {
             return;
         }
         try {
-            activation.activate(news.configuration());
+            activation.activate(news);
+            markApplied();
         } catch (IOException | ConfigurationException | RuntimeException | Error e) {
-            markFailed();
+            markFailed(news);
             LOG.errorf(e, "configuration: version %d cannot be applied", news.configurationVersion());
         }
     }
 
-    private synchronized void markFailed() {
+    private synchronized void markApplied() {
+        wholeRequired = false;
+    }
+
+    private synchronized void markFailed(FeedMessage.Changes news) {
+        if (news.configurationDelta() != null && !wholeRequired) {
+            wholeRequired = true;
+            forget();
+            return;
+        }
         failed = true;
         failedAt = ticker.millis();
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -40,10 +40,8 @@
 import org.hallwall.core.time.Ticker;
 import org.hallwall.program.ProgramException;
 import org.hallwall.serving.availability.TargetAvailability;
-import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.config.ConfigurationReader;
 import org.hallwall.serving.control.ControlNode;
-import org.hallwall.serving.control.Gzip;
 import org.hallwall.serving.crash.CrashWatch;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.permit.EntryPermits;
@@ -82,7 +80,6 @@
     private static final long CRASH_CHECK_INTERVAL_MILLIS = 200;
 
     private final EntryNodeSettings settings;
-    private final ConfigurationReader reader;
     private final Ticker ticker = Ticker.SYSTEM;
     private final TargetDirectory directory = new TargetDirectory(ticker);
     private final EntryState state = new EntryState(directory);
@@ -104,8 +101,7 @@
     private final RelayServer server;
     private final EventLoopThread feedThread;
     private final Map<String, String> bootIds = new HashMap<>();
-    private final ConfigurationUpdates configurations =
-            new ConfigurationUpdates(this::configurationVersion, this::activate, ticker);
+    private final ConfigurationUpdates configurations;
     private ScheduledFuture<?> crashCheck;
     private volatile TargetGateway gateway;
     private volatile long firstUpdateAt = -1;
@@ -128,7 +124,7 @@
             AddressTranslator addresses,
             PrometheusRegistry registry) {
         this.settings = settings;
-        this.reader = reader;
+        this.configurations = new ConfigurationUpdates(new EntryConfiguration(state, reader), ticker);
         this.retryBudget = new RetryBudget(
                 settings.retryRatio(),
                 settings.retryExtra(),
@@ -352,7 +348,7 @@
                         m.instance().value(),
                         link,
                         false,
-                        configurations::knownVersion,
+                        configurations::known,
                         crashWatch::version,
                         admission::streamDemand,
                         onFeedThread(news -> applyUpdate(m.instance().value(), news)));
@@ -362,10 +358,6 @@
         }
     }
 
-    private long configurationVersion() {
-        return state.routes().configuration().version();
-    }
-
     /** Hands updates to the feed thread; throws if its queue is full, so that the follower requests them again. */
     private Consumer<FeedMessage.Changes> onFeedThread(Consumer<FeedMessage.Changes> consumer) {
         return news -> {
@@ -402,10 +394,6 @@
         }
     }
 
-    private void activate(byte[] compressed) throws IOException, ConfigurationException {
-        state.applyConfiguration(reader.read(Gzip.decompress(compressed)));
-    }
-
     /** Returns the targets that accept connections according to what they have announced and responded. */
     private List<TargetEndpoint> endpoints() {
         return state.targets().all().stream()
--- a/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
@@ -45,7 +45,7 @@
     private final String name;
     private final PeerLink link;
     private final boolean wantsHeartbeats;
-    private final LongSupplier configurationVersion;
+    private final Supplier<KnownConfiguration> configuration;
     private final LongSupplier suspectsVersion;
     private final Supplier<Map<String, Integer>> streams;
     private final Consumer<FeedMessage.Changes> consumer;
@@ -63,7 +63,7 @@
      * @param name the name of the control instance, for logs
      * @param link the link to it
      * @param wantsHeartbeats whether to request heartbeats without changes
-     * @param configurationVersion supplies the known version of the configuration
+     * @param configuration supplies the known version of the configuration
      * @param suspectsVersion supplies the known version of the suspects
      * @param streams supplies the streams in progress by model
      * @param consumer receives the answers in order
@@ -72,14 +72,14 @@
             String name,
             PeerLink link,
             boolean wantsHeartbeats,
-            LongSupplier configurationVersion,
+            Supplier<KnownConfiguration> configuration,
             LongSupplier suspectsVersion,
             Supplier<Map<String, Integer>> streams,
             Consumer<FeedMessage.Changes> consumer) {
         this.name = name;
         this.link = link;
         this.wantsHeartbeats = wantsHeartbeats;
-        this.configurationVersion = configurationVersion;
+        this.configuration = configuration;
         this.suspectsVersion = suspectsVersion;
         this.streams = streams;
         this.consumer = consumer;
@@ -121,14 +121,16 @@
         if (stopped.getAsBoolean()) {
             return;
         }
+        KnownConfiguration known = configuration.get();
         FeedMessage.Poll poll = new FeedMessage.Poll(
                 boot,
                 after,
                 wantsHeartbeats ? heardAfter : -1,
-                configurationVersion.getAsLong(),
+                known.version(),
                 POLL_WAIT_MILLIS,
                 streams.get(),
-                suspectsVersion.getAsLong());
+                suspectsVersion.getAsLong(),
+                known.checksum());
         current = link.call(poll, ANSWER_TIMEOUT)
                 .cast(FeedMessage.Changes.class)
                 .subscribe(this::onAnswer, this::onFailure);
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -23,6 +23,7 @@
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.settings.NetAddress;
+import org.hallwall.serving.config.ConfigurationDelta;
 import org.hallwall.serving.crash.CrashedTarget;
 import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.crash.SuspectUpdate;
@@ -72,6 +73,8 @@
      * @param waitMillis the maximum wait in milliseconds
      * @param streams the sender's streams in progress by model
      * @param suspectsVersion the version of the suspects that the sender has
+     * @param configurationChecksum the checksum of the configuration that the sender has, to which a difference can be
+     *     applied; zero to receive the whole
      */
     record Poll(
             String boot,
@@ -80,7 +83,8 @@
             long configurationVersion,
             long waitMillis,
             Map<String, Integer> streams,
-            long suspectsVersion)
+            long suspectsVersion,
+            long configurationChecksum)
             implements FeedMessage {}
 
     /**
@@ -98,6 +102,7 @@
      * @param entries the number of entries that have polled recently
      * @param mostEntries the recent maximum number of entries; zero if unknown
      * @param suspects the changes of the suspects, or null if there are none
+     * @param configurationDelta what changed since the receiver's configuration, instead of the whole, or null
      */
     record Changes(
             String boot,
@@ -111,14 +116,13 @@
             List<ControlMember> members,
             int entries,
             int mostEntries,
-            SuspectUpdate suspects)
+            SuspectUpdate suspects,
+            ConfigurationDelta configurationDelta)
             implements FeedMessage {
 
         /**
          * Copies the answer with the parts that do not come from the feed.
          *
-         * @param version the version of the configuration in force
-         * @param compressed the compressed configuration, or null
          * @param controlMembers the control instances
          * @param entryCount the number of entries that have polled recently
          * @param maxEntryCount the recent maximum number of entries, or zero
@@ -126,12 +130,7 @@
          * @return the complete answer
          */
         public Changes with(
-                long version,
-                byte[] compressed,
-                List<ControlMember> controlMembers,
-                int entryCount,
-                int maxEntryCount,
-                SuspectUpdate suspectUpdate) {
+                List<ControlMember> controlMembers, int entryCount, int maxEntryCount, SuspectUpdate suspectUpdate) {
             return new Changes(
                     boot,
                     next,
@@ -139,12 +138,47 @@
                     lost,
                     heardNext,
                     heard,
-                    version,
-                    compressed,
+                    configurationVersion,
+                    configuration,
                     controlMembers,
                     entryCount,
                     maxEntryCount,
-                    suspectUpdate);
+                    suspectUpdate,
+                    configurationDelta);
+        }
+
+        /**
+         * Copies the answer with the configuration.
+         *
+         * @param version the version of the configuration in force
+         * @param compressed the compressed configuration, or null
+         * @param delta the difference from the receiver's configuration, or null
+         * @return the answer with the configuration
+         */
+        public Changes withConfiguration(long version, byte[] compressed, ConfigurationDelta delta) {
+            return new Changes(
+                    boot,
+                    next,
+                    records,
+                    lost,
+                    heardNext,
+                    heard,
+                    version,
+                    compressed,
+                    members,
+                    entries,
+                    mostEntries,
+                    suspects,
+                    delta);
+        }
+
+        /**
+         * Returns whether the answer has a newer configuration, whole or as a difference.
+         *
+         * @return true if it has
+         */
+        public boolean hasConfiguration() {
+            return configuration != null || configurationDelta != null;
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
@@ -180,7 +180,8 @@
             }
         }
         List<InstanceId> dead = lostChange > after ? List.copyOf(lost) : null;
-        return new FeedMessage.Changes(boot, changes, records, dead, heartbeats, heard, 0, null, List.of(), 0, 0, null);
+        return new FeedMessage.Changes(
+                boot, changes, records, dead, heartbeats, heard, 0, null, List.of(), 0, 0, null, null);
     }
 
     private synchronized boolean register(
--- a/serving/src/test/java/org/hallwall/serving/control/ControlFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlFixture.java
@@ -72,7 +72,7 @@
                         0,
                         new ControllerTiming(HEARTBEAT_MILLIS, 1_000, false, 0),
                         Mechanisms.ALL),
-                bytes -> configuration,
+                document -> configuration,
                 new PermitAllocator(Ticker.SYSTEM, 0));
         node.start(gateway);
         Awaitility.await()
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -40,6 +40,7 @@
 import org.hallwall.log.LogVoter;
 import org.hallwall.serving.config.CallerLimits;
 import org.hallwall.serving.config.Configuration;
+import org.hallwall.serving.config.ConfigurationDocument;
 import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.decision.Mechanisms;
 import org.hallwall.serving.group.ControllerTiming;
@@ -137,8 +138,8 @@
         nodes.remove(n).close();
     }
 
-    private static Configuration read(byte[] bytes) throws ConfigurationException {
-        String text = new String(bytes, StandardCharsets.UTF_8);
+    private static Configuration read(ConfigurationDocument document) throws ConfigurationException {
+        String text = new String(document.bytes(), StandardCharsets.UTF_8);
         try {
             long version = Long.parseLong(text.split(" ")[0]);
             return new Configuration(version, List.of(), Map.of(), List.of(), CallerLimits.DEFAULT);
--- a/serving/src/test/java/org/hallwall/serving/control/SuspendedLeaderTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/SuspendedLeaderTest.java
@@ -38,6 +38,7 @@
 import org.hallwall.log.LogVoterConfig;
 import org.hallwall.serving.config.CallerLimits;
 import org.hallwall.serving.config.Configuration;
+import org.hallwall.serving.config.ConfigurationDocument;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
@@ -143,7 +144,11 @@
                     new Random(id.hashCode()),
                     () -> {});
             service = new ConfigurationService(
-                    id, voter, machine, SuspendedLeaderTest::read, other -> new NetAddress("127.0.0.1", 9));
+                    id,
+                    voter,
+                    machine,
+                    new ConfigurationDocuments(machine, SuspendedLeaderTest::read),
+                    other -> new NetAddress("127.0.0.1", 9));
         }
 
         /** Returns the monotonic clock, which stops for good at the suspension. */
@@ -159,8 +164,8 @@
         }
     }
 
-    private static Configuration read(byte[] bytes) {
-        long version = Long.parseLong(new String(bytes, StandardCharsets.UTF_8));
+    private static Configuration read(ConfigurationDocument document) {
+        long version = Long.parseLong(new String(document.bytes(), StandardCharsets.UTF_8));
         return new Configuration(
                 version, List.of(), Map.of(), List.of(), new CallerLimits(2_000, 10_000, 1_000, 1_000));
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/ConfigurationUpdatesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ConfigurationUpdatesTest.java
@@ -21,24 +21,46 @@
 import java.io.IOException;
 import java.util.List;
 
+import org.hallwall.serving.config.ConfigurationDelta;
 import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.target.FeedMessage;
+import org.hallwall.serving.target.KnownConfiguration;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a configuration that is received, not applied, and never requested again. */
 class ConfigurationUpdatesTest {
 
+    private static final long CHECKSUM_FACTOR = 100;
+
     private long now = 1_000;
     private long activeVersion = 3;
     private Throwable failure;
     private int activations;
 
-    private final ConfigurationUpdates updates =
-            new ConfigurationUpdates(() -> activeVersion, this::activate, () -> now);
+    private final ConfigurationUpdates updates = new ConfigurationUpdates(new TestActivation(), () -> now);
+
+    private final class TestActivation implements ConfigurationUpdates.Activation {
+
+        @Override
+        public long activeVersion() {
+            return activeVersion;
+        }
+
+        @Override
+        public long activeChecksum() {
+            return activeVersion * CHECKSUM_FACTOR;
+        }
+
+        @Override
+        public void activate(FeedMessage.Changes news) throws IOException, ConfigurationException {
+            activations++;
+            throwFailure();
+            activeVersion = news.configurationVersion();
+        }
+    }
 
-    private void activate(byte[] compressed) throws IOException, ConfigurationException {
-        activations++;
+    private void throwFailure() throws IOException {
         if (failure instanceof IOException e) {
             throw e;
         }
@@ -48,12 +70,11 @@
         if (failure instanceof Error e) {
             throw e;
         }
-        activeVersion = compressed[0];
     }
 
     private static FeedMessage.Changes update(int version, byte[] configuration) {
         return new FeedMessage.Changes(
-                "b", 0, List.of(), null, 0, List.of(), version, configuration, List.of(), 1, 1, null);
+                "b", 0, List.of(), null, 0, List.of(), version, configuration, List.of(), 1, 1, null, null);
     }
 
     private static FeedMessage.Changes update(int version) {
@@ -63,25 +84,25 @@
     @Test
     void versionThatWaitsIsNotRequestedAgain() {
         updates.markReceived(update(4));
-        Assertions.assertEquals(4, updates.knownVersion());
+        Assertions.assertEquals(4, updates.known().version());
         now += 10 * ConfigurationUpdates.RETRY_DELAY_MILLIS;
-        Assertions.assertEquals(4, updates.knownVersion());
+        Assertions.assertEquals(4, updates.known().version());
         updates.apply(update(4));
         Assertions.assertEquals(4, activeVersion);
-        Assertions.assertEquals(4, updates.knownVersion());
+        Assertions.assertEquals(4, updates.known().version());
     }
 
     @Test
     void versionWithoutAQueueIsRequestedAgain() {
         updates.markReceived(update(4));
         updates.forget();
-        Assertions.assertEquals(3, updates.knownVersion());
+        Assertions.assertEquals(3, updates.known().version());
     }
 
     @Test
     void updateWithoutAConfigurationIsNoReceipt() {
         updates.markReceived(update(4, null));
-        Assertions.assertEquals(3, updates.knownVersion());
+        Assertions.assertEquals(3, updates.known().version());
         updates.apply(update(4, null));
         Assertions.assertEquals(0, activations);
     }
@@ -94,9 +115,9 @@
             updates.markReceived(update(4));
             updates.apply(update(4));
             now += ConfigurationUpdates.RETRY_DELAY_MILLIS - 1;
-            Assertions.assertEquals(4, updates.knownVersion(), e::toString);
+            Assertions.assertEquals(4, updates.known().version(), e::toString);
             now++;
-            Assertions.assertEquals(3, updates.knownVersion(), e::toString);
+            Assertions.assertEquals(3, updates.known().version(), e::toString);
         }
         failure = null;
         updates.markReceived(update(4));
@@ -112,7 +133,7 @@
         failure = null;
         updates.markReceived(update(5));
         now += ConfigurationUpdates.RETRY_DELAY_MILLIS;
-        Assertions.assertEquals(5, updates.knownVersion());
+        Assertions.assertEquals(5, updates.known().version());
         updates.apply(update(5));
         Assertions.assertEquals(5, activeVersion);
     }
@@ -122,4 +143,49 @@
         updates.apply(update(3));
         Assertions.assertEquals(0, activations);
     }
+
+    private static FeedMessage.Changes difference(int version) {
+        ConfigurationDelta delta =
+                new ConfigurationDelta(version - 1, 0, version, 0, version * CHECKSUM_FACTOR, List.of());
+        return update(version, null).withConfiguration(version, null, delta);
+    }
+
+    @Test
+    void differenceCanFollowOneThatWaits() {
+        updates.markReceived(difference(4));
+        Assertions.assertEquals(new KnownConfiguration(4, 4 * CHECKSUM_FACTOR), updates.known());
+        updates.apply(difference(4));
+        Assertions.assertEquals(4, activeVersion);
+        Assertions.assertEquals(new KnownConfiguration(4, 4 * CHECKSUM_FACTOR), updates.known());
+    }
+
+    @Test
+    void noDifferenceFollowsAWholeThatWaits() {
+        updates.markReceived(update(4));
+        Assertions.assertEquals(new KnownConfiguration(4, 0), updates.known());
+    }
+
+    @Test
+    void wholeIsRequestedAtOnceAfterADifferenceThatCannotBeApplied() {
+        failure = new IllegalStateException("a test");
+        updates.markReceived(difference(4));
+        updates.apply(difference(4));
+        Assertions.assertEquals(new KnownConfiguration(3, 0), updates.known());
+        failure = null;
+        updates.markReceived(update(4));
+        updates.apply(update(4));
+        Assertions.assertEquals(new KnownConfiguration(4, 4 * CHECKSUM_FACTOR), updates.known());
+    }
+
+    @Test
+    void repeatedFailuresWaitForTheDelay() {
+        failure = new IllegalStateException("a test");
+        updates.markReceived(difference(4));
+        updates.apply(difference(4));
+        updates.markReceived(update(4));
+        updates.apply(update(4));
+        Assertions.assertEquals(4, updates.known().version());
+        now += ConfigurationUpdates.RETRY_DELAY_MILLIS;
+        Assertions.assertEquals(new KnownConfiguration(3, 0), updates.known());
+    }
 }
