Send the difference whenever the receiver's version was accepted here

A control instance loaded a version only when a poll asked for it; entries have most versions from the instance that answers first, so the others lacked the base of the next difference. And an entry put a version to use before its document was known, so polls sent meanwhile asked for the whole.

Change: a control instance loads each version when the log applies it; an entry knows the document before the version is in use. Elements are searched among all earlier ones only after four in a row are new.

--- a/serving/src/main/java/org/hallwall/serving/config/DocumentSplitter.java
+++ b/serving/src/main/java/org/hallwall/serving/config/DocumentSplitter.java
@@ -36,6 +36,8 @@
 final class DocumentSplitter {
 
     private static final int NOT_FOUND = -1;
+    /** The number of successive new elements after which elements are searched among all earlier ones. */
+    private static final int MAX_UNMATCHED = 4;
 
     private final byte[] bytes;
     private final List<DocumentSegment> earlier;
@@ -45,6 +47,7 @@
     /** The position among the earlier segments behind the last one that was shared. */
     private int next;
 
+    private int unmatched;
     private int position;
     private int textStart;
 
@@ -139,6 +142,7 @@
             // The end of the last element of an array depends on what follows.
             if (candidate.hasSeparator() && candidate.matches(member, bytes, position)) {
                 next = i + 1;
+                unmatched = 0;
                 return candidate;
             }
         }
@@ -168,8 +172,15 @@
     }
 
     private int positionOf(DocumentSegment segment) {
-        if (next < earlier.size() && segment.equals(earlier.get(next))) {
-            return next;
+        for (int i = next; i < Math.min(next + 2, earlier.size()); i++) {
+            if (segment.equals(earlier.get(i))) {
+                unmatched = 0;
+                return i;
+            }
+        }
+        // An index of all segments is worth its cost only if the order has changed.
+        if (++unmatched <= MAX_UNMATCHED) {
+            return NOT_FOUND;
         }
         if (positions == null) {
             positions = new HashMap<>();
--- a/serving/src/main/java/org/hallwall/serving/control/ConfigurationDocuments.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ConfigurationDocuments.java
@@ -56,6 +56,16 @@
         this.reader = reader;
     }
 
+    /** Loads the accepted configuration, so that it can be the base of a difference even if no poll asks for it. */
+    synchronized void update() {
+        StoredConfiguration stored = stateMachine.current();
+        try {
+            load(stored);
+        } catch (IOException e) {
+            LOG.errorf(e, "configuration: version %d cannot be decompressed", stored.version());
+        }
+    }
+
     /**
      * Divides an operator's configuration into segments, which it shares with the accepted one.
      *
--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -102,7 +102,7 @@
         this.permits = permits;
         this.feed = new TargetFeed(ticker);
         this.directory = new TargetDirectory(ticker);
-        this.configurationMachine = new ConfigurationStateMachine(feed::completeWaiting);
+        this.configurationMachine = new ConfigurationStateMachine(this::publishConfiguration);
         this.documents = new ConfigurationDocuments(configurationMachine, reader);
         this.membership = new ControlMembership(settings, this::linkTo, this::startFollower, ticker);
         this.peerServer = new PeerServer(settings.fleet(), codec, this::handle);
@@ -349,6 +349,11 @@
                 : v.state().voters().stream().map(settings::member).toList();
     }
 
+    private void publishConfiguration() {
+        documents.update();
+        feed.completeWaiting();
+    }
+
     private void applyNews(FeedMessage.Changes news) {
         news.records().forEach(directory::applyRecord);
         news.heard().forEach(directory::recordHeartbeat);
--- a/serving/src/main/java/org/hallwall/serving/relay/ConfigurationUpdates.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ConfigurationUpdates.java
@@ -66,11 +66,12 @@
         long activeVersion();
 
         /**
-         * Returns the checksum of the configuration in use.
+         * Returns the checksum of a configuration.
          *
-         * @return the checksum; zero if no difference can be applied to it
+         * @param version the version
+         * @return the checksum; zero if no difference can be applied to that version
          */
-        long activeChecksum();
+        long checksumOf(long version);
 
         /**
          * Parses a configuration and puts it to use.
@@ -91,10 +92,12 @@
         if (failed && ticker.millis() - failedAt >= RETRY_DELAY_MILLIS) {
             forget();
         }
-        long active = activation.activeVersion();
-        boolean waiting = receivedVersion > active;
-        long checksum = waiting ? receivedChecksum : activation.activeChecksum();
-        return new KnownConfiguration(Math.max(receivedVersion, active), wholeRequired ? 0 : checksum);
+        long version = Math.max(receivedVersion, activation.activeVersion());
+        if (wholeRequired) {
+            return new KnownConfiguration(version, 0);
+        }
+        boolean waiting = version == receivedVersion && receivedChecksum != 0;
+        return new KnownConfiguration(version, waiting ? receivedChecksum : activation.checksumOf(version));
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryConfiguration.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryConfiguration.java
@@ -20,6 +20,7 @@
 
 import java.io.IOException;
 
+import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.ConfigurationDelta;
 import org.hallwall.serving.config.ConfigurationDocument;
 import org.hallwall.serving.config.ConfigurationException;
@@ -47,9 +48,9 @@
     }
 
     @Override
-    public long activeChecksum() {
+    public long checksumOf(long version) {
         VersionedDocument newest = recent.newest();
-        return newest.version() == activeVersion() ? newest.document().checksum() : 0;
+        return newest.version() == version ? newest.document().checksum() : 0;
     }
 
     @Override
@@ -61,8 +62,10 @@
                                 Gzip.decompress(news.configuration()),
                                 recent.newest().document()))
                 : applyDelta(news.configurationDelta());
-        state.applyConfiguration(reader.read(document.document()));
+        Configuration parsed = reader.read(document.document());
+        // The version may be requested as a base as soon as it is in use.
         recent.add(document);
+        state.applyConfiguration(parsed);
     }
 
     private VersionedDocument applyDelta(ConfigurationDelta delta) throws ConfigurationException {
--- a/serving/src/test/java/org/hallwall/serving/control/ConfigurationDocumentsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ConfigurationDocumentsTest.java
@@ -39,7 +39,7 @@
 
     private static final int ROUTES = 200;
 
-    private final ConfigurationStateMachine machine = new ConfigurationStateMachine(() -> {});
+    private final ConfigurationStateMachine machine = new ConfigurationStateMachine(this::update);
     private final ConfigurationDocuments documents =
             new ConfigurationDocuments(machine, ConfigurationDocumentsTest::read);
     private final List<String> routes = new ArrayList<>();
@@ -66,6 +66,10 @@
         machine.apply(++index, ConfigurationStateMachine.command(version, Gzip.compress(bytes(version))));
     }
 
+    private void update() {
+        documents.update();
+    }
+
     private FeedMessage.Changes poll(long version, long checksum) {
         FeedMessage.Poll poll = new FeedMessage.Poll("b", 0, -1, version, 50, Map.of(), 0, checksum);
         FeedMessage.Changes empty =
@@ -112,6 +116,19 @@
         }
     }
 
+    /** Entries usually receive a version from the first control instance that has it, so the others are asked for later ones only. */
+    @Test
+    void versionThatNoPollAskedForIsABase() throws Exception {
+        accept(10);
+        VersionedDocument known =
+                new VersionedDocument(10, ConfigurationDocument.of(bytes(10), ConfigurationDocument.EMPTY));
+        accept(11);
+        FeedMessage.Changes answer = poll(10, known.document().checksum());
+        Assertions.assertNotNull(answer.configurationDelta());
+        Assertions.assertArrayEquals(
+                bytes(11), receive(known, answer).document().bytes());
+    }
+
     @Test
     void configurationThatDiffersEverywhereIsSentAsAWhole() throws Exception {
         accept(10);
--- a/serving/src/test/java/org/hallwall/serving/relay/ConfigurationUpdatesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ConfigurationUpdatesTest.java
@@ -48,8 +48,8 @@
         }
 
         @Override
-        public long activeChecksum() {
-            return activeVersion * CHECKSUM_FACTOR;
+        public long checksumOf(long version) {
+            return version <= activeVersion ? version * CHECKSUM_FACTOR : 0;
         }
 
         @Override
