Send requests to stalled targets with free slots when all others are full

Callers saw: while some targets pause for a second, requests were refused with 503 although slots were free.

Cause: a target whose request is hedged gets no new requests meanwhile, and "only if no other is left" did not ask whether the others have room. New requests went to full targets and were rejected, and hedged attempts took the slots that were left.

Change: a stalled target is selected if it has a free slot and all others are full; one that failed is not. A hedged attempt needs a target below 75% of its slots, or a free slot if the group is known to be lost. A request that was cancelled at a silent target occupies its slot there until the target continues, for 3 s at most.

Ruled out: the retry budget; repeats were 17 of 333 requests where 38 are allowed.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -87,16 +87,24 @@
      * it.
      *
      * @param now the current time, in milliseconds
+     * @param lost whether the stalled attempt is known to be lost
      * @return the recipient, or null
      */
-    NextHop nextHedge(long now) {
+    NextHop nextHedge(long now, boolean lost) {
         NextHop hop = mayHedge() ? chooseHop() : null;
         boolean usable = hop != null
                 && !hop.state().isEjected(now)
+                && (hop.isEntry() || hasRoom(hop.target(), lost))
                 && context.retryBudget().tryRetry(request.service());
         return usable ? recordStart(hop) : null;
     }
 
+    private boolean hasRoom(ServingTarget target, boolean lost) {
+        return lost
+                ? context.balancer().hasFreeSlot(target)
+                : context.balancer().hasSpareSlot(target);
+    }
+
     private NextHop recordStart(NextHop hop) {
         open.add(hop);
         triedRecipients.add(hop.target().instance());
@@ -242,6 +250,7 @@
     /** Records that an attempt was cancelled because another one has responded first. */
     void recordSuperseded(NextHop hop, ResponseProgress progress) {
         abandon(hop, progress);
+        hop.state().recordSuperseded(context.now());
         context.metrics().countAttempt("superseded");
         LOG.infof(
                 "request %s: attempt at %s cancelled after %d ms, another one has responded first; %d of %d runs counted",
--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -44,6 +44,9 @@
     /** Maximum utilization of a local group for which no other groups are considered; above it, prompts queue. */
     private static final double LOCAL_LOAD_LIMIT = 0.5;
 
+    /** Maximum utilization of a target after a hedged attempt; the other slots are left to new requests. */
+    private static final double HEDGE_LOAD_LIMIT = 0.75;
+
     private static final int MAX_STATES = 2_000;
 
     private final String failureDomain;
@@ -107,8 +110,8 @@
         long now = ticker.millis();
         ServingTarget best = null;
         for (ServingTarget t : eligible(targets, tried)) {
-            boolean hasFreeSlot = outstanding(t) < t.slots() && !state(t).isEjected(now);
-            if (hasFreeSlot && (best == null || load(t) < load(best))) {
+            boolean usable = hasFreeSlot(t) && !state(t).isEjected(now);
+            if (usable && (best == null || load(t) < load(best))) {
                 best = t;
             }
         }
@@ -135,19 +138,60 @@
         return best != null && outstanding(best) * best.slowdown() < best.slots() * LOCAL_LOAD_LIMIT ? best : null;
     }
 
-    /** Returns the untried targets that are not displaced; ejected ones only if there are no others. */
+    /**
+     * Returns the untried targets that are not displaced; ejected ones only if there are no others. If all others are full, stalled
+     * ones with a free slot: those that pause serve the request later, while a full one rejects it.
+     */
     private List<ServingTarget> eligible(List<ServingTarget> targets, Set<InstanceId> tried) {
         long now = ticker.millis();
         List<ServingTarget> healthy = new ArrayList<>();
         List<ServingTarget> ejected = new ArrayList<>();
+        List<ServingTarget> stalled = new ArrayList<>();
+        boolean full = true;
         for (ServingTarget t : targets) {
-            if (!tried.contains(t.instance()) && !state(t).isDisplaced(t, now)) {
-                (state(t).isEjected(now) ? ejected : healthy).add(t);
+            if (tried.contains(t.instance()) || state(t).isDisplaced(t, now)) {
+                continue;
+            }
+            if (!state(t).isEjected(now)) {
+                healthy.add(t);
+                full &= !hasFreeSlot(t);
+                continue;
+            }
+            ejected.add(t);
+            if (state(t).isEjectedForStall(now) && hasFreeSlot(t)) {
+                stalled.add(t);
             }
         }
+        if (full && !stalled.isEmpty()) {
+            return stalled;
+        }
         return healthy.isEmpty() ? ejected : healthy;
     }
 
+    /**
+     * Returns whether a target has a free slot, according to the known outstanding requests.
+     *
+     * @param target the target
+     * @return true if it has
+     */
+    boolean hasFreeSlot(ServingTarget target) {
+        return occupied(target) < target.slots();
+    }
+
+    /**
+     * Returns whether a target has slots to spare for requests that another target may still serve.
+     *
+     * @param target the target
+     * @return true if it has
+     */
+    boolean hasSpareSlot(ServingTarget target) {
+        return occupied(target) + 1 <= target.slots() * HEDGE_LOAD_LIMIT;
+    }
+
+    private int occupied(ServingTarget target) {
+        return outstanding(target) + state(target).held(ticker.millis());
+    }
+
     private static List<ServingTarget> pickTwo(List<ServingTarget> targets) {
         ThreadLocalRandom random = ThreadLocalRandom.current();
         int first = random.nextInt(targets.size());
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -136,7 +136,7 @@
         if (done || primary == null || hedge != null || !attempts.mayRetry()) {
             return;
         }
-        NextHop hop = attempts.nextHedge(context.now());
+        NextHop hop = attempts.nextHedge(context.now(), false);
         if (hop == null) {
             scheduleHedge(HEDGE_RETRY_MILLIS);
             return;
@@ -148,7 +148,7 @@
                 context.now() - primary.startedAt(),
                 hop.target().instance());
         // new requests avoid the late target meanwhile
-        primary.hop().state().recordFailure(context.now());
+        primary.hop().state().recordStall(context.now());
         hedge = new BufferedAttempt(hop, this, context.now());
         hedge.start(request, attempts.historyBefore(hop));
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -192,7 +192,7 @@
     }
 
     private void startHedge(long now) {
-        NextHop hop = attempts.nextHedge(now);
+        NextHop hop = attempts.nextHedge(now, isKnownLost(primary));
         if (hop == null) {
             nextHedgeAt = now + MIN_HEDGE_RETRY_MILLIS;
             return;
@@ -206,7 +206,11 @@
                 stallPolicy.describe(primary.hop()),
                 hop.target().instance());
         // new requests avoid the stalled target meanwhile
-        primary.hop().state().recordFailure(now);
+        if (isKnownLost(primary)) {
+            primary.hop().state().recordFailure(now);
+        } else {
+            primary.hop().state().recordStall(now);
+        }
         hedge = new StreamAttempt(context, hop, this);
         hedge.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -40,9 +40,15 @@
      */
     private static final double LATE_DEVIATIONS = 4;
 
+    /** How long a silent target is assumed to hold requests that were cancelled, in milliseconds. */
+    private static final long HELD_MILLIS = 3_000;
+
     private int outstanding;
+    private int held;
+    private long heldUntil;
     private int consecutiveFailures;
     private long ejectedUntil;
+    private boolean ejectedForStall;
     private long displacedAnnouncement = -1;
     private long displacedUntil;
     private long lastProgressAt;
@@ -63,6 +69,18 @@
 
     void recordProgress(long now) {
         lastProgressAt = now;
+        held = 0;
+    }
+
+    /** Records that a request was cancelled because another target has responded first. */
+    void recordSuperseded(long now) {
+        held = held(now) + 1;
+        heldUntil = now + HELD_MILLIS;
+    }
+
+    /** Returns the cancelled requests that occupy a slot until the target continues. */
+    int held(long now) {
+        return now < heldUntil ? held : 0;
     }
 
     long lastProgressAt() {
@@ -89,6 +107,18 @@
     }
 
     void recordFailure(long now) {
+        eject(now);
+        ejectedForStall = false;
+    }
+
+    /** Records that requests of the target have stalled. It may be pausing, and is still selected if all others are full. */
+    void recordStall(long now) {
+        boolean failed = isEjected(now) && !ejectedForStall;
+        eject(now);
+        ejectedForStall = !failed;
+    }
+
+    private void eject(long now) {
         long ejectionMillis = Math.min(MAX_EJECTION_MILLIS, EJECTION_MILLIS << Math.min(consecutiveFailures, 8));
         consecutiveFailures++;
         ejectedUntil = now + ejectionMillis;
@@ -108,4 +138,9 @@
     boolean isEjected(long now) {
         return now < ejectedUntil;
     }
+
+    /** Returns whether the target is ejected because its requests have stalled, and has not failed otherwise. */
+    boolean isEjectedForStall(long now) {
+        return isEjected(now) && ejectedForStall;
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
@@ -109,6 +109,35 @@
         Assertions.assertNotNull(balancer.choose(targets, Set.of(new InstanceId("h0"))));
     }
 
+    /** Guards against rejections by full targets while one that pauses has free slots. */
+    @Test
+    void stalledTargetWithAFreeSlotIsSelectedIfAllOthersAreFull() {
+        List<ServingTarget> targets = targets(3);
+        balancer.state(targets.get(0)).recordStall(now);
+        balancer.state(targets.get(1)).recordFailure(now);
+        Assertions.assertEquals(Map.of("h2", CHOICES), choices(targets));
+        fleet.update(Map.of(), Map.of("h2", 18));
+        Assertions.assertEquals(Map.of("h0", CHOICES), choices(targets));
+        for (int i = 0; i < 18; i++) {
+            balancer.state(targets.get(0)).recordSuperseded(now);
+        }
+        Assertions.assertEquals(Map.of("h2", CHOICES), choices(targets), "cancelled requests still occupy its slots");
+        balancer.state(targets.get(0)).recordProgress(now);
+        Assertions.assertEquals(Map.of("h0", CHOICES), choices(targets));
+        balancer.state(targets.get(0)).recordFailure(now);
+        balancer.state(targets.get(0)).recordStall(now);
+        Assertions.assertEquals(Map.of("h2", CHOICES), choices(targets), "a failure outweighs a stall");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"12, true, true", "13, false, true", "17, false, true", "18, false, false"})
+    void hedgedAttemptsLeaveSlotsToNewRequests(int outstanding, boolean spare, boolean free) {
+        fleet.update(Map.of(), Map.of("h0", outstanding));
+        ServingTarget target = targets(1).get(0);
+        Assertions.assertEquals(spare, balancer.hasSpareSlot(target));
+        Assertions.assertEquals(free, balancer.hasFreeSlot(target));
+    }
+
     @Test
     void displacedTargetIsSkippedUntilItsNextAnnouncement() {
         ServingTarget displaced =
