Bound what earlier versions of the configuration add to the heap

Found by a harsher form of our own test: two versions of 39,000 routes that differ everywhere need 51 MB of live heap, and sixteen retained versions that share nothing would need several times the heap of an entry.

Change: versions are retained as bases only while what they have and their successors have not is at most 1 MiB; the largest configuration is 6 MiB (some 29,000 routes) instead of 8.

--- a/serving/src/main/java/org/hallwall/serving/config/ConfigurationDelta.java
+++ b/serving/src/main/java/org/hallwall/serving/config/ConfigurationDelta.java
@@ -129,7 +129,7 @@
                 throw new ConfigurationException("a difference to version " + version + " exceeds its length");
             }
         }
-        ConfigurationDocument result = new ConfigurationDocument(segments);
+        ConfigurationDocument result = new ConfigurationDocument(segments, (int) newBytes());
         if (result.length() != length || result.checksum() != checksum) {
             throw new ConfigurationException("the checksum of version " + version + " differs");
         }
--- a/serving/src/main/java/org/hallwall/serving/config/ConfigurationDocument.java
+++ b/serving/src/main/java/org/hallwall/serving/config/ConfigurationDocument.java
@@ -33,18 +33,26 @@
 public final class ConfigurationDocument {
 
     /** The maximum length of a configuration in bytes; an entry holds it several times while it parses it. */
-    public static final int MAX_BYTES = 8 << 20;
+    public static final int MAX_BYTES = 6 << 20;
 
     /** The document without a byte, before the first configuration is received. */
-    public static final ConfigurationDocument EMPTY = new ConfigurationDocument(List.of());
+    public static final ConfigurationDocument EMPTY = new ConfigurationDocument(List.of(), 0);
 
     private final List<DocumentSegment> segments;
     private final Map<String, List<DocumentSegment>> elements = new HashMap<>();
     private final int length;
+    private final int newBytes;
     private final long checksum;
 
-    ConfigurationDocument(List<DocumentSegment> segments) {
+    /**
+     * Creates a document.
+     *
+     * @param segments the segments
+     * @param newBytes the bytes of the segments that are not shared with the earlier document
+     */
+    ConfigurationDocument(List<DocumentSegment> segments, int newBytes) {
         this.segments = segments;
+        this.newBytes = newBytes;
         CRC32C crc = new CRC32C();
         int total = 0;
         List<DocumentSegment> array = null;
@@ -72,7 +80,9 @@
      * @return the document
      */
     public static ConfigurationDocument of(byte[] bytes, ConfigurationDocument previous) {
-        return new ConfigurationDocument(new DocumentSplitter(bytes, previous).split());
+        DocumentSplitter splitter = new DocumentSplitter(bytes, previous);
+        List<DocumentSegment> segments = splitter.split();
+        return new ConfigurationDocument(segments, bytes.length - splitter.sharedBytes());
     }
 
     /**
@@ -131,6 +141,15 @@
         return length;
     }
 
+    /**
+     * Returns the length of what this document shares with the earlier one.
+     *
+     * @return the length in bytes
+     */
+    int sharedBytes() {
+        return length - newBytes;
+    }
+
     /**
      * Returns the checksum of the operator's bytes.
      *
--- a/serving/src/main/java/org/hallwall/serving/config/DocumentSplitter.java
+++ b/serving/src/main/java/org/hallwall/serving/config/DocumentSplitter.java
@@ -48,6 +48,7 @@
     private int next;
 
     private int unmatched;
+    private int sharedBytes;
     private int position;
     private int textStart;
 
@@ -58,6 +59,7 @@
 
     List<DocumentSegment> split() {
         if (!splitObject()) {
+            sharedBytes = 0;
             return List.of(new DocumentSegment(null, bytes, bytes.length));
         }
         position = bytes.length;
@@ -65,6 +67,11 @@
         return segments;
     }
 
+    /** Returns the bytes of the segments that are shared with the earlier document. */
+    int sharedBytes() {
+        return sharedBytes;
+    }
+
     private boolean splitObject() {
         skipWhitespace();
         if (!consume('{')) {
@@ -143,7 +150,7 @@
             if (candidate.hasSeparator() && candidate.matches(member, bytes, position)) {
                 next = i + 1;
                 unmatched = 0;
-                return candidate;
+                return share(candidate);
             }
         }
         return null;
@@ -168,7 +175,12 @@
             return segment;
         }
         next = known + 1;
-        return earlier.get(known);
+        return share(earlier.get(known));
+    }
+
+    private DocumentSegment share(DocumentSegment segment) {
+        sharedBytes += segment.bytes().length;
+        return segment;
     }
 
     private int positionOf(DocumentSegment segment) {
@@ -198,7 +210,7 @@
         // The segment behind a text is the first element of an array.
         if (next < earlier.size() && !earlier.get(next).isElement()) {
             DocumentSegment candidate = earlier.get(next++);
-            text = candidate.equals(text) ? candidate : text;
+            text = candidate.equals(text) ? share(candidate) : text;
         }
         segments.add(text);
     }
--- a/serving/src/main/java/org/hallwall/serving/config/RecentDocuments.java
+++ b/serving/src/main/java/org/hallwall/serving/config/RecentDocuments.java
@@ -27,6 +27,9 @@
     /** The number of versions kept; they share the segments that are equal. */
     private static final int RETAINED_VERSIONS = 16;
 
+    /** The bound on the bytes that only earlier versions than the newest have. */
+    private static final int MAX_EARLIER_BYTES = 1 << 20;
+
     private final Deque<VersionedDocument> newestFirst = new ArrayDeque<>();
 
     /**
@@ -48,7 +51,7 @@
             return;
         }
         newestFirst.addFirst(document);
-        if (newestFirst.size() > RETAINED_VERSIONS) {
+        while (newestFirst.size() > RETAINED_VERSIONS || earlierBytes() > MAX_EARLIER_BYTES) {
             newestFirst.removeLast();
         }
     }
@@ -68,4 +71,15 @@
         }
         return null;
     }
+
+    /** Sums what each version has and the one after it does not. */
+    private long earlierBytes() {
+        long sum = 0;
+        ConfigurationDocument after = null;
+        for (VersionedDocument d : newestFirst) {
+            sum += after == null ? 0 : Math.max(0, d.document().length() - after.sharedBytes());
+            after = d.document();
+        }
+        return sum;
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/config/ConfigurationDeltaTest.java
+++ b/serving/src/test/java/org/hallwall/serving/config/ConfigurationDeltaTest.java
@@ -162,6 +162,26 @@
         Assertions.assertThrows(ConfigurationException.class, () -> delta.apply(first));
     }
 
+    /** Guards against a heap that fills up with versions that share nothing. */
+    @Test
+    void versionsThatShareNothingAreNotRetained() {
+        RecentDocuments recent = new RecentDocuments();
+        VersionedDocument last = VersionedDocument.NONE;
+        List<VersionedDocument> all = new ArrayList<>();
+        for (int v = 1; v <= 10; v++) {
+            for (int i = 0; i < routes.size(); i++) {
+                routes.set(i, "{\"n\":\"" + Integer.toString(v).repeat(400_000) + i + "\"}");
+            }
+            last = version(v, text(v), last);
+            all.add(last);
+            recent.add(last);
+        }
+        for (VersionedDocument d : all) {
+            boolean retained = recent.find(d.version(), d.document().checksum()) != null;
+            Assertions.assertEquals(d == last, retained, "version " + d.version());
+        }
+    }
+
     @Test
     void onlyRecentVersionsWithTheSameBytesAreFound() {
         RecentDocuments recent = new RecentDocuments();
