Test that a poll without a checksum receives the whole configuration

Entries of the version before send polls without the checksum; the test decodes such a poll. A comment in DocumentSplitter is corrected. No other change of the programs.

--- a/serving/src/main/java/org/hallwall/serving/config/DocumentSplitter.java
+++ b/serving/src/main/java/org/hallwall/serving/config/DocumentSplitter.java
@@ -98,7 +98,7 @@
             return false;
         }
         String name = new String(bytes, start + 1, position - start - 2, StandardCharsets.UTF_8);
-        // An escaped name may equal another one; of two equal names the last one counts.
+        // An escaped name may equal another one; the parser decides about equal names.
         if (name.indexOf('\\') >= 0 || !members.add(name)) {
             return false;
         }
--- a/serving/src/test/java/org/hallwall/serving/control/ConfigurationDocumentsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ConfigurationDocumentsTest.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Random;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.hallwall.serving.config.CallerLimits;
 import org.hallwall.serving.config.Configuration;
 import org.hallwall.serving.config.ConfigurationDocument;
@@ -33,6 +34,7 @@
 import org.hallwall.serving.target.FeedMessage;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Guards against an entry that receives the whole configuration for a small change, or a difference that it cannot apply. */
 class ConfigurationDocumentsTest {
@@ -129,6 +131,33 @@
                 bytes(11), receive(known, answer).document().bytes());
     }
 
+    /** An entry of an earlier version names no checksum. */
+    @Test
+    void pollWithoutAChecksumReceivesTheWhole() throws Exception {
+        accept(10);
+        accept(11);
+        ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+        byte[] earlier = mapper.writeValueAsBytes(Map.of(
+                "boot",
+                "b",
+                "after",
+                0,
+                "heardAfter",
+                -1,
+                "configurationVersion",
+                10,
+                "waitMillis",
+                50,
+                "streams",
+                Map.of(),
+                "suspectsVersion",
+                0));
+        FeedMessage.Poll poll = mapper.readValue(earlier, FeedMessage.Poll.class);
+        FeedMessage.Changes answer = poll(poll.configurationVersion(), poll.configurationChecksum());
+        Assertions.assertNull(answer.configurationDelta());
+        Assertions.assertArrayEquals(bytes(11), Gzip.decompress(answer.configuration()));
+    }
+
     @Test
     void configurationThatDiffersEverywhereIsSentAsAWhole() throws Exception {
         accept(10);
