Metrics that tell why targets count more retries than the budget allows

Retries without a charge are counted apart from charged ones, the requests that the budget counts have a counter, and each entry shows by how many entries it divides the fixed part and what its share is.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -57,6 +57,7 @@
     private int forwardCount;
     private long retryAfterMillis;
     private RequestFeatures features;
+    private SendKind nextSend;
 
     Attempts(RelayContext context, RelayRequest request) {
         this.context = context;
@@ -64,6 +65,7 @@
         this.features = request.features();
         this.history = request.priorHistory();
         triedRecipients.addAll(history.targets());
+        this.nextSend = history.isEmpty() ? SendKind.FIRST : SendKind.REPEAT;
     }
 
     /** Selects an untried recipient and records the attempt; returns null if none is left. */
@@ -120,9 +122,10 @@
                     request.route().maxAttempts(),
                     sendCount);
         } else {
-            context.metrics().countSend(request.service(), sendCount > 0 || !history.isEmpty());
+            context.metrics().countSend(request.service(), nextSend);
         }
         sendCount++;
+        nextSend = SendKind.REPEAT;
         return hop;
     }
 
@@ -400,6 +403,7 @@
             return RetryDecision.HELD_BACK;
         }
         if (!arrived) {
+            nextSend = SendKind.UNCHARGED;
             return RetryDecision.UNCHARGED;
         }
         return context.retryBudget().tryRetry(request.service()) ? RetryDecision.GRANTED : RetryDecision.REFUSED;
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -261,6 +261,15 @@
         return availability;
     }
 
+    /**
+     * Returns the retry budget.
+     *
+     * @return the retry budget
+     */
+    public RetryBudget retryBudget() {
+        return retryBudget;
+    }
+
     /**
      * Returns the links to the targets.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayMetrics.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayMetrics.java
@@ -30,6 +30,7 @@
     private final Counter responses;
     private final Counter attempts;
     private final Counter refusals;
+    private final Counter requests;
     private final Counter sends;
     private final Counter retryDecisions;
     private final Counter heldBackRequests;
@@ -58,9 +59,15 @@
                 .help("Requests that got no whole answer, by status")
                 .labelNames("status")
                 .register(registry);
+        requests = Counter.builder()
+                .name("hallwall_relay_requests")
+                .help("Client requests that count for the retry budget, by service")
+                .labelNames("service")
+                .register(registry);
         sends = Counter.builder()
                 .name("hallwall_relay_sends")
-                .help("Requests sent to targets, by service and by whether they were sent before")
+                .help(
+                        "Requests sent to targets, by service and by whether they were sent before, with or without a charge")
                 .labelNames("service", "turn")
                 .register(registry);
         retryDecisions = Counter.builder()
@@ -98,8 +105,12 @@
         attempts.labelValues(outcome).inc();
     }
 
-    void countSend(String service, boolean isRetry) {
-        sends.labelValues(service, isRetry ? "repeat" : "first").inc();
+    void countRequest(String service) {
+        requests.labelValues(service).inc();
+    }
+
+    void countSend(String service, SendKind kind) {
+        sends.labelValues(service, kind.label()).inc();
     }
 
     void countRetryDecision(String service, RetryDecision decision) {
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestReceiver.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestReceiver.java
@@ -104,6 +104,7 @@
         long deadlineAt = now + Math.min(route.timeoutMillis(), timeoutMillis);
         String service = route.selectService(ThreadLocalRandom.current().nextDouble());
         context.retryBudget().recordRequest(service);
+        context.metrics().countRequest(service);
         return body -> new RelayRequest(
                 attemptId,
                 req.method(),
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -101,6 +101,25 @@
         return window(service).tryRetry(ticker.millis(), ratio * USABLE_FRACTION, extraShare());
     }
 
+    /**
+     * Returns the number of entries by which the fixed number of retries is divided.
+     *
+     * @return the number of entries; zero if unknown
+     */
+    public int entryCount() {
+        return entryPeak.max();
+    }
+
+    /**
+     * Returns the share of the fixed number of retries that this entry may use.
+     *
+     * @return retries per service and window
+     */
+    public double extraShare() {
+        int count = entryCount();
+        return count == 0 || ticker.millis() < extraFrom ? 0 : extra / count * USABLE_FRACTION;
+    }
+
     /**
      * Describes the usage and the limit of the budget, for logs.
      *
@@ -119,11 +138,6 @@
                 extraShare());
     }
 
-    private double extraShare() {
-        int count = entryPeak.max();
-        return count == 0 || ticker.millis() < extraFrom ? 0 : extra / count * USABLE_FRACTION;
-    }
-
     private RetryWindow window(String service) {
         return windows.computeIfAbsent(service, s -> new RetryWindow(windowMillis));
     }
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/relay/SendKind.java
@@ -0,0 +1,36 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.util.Locale;
+
+/** How a request that is sent to a target counts for the retry budget. */
+enum SendKind {
+    /** The request is sent for the first time. */
+    FIRST,
+    /** The request was sent before, and this retry is charged to the budget. */
+    REPEAT,
+    /** The request was sent before and has reached no target, so this one is not charged. */
+    UNCHARGED;
+
+    /** Returns the label in metrics. */
+    String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
