--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetSimulationTest.java
@@ -25,7 +25,6 @@
 import java.util.function.Consumer;
 
 import org.approvaltests.Approvals;
-import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -71,11 +70,7 @@
     })
     void retriesStayWithinTheBound(int entries, double requestsPerSecond, String event) {
         for (long seed = 1; seed <= 5; seed++) {
-            SimulatedEntries s = simulate(entries, requestsPerSecond, event, seed);
-            for (String service : new String[] {SimulatedEntries.BUSY, SimulatedEntries.IDLE}) {
-                double worst = s.worstWindowUse(service);
-                Assertions.assertTrue(worst <= 1, event + ", seed " + seed + ", " + service + ": " + worst);
-            }
+            simulate(entries, requestsPerSecond, event, seed).assertWithinTheBound(event + ", seed " + seed);
         }
     }
 
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
@@ -27,6 +27,7 @@
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.control.EntryReports;
+import org.junit.jupiter.api.Assertions;
 
 /**
  * Simulates the retry budgets of many entries on a virtual clock, with uneven client load, services whose requests all
@@ -55,21 +56,27 @@
     private double idleLoadFactor = 1;
     private int nextId;
 
+    /** Creates entries that all start at once. */
     SimulatedEntries(int count, double requestsASecond, long seed) {
+        this(count, requestsASecond, seed, 0);
+    }
+
+    /** Creates entries that start for the first time, one after the other at an interval. */
+    SimulatedEntries(int count, double requestsASecond, long seed, long startIntervalMillis) {
         this.random = new Random(seed);
         this.requestsPerSecond = requestsASecond;
         for (int i = 0; i < CONTROL_INSTANCES; i++) {
             controlInstances[i] = new EntryReports(true, () -> now);
         }
         for (int i = 0; i < count; i++) {
-            entries.add(new SimulatedEntry(true));
+            entries.add(new SimulatedEntry(now + i * startIntervalMillis));
         }
     }
 
     /** Advances the clock, with or without client requests. */
     void run(long millis, boolean callers) {
         for (long end = now + millis; now < end; now += STEP_MILLIS) {
-            entries.forEach(SimulatedEntry::poll);
+            entries.forEach(SimulatedEntry::step);
             if (callers) {
                 sendRequests(BUSY, requestsPerSecond * 0.9);
                 sendRequests(IDLE, requestsPerSecond * 0.1 * idleLoadFactor);
@@ -91,20 +98,32 @@
     void restart(double fraction) {
         for (SimulatedEntry e : entries) {
             if (random.nextDouble() < fraction) {
-                e.restart();
+                e.start(false);
             }
         }
     }
 
     void restartControl() {
+        startControl(false);
+    }
+
+    /** Kills all programs, which start again with the settings of their first start. */
+    void startAgainAsFirst() {
+        entries.forEach(e -> e.start(true));
+        startControl(true);
+    }
+
+    private void startControl(boolean firstStart) {
         for (int i = 0; i < CONTROL_INSTANCES; i++) {
-            controlInstances[i] = new EntryReports(false, () -> now);
+            controlInstances[i] = new EntryReports(firstStart, () -> now);
         }
     }
 
     void join(int count) {
         for (int i = 0; i < count; i++) {
-            entries.add(new SimulatedEntry(false));
+            SimulatedEntry e = new SimulatedEntry(now);
+            e.start(false);
+            entries.add(e);
         }
     }
 
@@ -119,6 +138,14 @@
         partitioned[0] = on;
     }
 
+    /** Fails if the retries of a service exceed the bound in any window. */
+    void assertWithinTheBound(String event) {
+        for (String service : new String[] {BUSY, IDLE}) {
+            double worst = worstWindowUse(service);
+            Assertions.assertTrue(worst <= 1, event + ", " + service + ": " + worst);
+        }
+    }
+
     /** Returns the highest ratio of sent to allowed retries over all windows. */
     double worstWindowUse(String service) {
         TreeMap<Long, Integer> sent = retries.getOrDefault(service, new TreeMap<>());
@@ -170,9 +197,11 @@
     }
 
     private SimulatedEntry pickEntry() {
-        int sum = entries.stream().mapToInt(e -> e.weight).sum();
+        List<SimulatedEntry> started =
+                entries.stream().filter(e -> e.budget != null).toList();
+        int sum = started.stream().mapToInt(e -> e.weight).sum();
         int point = random.nextInt(sum);
-        for (SimulatedEntry e : entries) {
+        for (SimulatedEntry e : started) {
             point -= e.weight;
             if (point < 0) {
                 return e;
@@ -185,22 +214,29 @@
 
         private final InstanceId id = new InstanceId("entry-" + nextId++);
         private final int controlDomain = nextId % CONTROL_INSTANCES;
+        private final long startAt;
         private RetryBudget budget;
         private int weight = 1;
 
-        SimulatedEntry(boolean first) {
-            start(first);
-        }
-
-        void restart() {
-            start(false);
+        SimulatedEntry(long startAt) {
+            this.startAt = startAt;
         }
 
+        /** Starts the entry, which has no state. */
         private void start(boolean first) {
             budget = new RetryBudget(RATIO, EXTRA, WINDOW, first, () -> now);
         }
 
-        void poll() {
+        void step() {
+            if (budget == null && now >= startAt) {
+                start(true);
+            }
+            if (budget != null) {
+                poll();
+            }
+        }
+
+        private void poll() {
             for (int c = 0; c < CONTROL_INSTANCES; c++) {
                 boolean isolated = partitioned[0] && (c == 0) != (controlDomain == 0);
                 if (!isolated) {
