Entries use the fixed part of the retry budget only after a window in which they are counted

Cause: at a first start an entry used its share of the fixed part at once, by the number of entries that control instances had counted so far: the first the whole, the second a half, the third a third. The class: shares by a count that is still growing. Ruled out: repeats without a charge (the entries were charged for 357 of the 357 that targets counted) and requests counted twice. Change: no exemption for a first start. An entry uses its share a window after the first answer of a control instance that counts it, however it was started; until then other entries may have spent that share. Control instances report no number in their first 3 s at a first start either. `firstStart` is no longer a setting of EntryNode. Why it holds: an entry that spends is known to all others for longer than a window, so at each moment the shares of those that spend, and of those that spent in the window before, add up to one at most. The setting no longer matters, so an operator's script that starts the same command again is safe too. Cost: the first 10.5 s of a deployment allow the fraction of the requests only.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -96,7 +96,7 @@
     public ControlNode(ControlNodeSettings settings, ConfigurationReader reader, PermitAllocator permits) {
         this.settings = settings;
         this.currentSeeds = settings.seeds();
-        this.entryReports = new EntryReports(settings.firstStart(), ticker);
+        this.entryReports = new EntryReports(ticker);
         this.loadSummary = new LoadSummary(ticker);
         this.entryDirectory = new EntryDirectory(new SecureRandom(), ticker);
         this.permits = permits;
--- a/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
+++ b/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
@@ -45,12 +45,11 @@
     /**
      * Creates the reports without entries.
      *
-     * @param firstStart whether the whole system starts for the first time, so that no other entry is serving
      * @param ticker the clock
      */
-    public EntryReports(boolean firstStart, Ticker ticker) {
+    public EntryReports(Ticker ticker) {
         this.ticker = ticker;
-        this.completeFrom = ticker.millis() + (firstStart ? 0 : EXPIRY_MILLIS);
+        this.completeFrom = ticker.millis() + EXPIRY_MILLIS;
         this.peak = new RecentMaximum(PEAK_WINDOW_MILLIS, ticker);
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -125,12 +125,8 @@
             PrometheusRegistry registry) {
         this.settings = settings;
         this.configurations = new ConfigurationUpdates(new EntryConfiguration(state, reader), ticker);
-        this.retryBudget = new RetryBudget(
-                settings.retryRatio(),
-                settings.retryExtra(),
-                settings.retryWindowMillis(),
-                settings.firstStart(),
-                ticker);
+        this.retryBudget =
+                new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis(), ticker);
         FleetLoad fleet = new FleetLoad(ticker);
         Balancer balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), ticker);
         this.admission = new AdmissionControl(balancer, fleet, settings.mechanisms(), ticker);
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
@@ -34,7 +34,6 @@
  * @param listen the address for client connections
  * @param forwarding the address for requests from other entries
  * @param seeds the control instances to connect to first
- * @param firstStart whether this is the first start of the deployment
  * @param retryRatio retries allowed per request
  * @param retryExtra additional retries allowed per window, shared by all entries
  * @param retryWindowMillis the window of the retry budget, in milliseconds
@@ -49,7 +48,6 @@
         NetAddress listen,
         NetAddress forwarding,
         List<ControlMember> seeds,
-        boolean firstStart,
         double retryRatio,
         double retryExtra,
         long retryWindowMillis,
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -52,33 +52,34 @@
     private final Ticker ticker;
     private final Map<String, RetryWindow> windows = new HashMap<>();
     private final RecentMaximum entryPeak;
-    private final long extraFrom;
+    private volatile long extraFrom = Long.MAX_VALUE;
 
     /**
-     * Creates a budget. Until the number of entries is known, only the fraction of the requests is allowed.
+     * Creates a budget. Until a window has passed since the control instances count this entry, only the fraction of the requests is
+     * allowed: before, other entries may have spent this share, or this entry itself before a restart.
      *
      * @param ratio retries allowed per request of a service
      * @param extra additional retries allowed per service and window, over all entries
      * @param windowMillis the window, in milliseconds
-     * @param firstStart whether this is the first start, so that no retries can have been spent
      * @param ticker the clock
      */
-    public RetryBudget(double ratio, double extra, long windowMillis, boolean firstStart, Ticker ticker) {
+    public RetryBudget(double ratio, double extra, long windowMillis, Ticker ticker) {
         this.ratio = ratio;
         this.extra = extra;
         this.windowMillis = windowMillis;
         this.ticker = ticker;
         this.entryPeak = new RecentMaximum(ENTRY_PEAK_MILLIS, ticker);
-        // the retries before a restart are unknown; the share is restored when no window contains them any more
-        this.extraFrom = ticker.millis() + (firstStart ? 0 : windowMillis + RetryWindow.deliveryMillis(windowMillis));
     }
 
     /**
-     * Records the number of entries that share the budget.
+     * Records the number of entries that share the budget, as a control instance that counts this entry has sent it.
      *
      * @param most the highest recent number of entries; zero if unknown
      */
     public void recordEntryCount(int most) {
+        if (extraFrom == Long.MAX_VALUE) {
+            extraFrom = ticker.millis() + windowMillis + RetryWindow.deliveryMillis(windowMillis);
+        }
         entryPeak.record(most);
     }
 
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -119,8 +119,7 @@
     RelayFixture(double ratio, double extraRetries, long objectiveMillis, BodyMemory memory, int maxBodyBytes)
             throws ProgramException {
         this.bodyMemory = memory;
-        RetryBudget budget = new RetryBudget(ratio, extraRetries, 10_000, true, Ticker.SYSTEM);
-        budget.recordEntryCount(1);
+        RetryBudget budget = RetryBudgetFixture.createCounted(ratio, extraRetries, 1, Ticker.SYSTEM);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
         Balancer balancer = new Balancer("a", fleet, Mechanisms.ALL, Ticker.SYSTEM);
         EventLoop io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStartSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStartSimulationTest.java
@@ -40,12 +40,13 @@
 
     @ParameterizedTest
     @ValueSource(ints = {3, 9, 82})
-    void retriesOfProgramsThatStartAgainAsForTheFirstTimeStayWithinTheBound(int entries) {
+    void retriesOfProgramsThatAllStartAgainStayWithinTheBound(int entries) {
         for (long seed = 1; seed <= SEEDS; seed++) {
             SimulatedEntries s = new SimulatedEntries(entries, REQUESTS_PER_SECOND, seed);
             s.run(15_000, false);
             s.run(12_000, true);
-            s.startAgainAsFirst();
+            s.restart(1);
+            s.restartControl();
             s.run(30_000, true);
             s.assertWithinTheBound("seed " + seed);
         }
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -28,7 +28,7 @@
 /** The retries of all entries stay within the bound. */
 class RetryBudgetTest {
 
-    private static final long WINDOW = 10_000;
+    private static final long WINDOW = RetryBudgetFixture.WINDOW_MILLIS;
 
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 9, 80})
@@ -37,8 +37,7 @@
         int spent = 0;
         int requests = 0;
         for (int e = 0; e < entries; e++) {
-            RetryBudget budget = new RetryBudget(0.2, 100, WINDOW, true, now::get);
-            budget.recordEntryCount(entries);
+            RetryBudget budget = RetryBudgetFixture.createCounted(0.2, 100, entries, now::get);
             for (int i = 0; i < 50; i++) {
                 budget.recordRequest("s");
                 requests++;
@@ -48,11 +47,24 @@
         Assertions.assertTrue(spent <= requests * 0.2 + 100, spent + " of " + requests);
     }
 
+    /** Other entries may have spent the share of one that they did not know. */
     @Test
-    void windowSlides() {
+    void fixedPartIsWithheldForAWindowAfterTheEntryIsCounted() {
         AtomicLong now = new AtomicLong();
-        RetryBudget budget = new RetryBudget(0, 10, WINDOW, true, now::get);
+        RetryBudget budget = new RetryBudget(0, 10, WINDOW, now::get);
+        now.set(3 * WINDOW);
         budget.recordEntryCount(1);
+        Assertions.assertFalse(budget.tryRetry("s"));
+        now.addAndGet(WINDOW);
+        Assertions.assertFalse(budget.tryRetry("s"));
+        now.addAndGet(1_000);
+        Assertions.assertTrue(budget.tryRetry("s"));
+    }
+
+    @Test
+    void windowSlides() {
+        AtomicLong now = new AtomicLong();
+        RetryBudget budget = RetryBudgetFixture.createCounted(0, 10, 1, now::get);
         int first = 0;
         while (budget.tryRetry("s")) {
             first++;
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
@@ -66,7 +66,7 @@
         this.random = new Random(seed);
         this.requestsPerSecond = requestsASecond;
         for (int i = 0; i < CONTROL_INSTANCES; i++) {
-            controlInstances[i] = new EntryReports(true, () -> now);
+            controlInstances[i] = new EntryReports(() -> now);
         }
         for (int i = 0; i < count; i++) {
             entries.add(new SimulatedEntry(now + i * startIntervalMillis));
@@ -98,31 +98,21 @@
     void restart(double fraction) {
         for (SimulatedEntry e : entries) {
             if (random.nextDouble() < fraction) {
-                e.start(false);
+                e.start();
             }
         }
     }
 
     void restartControl() {
-        startControl(false);
-    }
-
-    /** Kills all programs, which start again with the settings of their first start. */
-    void startAgainAsFirst() {
-        entries.forEach(e -> e.start(true));
-        startControl(true);
-    }
-
-    private void startControl(boolean firstStart) {
         for (int i = 0; i < CONTROL_INSTANCES; i++) {
-            controlInstances[i] = new EntryReports(firstStart, () -> now);
+            controlInstances[i] = new EntryReports(() -> now);
         }
     }
 
     void join(int count) {
         for (int i = 0; i < count; i++) {
             SimulatedEntry e = new SimulatedEntry(now);
-            e.start(false);
+            e.start();
             entries.add(e);
         }
     }
@@ -223,13 +213,13 @@
         }
 
         /** Starts the entry, which has no state. */
-        private void start(boolean first) {
-            budget = new RetryBudget(RATIO, EXTRA, WINDOW, first, () -> now);
+        private void start() {
+            budget = new RetryBudget(RATIO, EXTRA, WINDOW, () -> now);
         }
 
         void step() {
             if (budget == null && now >= startAt) {
-                start(true);
+                start();
             }
             if (budget != null) {
                 poll();
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedForwards.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedForwards.java
@@ -324,8 +324,8 @@
                     random,
                     SimulatedForwards.this::now);
             detector.setListener(() -> {});
-            budget = new RetryBudget(RETRY_RATIO, RETRY_EXTRA, WINDOW_MILLIS, true, SimulatedForwards.this::now);
-            budget.recordEntryCount(entryCount);
+            budget =
+                    RetryBudgetFixture.createCounted(RETRY_RATIO, RETRY_EXTRA, entryCount, SimulatedForwards.this::now);
             context = context(true);
             helperContext = context(false);
         }
