Retries count for the budget until they have arrived at their targets

Cause: a retry was dated by its grant, with half a second for its delivery. A stopped target takes connections and bytes in its kernel, reads them when it continues, and so repeats that were granted in several windows arrive in one. The late one need not be the retry: when the abandoned first attempt is read after the retry has arrived, that attempt is the repeat. Ruled out: repeats without a charge (349 of 349 charged at the entries), shares above the whole (the sum of hallwall_retry_extra was 108 of 120). Change: a charge stays open, and counts in every window, until at most the first arrival of its request is still undecided. A response confirms its own attempt, and all earlier ones at the same target that were abandoned; a refused connection ends them; after 30 s without any evidence they are taken as arrived. Why it holds: what may still arrive is part of every window, so a window can only hold what was counted in it. Left open: an entry that is restarted forgets its open charges, and a target that is stopped for longer than 30 s.

--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptFailure.java
@@ -160,6 +160,17 @@
         return kind != Kind.UNAVAILABLE && !isUnreachable();
     }
 
+    /**
+     * Returns whether the request may still arrive at a target: the recipient has not responded, and may be stopped. An entry may
+     * go on with a request although its connection is lost.
+     *
+     * @param hop the recipient
+     * @return true if the request may arrive later
+     */
+    boolean mayArriveLater(NextHop hop) {
+        return kind == Kind.ABANDONED || kind == Kind.CONNECTION_LOST && hop.isEntry() && !hop.hasReport();
+    }
+
     /**
      * Returns whether the target is unreachable.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -20,7 +20,9 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -51,6 +53,8 @@
     private Verdict verdict = Verdict.NOT_RUN;
     private RequestHistory history;
     private final List<NextHop> open = new ArrayList<>();
+    private final ArrivalTracker arrivals;
+    private final Map<NextHop, ArrivalTracker.Arrival> arrivalsByHop = new IdentityHashMap<>();
     private int unsentCount;
     private int sendCount;
     private int unreachableCount;
@@ -63,6 +67,7 @@
         this.context = context;
         this.request = request;
         this.features = request.features();
+        this.arrivals = new ArrivalTracker(context.ticker());
         this.history = request.priorHistory();
         triedRecipients.addAll(history.targets());
         this.nextSend = history.isEmpty() ? SendKind.FIRST : SendKind.REPEAT;
@@ -71,7 +76,11 @@
     /** Selects an untried recipient and records the attempt; returns null if none is left. */
     NextHop nextHop() {
         NextHop hop = chooseHop();
-        return hop == null ? null : recordStart(hop);
+        if (hop == null) {
+            arrivals.settle();
+            return null;
+        }
+        return recordStart(hop);
     }
 
     /** Returns whether the request may be sent to a second target while the first one runs it. */
@@ -97,7 +106,7 @@
         boolean usable = hop != null
                 && !hop.state().isEjected(now)
                 && (hop.isEntry() || hasRoom(hop.target(), lost))
-                && context.retryBudget().tryRetry(request.service());
+                && tryRetry();
         return usable ? recordStart(hop) : null;
     }
 
@@ -107,8 +116,19 @@
                 : context.balancer().hasSpareSlot(target);
     }
 
+    /** Acquires a retry from the budget. */
+    private boolean tryRetry() {
+        RetryCharge charge = context.retryBudget().tryRetry(request.service());
+        if (charge == null) {
+            return false;
+        }
+        arrivals.add(charge);
+        return true;
+    }
+
     private NextHop recordStart(NextHop hop) {
         open.add(hop);
+        arrivalsByHop.put(hop, arrivals.recordSend());
         triedRecipients.add(hop.target().instance());
         if (hop.isEntry()) {
             forwardCount++;
@@ -264,9 +284,42 @@
                 request.route().maxAttempts());
     }
 
+    /** Records that a recipient has begun to respond, so that the attempt has arrived at a target. */
+    void recordResponse(NextHop hop) {
+        ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
+        if (arrival != null) {
+            arrival.confirm();
+        }
+        hop.state().confirmUnread();
+    }
+
+    private void recordArrival(NextHop hop, AttemptFailure f) {
+        if (f.mayArriveLater(hop)) {
+            ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
+            if (arrival != null) {
+                hop.state().addUnread(arrival, context.now());
+            }
+        } else if (f.hasReachedTarget()) {
+            recordResponse(hop);
+        } else {
+            excludeArrival(hop, f);
+        }
+    }
+
+    private void excludeArrival(NextHop hop, AttemptFailure f) {
+        ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
+        if (arrival != null) {
+            arrival.exclude();
+        }
+        if (f.kind() == AttemptFailure.Kind.CONNECTION_REFUSED) {
+            hop.state().excludeUnread();
+        }
+    }
+
     /** Adds a finished attempt to the history; returns whether it has reached a target. */
     private boolean recordEnd(NextHop hop, AttemptFailure f, ResponseProgress progress) {
         open.remove(hop);
+        recordArrival(hop, f);
         RequestHistory before = historyBefore(hop);
         RequestHistory after = hop.historyAfter(before, f, progress);
         history = after;
@@ -406,6 +459,6 @@
             nextSend = SendKind.UNCHARGED;
             return RetryDecision.UNCHARGED;
         }
-        return context.retryBudget().tryRetry(request.service()) ? RetryDecision.GRANTED : RetryDecision.REFUSED;
+        return tryRetry() ? RetryDecision.GRANTED : RetryDecision.REFUSED;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -170,6 +170,7 @@
 
     @Override
     public HttpHeaders onHead(BufferedAttempt a, HttpClientResponse response) {
+        attempts.recordResponse(a.hop());
         HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
         attempts.writeHistory(out, a.hop(), response.status().code());
         return out;
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -18,9 +18,10 @@
  */
 package org.hallwall.serving.relay;
 
-import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.hallwall.core.time.RecentMaximum;
 import org.hallwall.core.time.Ticker;
@@ -29,8 +30,8 @@
  * Retry budget per service: in any window, the entries together send at most a fraction of the requests of the service
  * plus a fixed number of retries. Requests of one service do not pay for the retries of another.
  *
- * <p>Each entry spends the fraction of its own requests and an equal share of the fixed number. Confined to the I/O
- * thread.
+ * <p>Each entry spends the fraction of its own requests and an equal share of the fixed number. A retry counts until it has arrived at its
+ * target, and for a window after that. Retries are acquired on the I/O thread only.
  */
 public final class RetryBudget {
 
@@ -50,7 +51,7 @@
     private final double extra;
     private final long windowMillis;
     private final Ticker ticker;
-    private final Map<String, RetryWindow> windows = new HashMap<>();
+    private final Map<String, RetryWindow> windows = new ConcurrentHashMap<>();
     private final RecentMaximum entryPeak;
     private volatile long extraFrom = Long.MAX_VALUE;
 
@@ -96,9 +97,9 @@
      * Acquires a retry if the budget allows it.
      *
      * @param service the service of the request
-     * @return true if the request may be retried
+     * @return the charge, to be settled once the retry can no longer arrive; null if the request must not be retried
      */
-    public boolean tryRetry(String service) {
+    RetryCharge tryRetry(String service) {
         return window(service).tryRetry(ticker.millis(), ratio * USABLE_FRACTION, extraShare());
     }
 
@@ -121,6 +122,17 @@
         return count == 0 || ticker.millis() < extraFrom ? 0 : extra / count * USABLE_FRACTION;
     }
 
+    /**
+     * Returns the retries that may still arrive at their targets.
+     *
+     * @return the number of retries by service
+     */
+    public Map<String, Integer> openRetries() {
+        Map<String, Integer> out = new TreeMap<>();
+        windows.forEach((service, window) -> out.put(service, window.openCharges()));
+        return out;
+    }
+
     /**
      * Describes the usage and the limit of the budget, for logs.
      *
@@ -132,10 +144,11 @@
         RetryWindow window = window(service);
         return String.format(
                 Locale.ROOT,
-                "%s: %d retries for %d requests in the window, %.1f extra",
+                "%s: %d retries for %d requests in the window, %d of them may still arrive, %.1f extra",
                 service,
                 window.retries(now),
                 window.requests(now),
+                window.openCharges(),
                 extraShare());
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
@@ -18,7 +18,9 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 
 /**
  * Sliding-window counts of the requests and retries of one service at one entry.
@@ -32,23 +34,30 @@
     /** Buckets per window; a window that starts within a bucket loses the requests of this bucket. */
     private static final int BUCKETS = 40;
     /**
-     * Buckets between granting a retry and its arrival at a target, which is bounded by the connect timeout. Retries
-     * granted this long before a window count in it too.
+     * Buckets between the last evidence about a retry and its arrival at a target. Retries settled this long before a window
+     * count in it too.
      */
     private static final int DELIVERY_BUCKETS = 2;
 
+    /** Longest time in which a stopped target is assumed to continue and read a request, in milliseconds. */
+    static final long MAX_ARRIVAL_DELAY_MILLIS = 30_000;
+
     private static final int RETAINED_BUCKETS = 2 * BUCKETS + DELIVERY_BUCKETS + 1;
 
     private final long bucketMillis;
     private final long[] requests = new long[RETAINED_BUCKETS];
     private final long[] retries = new long[RETAINED_BUCKETS];
+    private final Deque<RetryCharge> charges = new ArrayDeque<>();
+    /** Written by the I/O thread, read by others for metrics. */
+    private volatile int openCharges;
+
     private long latestBucket = Long.MIN_VALUE;
 
     RetryWindow(long windowMillis) {
         this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
     }
 
-    /** Returns the maximum time between granting a retry and its arrival at a target, in milliseconds. */
+    /** Returns the maximum time between the last evidence about a retry and its arrival at a target, in milliseconds. */
     static long deliveryMillis(long windowMillis) {
         return windowMillis / BUCKETS * DELIVERY_BUCKETS;
     }
@@ -63,23 +72,47 @@
      * @param now the current time, in milliseconds
      * @param ratio retries allowed per request
      * @param extra additional retries allowed per window
-     * @return true if the retry was acquired
+     * @return the charge of the retry; null if it is refused
      */
-    boolean tryRetry(long now, double ratio, double extra) {
+    RetryCharge tryRetry(long now, double ratio, double extra) {
+        settleExpired(now);
         long bucket = advance(now);
-        long retriesInWindow = sum(retries, bucket - DELIVERY_BUCKETS + 1, bucket);
+        long retriesInWindow = openCharges + sum(retries, bucket - DELIVERY_BUCKETS + 1, bucket);
         long requestsInWindow = 0;
         long requestsBefore = sum(requests, bucket - BUCKETS + 1, bucket - 1);
         for (long first = bucket; first >= bucket - BUCKETS; first--) {
             retriesInWindow += retries[index(first - DELIVERY_BUCKETS)];
             if (retriesInWindow + 1 > ratio * (requestsBefore + requestsInWindow) / 2 + extra) {
-                return false;
+                return null;
             }
             requestsInWindow += requests[index(first)];
             requestsBefore += requests[index(first - BUCKETS)] - requests[index(first - 1)];
         }
-        retries[index(bucket)]++;
-        return true;
+        RetryCharge charge = new RetryCharge(this, now);
+        charges.add(charge);
+        openCharges++;
+        return charge;
+    }
+
+    /** Records that an open charge was settled. */
+    void recordSettled(long now) {
+        openCharges--;
+        retries[index(advance(now))]++;
+    }
+
+    private void settleExpired(long now) {
+        while (!charges.isEmpty() && isOver(charges.peek(), now)) {
+            charges.remove().settle(now);
+        }
+    }
+
+    private static boolean isOver(RetryCharge charge, long now) {
+        return !charge.isOpen() || now - charge.grantedAt() >= MAX_ARRIVAL_DELAY_MILLIS;
+    }
+
+    /** Returns the number of retries that may still arrive at their targets. */
+    int openCharges() {
+        return openCharges;
     }
 
     long requests(long now) {
@@ -89,7 +122,7 @@
 
     long retries(long now) {
         long bucket = advance(now);
-        return sum(retries, bucket - BUCKETS + 1, bucket);
+        return openCharges + sum(retries, bucket - BUCKETS + 1, bucket);
     }
 
     /** Clears expired buckets and returns the current one. */
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -234,6 +234,7 @@
 
     @Override
     public HttpHeaders onHead(StreamAttempt a, HttpClientResponse response) {
+        attempts.recordResponse(a.hop());
         HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
         attempts.writeHistory(out, a.hop(), response.status().code());
         return out;
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -18,6 +18,9 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /** Load and failure statistics of one target, as observed by this entry. Confined to the I/O thread. */
 final class TargetState {
 
@@ -43,6 +46,7 @@
     /** How long a silent target is assumed to hold requests that were cancelled, in milliseconds. */
     private static final long HELD_MILLIS = 3_000;
 
+    private final Deque<ArrivalTracker.Arrival> unread = new ArrayDeque<>();
     private int outstanding;
     private int held;
     private long heldUntil;
@@ -67,6 +71,26 @@
         return outstanding;
     }
 
+    /** Records that an attempt was abandoned, which the target may read later. */
+    void addUnread(ArrivalTracker.Arrival arrival, long now) {
+        while (!unread.isEmpty() && now - unread.peek().sentAt() >= RetryWindow.MAX_ARRIVAL_DELAY_MILLIS) {
+            unread.remove();
+        }
+        unread.add(arrival);
+    }
+
+    /** Records a response of the target: it has continued, and reads what was sent to it before. */
+    void confirmUnread() {
+        unread.forEach(ArrivalTracker.Arrival::confirm);
+        unread.clear();
+    }
+
+    /** Records that the target has ended with what it has not read. */
+    void excludeUnread() {
+        unread.forEach(ArrivalTracker.Arrival::exclude);
+        unread.clear();
+    }
+
     void recordProgress(long now) {
         lastProgressAt = now;
         held = 0;
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
@@ -0,0 +1,50 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against retries of several windows that arrive in one, because targets were stopped and read them when they continue. */
+class RetryBudgetStopSimulationTest {
+
+    private static final int SEEDS = 5;
+
+    @ParameterizedTest
+    @CsvSource({
+        "9, 40, 2, 5000",
+        "9, 40, 2, 10000",
+        "9, 40, 2, 25000",
+        "9, 40, 5, 1000",
+        "9, 40, 5, 5000",
+        "9, 300, 3, 5000",
+        "9, 300, 3, 12000",
+        "82, 300, 3, 10000"
+    })
+    void retriesStayWithinTheBound(int entries, int requestsPerSecond, int stopped, long millis) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedEntries s = new SimulatedEntries(entries, requestsPerSecond, seed);
+            s.run(15_000, false);
+            s.run(12_000, true);
+            s.stopTargets(stopped, millis);
+            s.run(millis + 25_000, true);
+            s.assertWithinTheBound("seed " + seed);
+        }
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -41,7 +41,7 @@
             for (int i = 0; i < 50; i++) {
                 budget.recordRequest("s");
                 requests++;
-                spent += budget.tryRetry("s") ? 1 : 0;
+                spent += budget.tryRetry("s") == null ? 0 : 1;
             }
         }
         Assertions.assertTrue(spent <= requests * 0.2 + 100, spent + " of " + requests);
@@ -54,11 +54,11 @@
         RetryBudget budget = new RetryBudget(0, 10, WINDOW, now::get);
         now.set(3 * WINDOW);
         budget.recordEntryCount(1);
-        Assertions.assertFalse(budget.tryRetry("s"));
+        Assertions.assertNull(budget.tryRetry("s"));
         now.addAndGet(WINDOW);
-        Assertions.assertFalse(budget.tryRetry("s"));
+        Assertions.assertNull(budget.tryRetry("s"));
         now.addAndGet(1_000);
-        Assertions.assertTrue(budget.tryRetry("s"));
+        Assertions.assertNotNull(budget.tryRetry("s"));
     }
 
     @Test
@@ -66,13 +66,45 @@
         AtomicLong now = new AtomicLong();
         RetryBudget budget = RetryBudgetFixture.createCounted(0, 10, 1, now::get);
         int first = 0;
-        while (budget.tryRetry("s")) {
+        while (settle(budget.tryRetry("s"), now.get())) {
             first++;
         }
         Assertions.assertTrue(first > 0 && first <= 10);
         now.set(WINDOW / 2);
-        Assertions.assertFalse(budget.tryRetry("s"));
+        Assertions.assertNull(budget.tryRetry("s"));
         now.set(WINDOW + 1_000);
-        Assertions.assertTrue(budget.tryRetry("s"));
+        Assertions.assertNotNull(budget.tryRetry("s"));
+    }
+
+    /** A target that is stopped reads a retry in a later window than the one in which it was sent. */
+    @Test
+    void openChargeCountsInEveryWindowUntilItIsSettled() {
+        AtomicLong now = new AtomicLong();
+        RetryBudget budget = RetryBudgetFixture.createCounted(0, 2, 1, now::get);
+        RetryCharge charge = budget.tryRetry("s");
+        now.addAndGet(2 * WINDOW);
+        Assertions.assertNull(budget.tryRetry("s"));
+        charge.settle(now.get());
+        Assertions.assertNull(budget.tryRetry("s"));
+        now.addAndGet(WINDOW + 1_000);
+        Assertions.assertNotNull(budget.tryRetry("s"));
+    }
+
+    @Test
+    void chargeOfATargetThatNeverContinuesIsReleased() {
+        AtomicLong now = new AtomicLong();
+        RetryBudget budget = RetryBudgetFixture.createCounted(0, 2, 1, now::get);
+        Assertions.assertNotNull(budget.tryRetry("s"));
+        now.addAndGet(RetryWindow.MAX_ARRIVAL_DELAY_MILLIS);
+        Assertions.assertNull(budget.tryRetry("s"));
+        now.addAndGet(WINDOW + 1_000);
+        Assertions.assertNotNull(budget.tryRetry("s"));
+    }
+
+    private static boolean settle(RetryCharge charge, long now) {
+        if (charge != null) {
+            charge.settle(now);
+        }
+        return charge != null;
     }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
@@ -19,11 +19,13 @@
 package org.hallwall.serving.relay;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.control.EntryReports;
@@ -44,12 +46,16 @@
     private static final long STEP_MILLIS = 100;
     private static final int CONTROL_INSTANCES = 3;
     private static final int RETRIES_PER_REQUEST = 4;
+    private static final int TARGETS = 6;
 
     private final Random random;
+    private final Random targetRandom;
     private final double requestsPerSecond;
     private final List<SimulatedEntry> entries = new ArrayList<>();
     private final EntryReports[] controlInstances = new EntryReports[CONTROL_INSTANCES];
     private final boolean[] partitioned = new boolean[CONTROL_INSTANCES];
+    private final long[] stoppedUntil = new long[TARGETS];
+    private final List<List<SimulatedRequest>> unread = new ArrayList<>();
     private final Map<String, TreeMap<Long, Integer>> requests = new HashMap<>();
     private final Map<String, TreeMap<Long, Integer>> retries = new HashMap<>();
     private long now = 1_000_000;
@@ -64,7 +70,11 @@
     /** Creates entries that start for the first time, one after the other at an interval. */
     SimulatedEntries(int count, double requestsASecond, long seed, long startIntervalMillis) {
         this.random = new Random(seed);
+        this.targetRandom = new Random(seed);
         this.requestsPerSecond = requestsASecond;
+        for (int i = 0; i < TARGETS; i++) {
+            unread.add(new ArrayList<>());
+        }
         for (int i = 0; i < CONTROL_INSTANCES; i++) {
             controlInstances[i] = new EntryReports(() -> now);
         }
@@ -77,6 +87,7 @@
     void run(long millis, boolean callers) {
         for (long end = now + millis; now < end; now += STEP_MILLIS) {
             entries.forEach(SimulatedEntry::step);
+            readUnread();
             if (callers) {
                 sendRequests(BUSY, requestsPerSecond * 0.9);
                 sendRequests(IDLE, requestsPerSecond * 0.1 * idleLoadFactor);
@@ -84,6 +95,21 @@
         }
     }
 
+    /** Stops some targets, which read later what is sent to them meanwhile. */
+    void stopTargets(int count, long millis) {
+        Arrays.fill(stoppedUntil, 0, count, now + millis);
+    }
+
+    /** Lets the targets that have continued read what was sent to them. */
+    private void readUnread() {
+        for (int i = 0; i < TARGETS; i++) {
+            if (now >= stoppedUntil[i]) {
+                unread.get(i).forEach(SimulatedRequest::arrive);
+                unread.get(i).clear();
+            }
+        }
+    }
+
     /** Multiplies the load of the idle service. */
     void setIdleLoadFactor(double times) {
         idleLoadFactor = times;
@@ -179,10 +205,8 @@
         for (int i = 0; i < count; i++) {
             SimulatedEntry e = pickEntry();
             requests.computeIfAbsent(service, s -> new TreeMap<>()).merge(now, 1, Integer::sum);
-            int sent = e.serve(service);
-            if (sent > 0) {
-                retries.computeIfAbsent(service, s -> new TreeMap<>()).merge(now, sent, Integer::sum);
-            }
+            e.budget.recordRequest(service);
+            e.serve(new SimulatedRequest(service));
         }
     }
 
@@ -206,6 +230,7 @@
         private final int controlDomain = nextId % CONTROL_INSTANCES;
         private final long startAt;
         private RetryBudget budget;
+        private TargetState[] states;
         private int weight = 1;
 
         SimulatedEntry(long startAt) {
@@ -215,6 +240,8 @@
         /** Starts the entry, which has no state. */
         private void start() {
             budget = new RetryBudget(RATIO, EXTRA, WINDOW, () -> now);
+            states =
+                    IntStream.range(0, TARGETS).mapToObj(i -> new TargetState()).toArray(TargetState[]::new);
         }
 
         void step() {
@@ -236,13 +263,59 @@
             }
         }
 
-        int serve(String service) {
-            budget.recordRequest(service);
+        /** Sends a request to targets until one accepts it or no retry is left. */
+        void serve(SimulatedRequest request) {
             int sent = 0;
-            while (sent < RETRIES_PER_REQUEST && budget.tryRetry(service)) {
+            do {
                 sent++;
+                int target = choose();
+                ArrivalTracker.Arrival arrival = request.arrivals.recordSend();
+                if (stoppedUntil[target] > now) {
+                    unread.get(target).add(request);
+                    states[target].recordStall(now);
+                    states[target].addUnread(arrival, now);
+                } else {
+                    request.arrive();
+                    arrival.confirm();
+                    states[target].confirmUnread();
+                }
+            } while (sent <= RETRIES_PER_REQUEST && request.tryRetry(budget));
+        }
+
+        /** Returns a target that is not ejected, if there is one. */
+        private int choose() {
+            int target = targetRandom.nextInt(TARGETS);
+            for (int i = 0; i < TARGETS && states[target].isEjected(now); i++) {
+                target = (target + 1) % TARGETS;
+            }
+            return target;
+        }
+    }
+
+    /** A request of a client. Its first arrival at any target is not a retry. */
+    private final class SimulatedRequest {
+
+        private final String service;
+        private final ArrivalTracker arrivals = new ArrivalTracker(() -> now);
+        private boolean arrived;
+
+        SimulatedRequest(String service) {
+            this.service = service;
+        }
+
+        boolean tryRetry(RetryBudget budget) {
+            RetryCharge charge = budget.tryRetry(service);
+            if (charge != null) {
+                arrivals.add(charge);
+            }
+            return charge != null;
+        }
+
+        void arrive() {
+            if (arrived) {
+                retries.computeIfAbsent(service, s -> new TreeMap<>()).merge(now, 1, Integer::sum);
             }
-            return sent;
+            arrived = true;
         }
     }
 }
