Number of entries in the control log, so that restarts during a partition do not forget it

Cause: each side counted only the entries in its reach, because the highest count of the last hour was kept in memory: shares of two wholes. Change: the leader commits the number of entries when it rises, and a lower one after the two hours in which entries may be out of reach. A control instance reports the larger of the committed and its own number, and none after a start until it has followed a leader. Simulated with the deciding code and a simulated log. Why it holds: only a side with a quorum can have a leader, and its log holds the number from before the partition; the other side reports none once it has restarted, so that its entries use the fraction of their requests only.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -67,6 +67,7 @@
     private final Ticker ticker = Ticker.SYSTEM;
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
+    private final EntryCountRecord entryCount = new EntryCountRecord();
     private final EntryReports entryReports;
     private final LoadSummary loadSummary;
     private final EntryDirectory entryDirectory;
@@ -85,6 +86,7 @@
     private GroupController groupController;
     private ConfigurationService configurationService;
     private CrashService crashService;
+    private EntryCountService entryCountService;
 
     /**
      * Creates a control instance; {@link #start(TargetGateway)} starts it.
@@ -96,7 +98,7 @@
     public ControlNode(ControlNodeSettings settings, ConfigurationReader reader, PermitAllocator permits) {
         this.settings = settings;
         this.currentSeeds = settings.seeds();
-        this.entryReports = new EntryReports(ticker);
+        this.entryReports = new EntryReports(entryCount, ticker);
         this.loadSummary = new LoadSummary(ticker);
         this.entryDirectory = new EntryDirectory(new SecureRandom(), ticker);
         this.permits = permits;
@@ -135,7 +137,7 @@
                 new LogVoterConfig(
                         settings.self().instance(), members, settings.toleratedDiskLosses(), LogTiming.DEFAULT),
                 store,
-                new ControlStateMachine(configurationMachine, crashLedger, feed::completeWaiting),
+                new ControlStateMachine(configurationMachine, crashLedger, entryCount, feed::completeWaiting),
                 (to, message) -> linkTo(to).send(message),
                 ticker,
                 new SecureRandom(),
@@ -143,6 +145,7 @@
         ControllerInputs view = new ControllerInputs(directory, documents::configuration, entryReports::streams);
         groupController = new GroupController(
                 voter, view, gateway, feed::setLost, settings.timing(), settings.mechanisms(), ticker);
+        entryCountService = new EntryCountService(voter, entryReports);
         crashService = new CrashService(voter, crashLedger, System::currentTimeMillis);
         configurationService = new ConfigurationService(
                 settings.self().instance(),
@@ -413,6 +416,7 @@
             entryReports.recordPoll(from, poll.streams());
             if (crashService != null) {
                 crashService.ensureKey();
+                entryCountService.update();
             }
         }
         return feed.await(poll, configurationMachine.current().version(), crashLedger.version())
@@ -424,7 +428,7 @@
                 .with(
                         members(),
                         entryReports.activeCount(),
-                        entryReports.peakCount(),
+                        entryCountService == null ? 0 : entryCountService.peakCount(),
                         crashLedger.changesSince(poll.suspectsVersion()));
         return documents.addTo(poll, changes);
     }
--- a/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
+++ b/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
@@ -37,19 +37,22 @@
      */
     private static final long PEAK_WINDOW_MILLIS = 3_600_000;
 
+    private final EntryCountRecord record;
     private final Ticker ticker;
-    private final long completeFrom;
+    private final long startedAt;
     private final RecentMaximum peak;
     private final Map<InstanceId, Report> reports = new HashMap<>();
 
     /**
      * Creates the reports without entries.
      *
+     * @param record the number of entries in the log
      * @param ticker the clock
      */
-    public EntryReports(Ticker ticker) {
+    public EntryReports(EntryCountRecord record, Ticker ticker) {
+        this.record = record;
         this.ticker = ticker;
-        this.completeFrom = ticker.millis() + EXPIRY_MILLIS;
+        this.startedAt = ticker.millis();
         this.peak = new RecentMaximum(PEAK_WINDOW_MILLIS, ticker);
     }
 
@@ -77,10 +80,31 @@
     /**
      * Returns the number of entries that may share a system-wide limit.
      *
-     * @return the recent peak count; zero until every entry has had time to poll after the start
+     * @return the larger of the recent peak count and the recorded one; zero until every entry has had time to poll after the start
      */
     public synchronized int peakCount() {
-        return ticker.millis() < completeFrom ? 0 : peak.max();
+        return ticker.millis() - startedAt < EXPIRY_MILLIS ? 0 : Math.max(peak.max(), record.count());
+    }
+
+    /**
+     * Returns the recent peak count of the entries that poll this instance.
+     *
+     * @return the number of entries
+     */
+    public synchronized int observedCount() {
+        return peak.max();
+    }
+
+    /**
+     * Returns whether a leader should record the observed count: it is larger than the recorded one, or has been smaller for as long as
+     * entries may be out of reach.
+     *
+     * @return true if the record is out of date
+     */
+    public synchronized boolean isRecordOutdated() {
+        int observed = peak.max();
+        boolean complete = ticker.millis() - startedAt >= 2 * PEAK_WINDOW_MILLIS;
+        return observed > record.count() || complete && observed < record.count();
     }
 
     /** Returns the streams in progress of all entries, by model. */
--- a/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.control;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -39,13 +40,15 @@
     private final AtomicInteger notifications = new AtomicInteger();
     private ConfigurationStateMachine configuration;
     private CrashLedger ledger;
+    private EntryCountRecord entryCount;
     private ControlStateMachine machine;
 
     @BeforeEach
     void createEmpty() {
         configuration = new ConfigurationStateMachine(() -> {});
         ledger = new CrashLedger();
-        machine = new ControlStateMachine(configuration, ledger, notifications::incrementAndGet);
+        entryCount = new EntryCountRecord();
+        machine = new ControlStateMachine(configuration, ledger, entryCount, notifications::incrementAndGet);
     }
 
     private void holdBackRequest() {
@@ -79,6 +82,39 @@
         Assertions.assertEquals(1, ledger.held().size());
     }
 
+    /** Guards against a number of entries that is forgotten when control instances restart, while a partition lasts. */
+    @Test
+    void theNumberOfEntriesIsRestored() {
+        machine.apply(1, ConfigurationStateMachine.command(7, COMPRESSED));
+        machine.apply(2, ControlStateMachine.entryCountCommand(9));
+        restart();
+        Assertions.assertEquals(9, entryCount.count());
+        Assertions.assertEquals(7, configuration.current().version());
+        Assertions.assertEquals(0, ledger.version());
+        holdBackRequest();
+        restart();
+        Assertions.assertEquals(9, entryCount.count());
+        Assertions.assertEquals(7, configuration.current().version());
+        Assertions.assertEquals(1, ledger.held().size());
+    }
+
+    /** Guards against voters of an earlier version that cannot read a command or a snapshot with the number of entries. */
+    @Test
+    void earlierVersionsIgnoreTheNumberOfEntries() {
+        machine.apply(1, ConfigurationStateMachine.command(7, COMPRESSED));
+        holdBackRequest();
+        byte[] without = machine.snapshot();
+        byte[] command = ControlStateMachine.entryCountCommand(9);
+        machine.apply(5, command);
+        Assertions.assertEquals(7L, configuration.apply(5, command));
+        byte[] snapshot = machine.snapshot();
+        Assertions.assertArrayEquals(without, Arrays.copyOf(snapshot, without.length));
+        int ledgerStart = Long.BYTES + Integer.BYTES + configuration.snapshot().length;
+        CrashLedger earlier = new CrashLedger();
+        earlier.restore(Arrays.copyOfRange(snapshot, ledgerStart, snapshot.length));
+        Assertions.assertEquals(1, earlier.held().size());
+    }
+
     /** Guards the format of earlier versions, whose snapshots contain the configuration only. */
     @Test
     void aSnapshotOfTheConfigurationAloneIsRead() {
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
@@ -28,7 +28,6 @@
 import java.util.stream.IntStream;
 
 import org.hallwall.core.id.InstanceId;
-import org.hallwall.serving.control.EntryReports;
 import org.junit.jupiter.api.Assertions;
 
 /**
@@ -44,7 +43,6 @@
     static final String IDLE = "idle";
 
     private static final long STEP_MILLIS = 100;
-    private static final int CONTROL_INSTANCES = 3;
     private static final int RETRIES_PER_REQUEST = 4;
     private static final int TARGETS = 6;
 
@@ -52,8 +50,7 @@
     private final Random targetRandom;
     private final double requestsPerSecond;
     private final List<SimulatedEntry> entries = new ArrayList<>();
-    private final EntryReports[] controlInstances = new EntryReports[CONTROL_INSTANCES];
-    private final boolean[] partitioned = new boolean[CONTROL_INSTANCES];
+    private final SimulatedControls controls;
     private final long[] stoppedUntil = new long[TARGETS];
     private final List<List<SimulatedRequest>> unread = new ArrayList<>();
     private final Map<String, TreeMap<Long, Integer>> requests = new HashMap<>();
@@ -72,12 +69,10 @@
         this.random = new Random(seed);
         this.targetRandom = new Random(seed);
         this.requestsPerSecond = requestsASecond;
+        this.controls = new SimulatedControls(() -> now);
         for (int i = 0; i < TARGETS; i++) {
             unread.add(new ArrayList<>());
         }
-        for (int i = 0; i < CONTROL_INSTANCES; i++) {
-            controlInstances[i] = new EntryReports(() -> now);
-        }
         for (int i = 0; i < count; i++) {
             entries.add(new SimulatedEntry(now + i * startIntervalMillis));
         }
@@ -86,6 +81,7 @@
     /** Advances the clock, with or without client requests. */
     void run(long millis, boolean callers) {
         for (long end = now + millis; now < end; now += STEP_MILLIS) {
+            controls.replicate();
             entries.forEach(SimulatedEntry::step);
             readUnread();
             if (callers) {
@@ -130,9 +126,7 @@
     }
 
     void restartControl() {
-        for (int i = 0; i < CONTROL_INSTANCES; i++) {
-            controlInstances[i] = new EntryReports(() -> now);
-        }
+        controls.restart();
     }
 
     void join(int count) {
@@ -151,7 +145,7 @@
 
     /** Partitions one failure domain, with its control instance, from the others. */
     void setPartitioned(boolean on) {
-        partitioned[0] = on;
+        controls.setPartitioned(on);
     }
 
     /** Fails if the retries of a service exceed the bound in any window. */
@@ -227,7 +221,7 @@
     private final class SimulatedEntry {
 
         private final InstanceId id = new InstanceId("entry-" + nextId++);
-        private final int controlDomain = nextId % CONTROL_INSTANCES;
+        private final int controlDomain = nextId % SimulatedControls.COUNT;
         private final long startAt;
         private RetryBudget budget;
         private TargetState[] states;
@@ -254,11 +248,9 @@
         }
 
         private void poll() {
-            for (int c = 0; c < CONTROL_INSTANCES; c++) {
-                boolean isolated = partitioned[0] && (c == 0) != (controlDomain == 0);
-                if (!isolated) {
-                    controlInstances[c].recordPoll(id, Map.of());
-                    budget.recordEntryCount(controlInstances[c].peakCount());
+            for (int c = 0; c < SimulatedControls.COUNT; c++) {
+                if (controls.isCutOff(c) == controls.isCutOff(controlDomain)) {
+                    budget.recordEntryCount(controls.poll(c, id));
                 }
             }
         }
