A control instance that has data does not start for the first time

A script that starts the same command again made the controller of a running fleet act at once, before it knew the groups from their targets, and load faster than the store's rate allows, as if no request had come yet. docs/SETTINGS.md forbade it; nothing kept an operator from it.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlMembers.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlMembers.java
@@ -63,6 +63,15 @@
         this.folder = folder;
     }
 
+    /**
+     * Returns whether a list is stored, so that the system does not start for the first time.
+     *
+     * @return true if there is a list
+     */
+    public boolean isStored() {
+        return Files.exists(folder.resolve(FILE_NAME));
+    }
+
     /**
      * Returns the stored list.
      *
