Test that the number of entries outlives restarts of all control instances

Three control instances with their logs on loopback: four entries poll, all instances restart; one without a leader reports no number, and all report four again although one entry polls.

--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -53,6 +53,7 @@
 import org.hallwall.serving.target.TargetRecord;
 import org.hallwall.wire.PeerCodec;
 import org.hallwall.wire.PeerLink;
+import org.hallwall.wire.PeerMessage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
@@ -69,6 +70,8 @@
     /** Shorter than the time after which a restarted instance counts as a regular voter. */
     private static final Duration REJOIN_TIMEOUT = Duration.ofMillis(2_500);
 
+    private static final Duration UNKNOWN_COUNT = Duration.ofSeconds(4);
+
     private static final TargetGateway NO_TARGETS = new TargetGateway() {
         @Override
         public Mono<OrderOutcome> sendOrder(TargetRecord t, TargetOrder o, long token, Duration timeout) {
@@ -309,6 +312,38 @@
         Awaitility.await().atMost(TIMEOUT).until(nodes.get(1)::isMember);
     }
 
+    /** Guards against two sides of a partition that count only themselves, because all programs have restarted. */
+    @Test
+    void theNumberOfEntriesOutlivesRestarts() throws IOException {
+        accept("7 seven");
+        Awaitility.await().atMost(TIMEOUT).until(() -> pollAll(4) == 4);
+        for (int n = 1; n <= 3; n++) {
+            close(n);
+        }
+        open(1, "disk", false);
+        // longer than the time in which a restarted instance reports no number in any case
+        Awaitility.await().during(UNKNOWN_COUNT).atMost(TIMEOUT).until(() -> poll("entry-1", 1) == 0);
+        open(2, "disk", false);
+        open(3, "disk", false);
+        Awaitility.await().atMost(TIMEOUT).until(() -> pollAll(1) == 4);
+    }
+
+    /** Polls all instances as some entries, and returns the highest number of entries in the answers. */
+    private int pollAll(int entries) {
+        int most = 0;
+        for (int entry = 1; entry <= entries; entry++) {
+            for (int n : nodes.keySet()) {
+                most = Math.max(most, poll("entry-" + entry, n));
+            }
+        }
+        return most;
+    }
+
+    private int poll(String entry, int n) {
+        FeedMessage.Poll poll = new FeedMessage.Poll("", 0, -1, 0, 0, Map.of(), 0, 0);
+        return ((FeedMessage.Changes) call(entry, n, poll)).mostEntries();
+    }
+
     @Test
     void oneInstanceSumsTheLoadOfAllEntries() {
         accept("7 seven");
@@ -324,12 +359,15 @@
     }
 
     private Map<String, Integer> report(String entry, int n, Map<String, Integer> running) {
+        FeedMessage.LoadTotals sums = (FeedMessage.LoadTotals) call(entry, n, new FeedMessage.LoadReport(running));
+        return sums.controls() ? sums.running() : Map.of();
+    }
+
+    private PeerMessage call(String entry, int n, PeerMessage message) {
         PeerCodec codec = new PeerCodec(ControlNode.messageTypes());
         try (PeerLink link = new PeerLink(member(n).peer(), "test", new InstanceId(entry), codec)) {
             Awaitility.await().atMost(TIMEOUT).until(link::isUp);
-            FeedMessage.LoadTotals sums = (FeedMessage.LoadTotals)
-                    link.call(new FeedMessage.LoadReport(running), TIMEOUT).block(TIMEOUT);
-            return sums.controls() ? sums.running() : Map.of();
+            return link.call(message, TIMEOUT).block(TIMEOUT);
         }
     }
 
