Arrivals of retries are confirmed where errors end the request

What callers saw: no response before the deadline (504) when a clock reading failed in the reader of a response head. Cause: the confirmation of an arrival read the clock in the function that reads the head. Reactor passes errors there on, but for those that it takes as fatal for the JVM; nothing ends the request then. Change: an arrival is confirmed with the first event or the whole response, in the guarded steps of a run; an attempt whose head was received has arrived also if it is abandoned later.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -284,7 +284,7 @@
                 request.route().maxAttempts());
     }
 
-    /** Records that a recipient has begun to respond, so that the attempt has arrived at a target. */
+    /** Records that a recipient has responded, so that the attempt has arrived at a target. */
     void recordResponse(NextHop hop) {
         ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
         if (arrival != null) {
@@ -293,8 +293,8 @@
         hop.state().confirmUnread();
     }
 
-    private void recordArrival(NextHop hop, AttemptFailure f) {
-        if (f.mayArriveLater(hop)) {
+    private void recordArrival(NextHop hop, AttemptFailure f, ResponseProgress progress) {
+        if (progress == ResponseProgress.NONE && f.mayArriveLater(hop)) {
             ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
             if (arrival != null) {
                 hop.state().addUnread(arrival, context.now());
@@ -319,7 +319,7 @@
     /** Adds a finished attempt to the history; returns whether it has reached a target. */
     private boolean recordEnd(NextHop hop, AttemptFailure f, ResponseProgress progress) {
         open.remove(hop);
-        recordArrival(hop, f);
+        recordArrival(hop, f, progress);
         RequestHistory before = historyBefore(hop);
         RequestHistory after = hop.historyAfter(before, f, progress);
         history = after;
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -170,7 +170,6 @@
 
     @Override
     public HttpHeaders onHead(BufferedAttempt a, HttpClientResponse response) {
-        attempts.recordResponse(a.hop());
         HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
         attempts.writeHistory(out, a.hop(), response.status().code());
         return out;
@@ -178,6 +177,7 @@
 
     @Override
     public void onResponse(BufferedAttempt a, BufferedResponse response) {
+        attempts.recordResponse(a.hop());
         attempts.markAnswered();
         if (response.isFailure() || other(a) != null && !response.isSuccess()) {
             failedResponse = response;
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -234,7 +234,6 @@
 
     @Override
     public HttpHeaders onHead(StreamAttempt a, HttpClientResponse response) {
-        attempts.recordResponse(a.hop());
         HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
         attempts.writeHistory(out, a.hop(), response.status().code());
         return out;
@@ -242,6 +241,7 @@
 
     @Override
     public void onEvent(StreamAttempt a, EventStreamDecoder.Event e) {
+        attempts.recordResponse(a.hop());
         if (a.hasJustEstablished()) {
             attempts.markEstablished();
         }
@@ -278,6 +278,7 @@
 
     @Override
     public void onWholeResponse(StreamAttempt a, byte[] body) {
+        attempts.recordResponse(a.hop());
         boolean retryable = BufferedResponse.isFailure(a.status()) && attempts.mayRetry();
         if (retryable || other(a) != null && !BufferedResponse.isSuccess(a.status())) {
             a.fail(new AttemptFailure(Verdict.RAN, "the target responded with status " + a.status()));
