Scripted targets of tests accept as many connections at once as tests open

Traced by its log: 128 requests are forwarded at once, 14 of their connections to the stand-in ran into the connect timeout, since its accept queue holds 50; these requests were rightly refused, and the test waits for all 128. The queue holds 512 now; the check is as before.

--- a/serving/src/test/java/org/hallwall/serving/relay/ScriptedTarget.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedTarget.java
@@ -54,6 +54,9 @@
     /** A received request. */
     record Request(String line, Map<String, String> headers, String body) {}
 
+    /** More connections than a test opens at once; beyond, connects time out instead of being refused. */
+    private static final int ACCEPT_QUEUE = 512;
+
     private final ServerSocket server;
     private final Script script;
     private final List<Request> requests = new CopyOnWriteArrayList<>();
@@ -61,7 +64,7 @@
 
     ScriptedTarget(Script script) throws IOException {
         this.script = script;
-        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.server = new ServerSocket(0, ACCEPT_QUEUE, InetAddress.getLoopbackAddress());
         Thread t = new Thread(this::accept, "scripted-target");
         t.setDaemon(true);
         t.start();
