--- a/log/src/main/java/org/hallwall/log/LogMessage.java
+++ b/log/src/main/java/org/hallwall/log/LogMessage.java
@@ -66,8 +66,8 @@
      * @param lastIndex the index of the last entry in its log
      * @param lastTerm the term of that entry
      * @param preVote whether this is a pre-vote
-     * @param startId identifies this start of the candidate until it hears from a leader; zero afterwards
-     * @param allJustStarted whether no voter has heard from a leader since its start, so that no lease can exist
+     * @param startId identifies this start of the candidate until it receives a message from a leader; zero afterwards
+     * @param allJustStarted whether no voter has received a message from a leader since its start, so that no lease can exist
      * @param transfer whether the leader of the term before has stepped down in favour of the candidate, so that its
      *     lease has ended
      */
--- a/log/src/main/java/org/hallwall/log/LogReplica.java
+++ b/log/src/main/java/org/hallwall/log/LogReplica.java
@@ -580,7 +580,7 @@
      * towards a quorum until its data folder is admitted. An unresponsive voter is removed in a separate change.
      *
      * @param now the clock in milliseconds
-     * @param newcomer the instance that wants to join
+     * @param newcomer the instance that requests to join
      */
     public void handleJoinRequest(long now, InstanceId newcomer) {
         if (!canChangeVoters() || voters.contains(newcomer)) {
--- a/log/src/main/java/org/hallwall/log/LogTiming.java
+++ b/log/src/main/java/org/hallwall/log/LogTiming.java
@@ -24,7 +24,7 @@
  * @param electionTimeoutMillis the minimum election timeout; the maximum is twice as long
  * @param heartbeatIntervalMillis the interval between the leader's heartbeats
  * @param maxClockDriftPercent the maximum difference in rate between two clocks, in percent
- * @param coldStartProbeMillis the mean interval at which a voter that has just started asks the others whether they
+ * @param coldStartProbeMillis the mean interval at which a voter that has just started queries whether the others
  *     have, too; zero disables these probes
  */
 public record LogTiming(
--- a/log/src/main/java/org/hallwall/log/LogVoter.java
+++ b/log/src/main/java/org/hallwall/log/LogVoter.java
@@ -114,7 +114,7 @@
     /**
      * Enqueues a request to join the voters; only the leader handles it.
      *
-     * @param newcomer the instance that wants to join
+     * @param newcomer the instance that requests to join
      */
     public void handleJoinRequest(InstanceId newcomer) {
         eventLoop.offer(() -> {
--- a/log/src/main/java/org/hallwall/log/MembershipPolicy.java
+++ b/log/src/main/java/org/hallwall/log/MembershipPolicy.java
@@ -25,7 +25,7 @@
 /**
  * Decides when voters are added and removed.
  *
- * <p>Every instance that asks becomes a voter, up to a maximum, since targets and operators cannot use an instance that
+ * <p>Every instance that requests it becomes a voter, up to a maximum, since targets and operators cannot use an instance that
  * is not a voter. An even-sized set tolerates no more failures than the next smaller odd one, but needs one more reply
  * to commit.
  */
@@ -55,7 +55,7 @@
         this.admissions = admissions;
     }
 
-    /** Returns the voters after the next change for a learner that wants to join; null if no change is due. */
+    /** Returns the voters after the next change for a learner that has requested to join; null if no change is due. */
     List<InstanceId> nextVoters(long now, InstanceId newcomer, long commit) {
         int size = voters.all().size();
         InstanceId unresponsive = followers.longestSilentVoter(now, REMOVAL_TIMEOUT_MILLIS);
--- a/log/src/test/java/org/hallwall/log/LogLimitsTest.java
+++ b/log/src/test/java/org/hallwall/log/LogLimitsTest.java
@@ -20,13 +20,16 @@
 
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
+import org.awaitility.Awaitility;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.Verdict;
@@ -144,17 +147,11 @@
         }
     }
 
-    private LogVoter awaitLeader() throws InterruptedException {
-        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
-        while (System.nanoTime() < deadline) {
-            for (LogVoter v : voters) {
-                if (v.holdsLease()) {
-                    return v;
-                }
-            }
-            Thread.sleep(10);
-        }
-        throw new AssertionError("no leader");
+    private LogVoter awaitLeader() {
+        return Awaitility.await()
+                .atMost(Duration.ofSeconds(PATIENCE_SECONDS))
+                .until(() -> voters.stream().filter(LogVoter::holdsLease).findFirst(), Optional::isPresent)
+                .orElseThrow();
     }
 
     private static byte[] command(int number, int bytes) {
--- a/serving/src/main/java/org/hallwall/serving/crash/HoldBack.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/HoldBack.java
@@ -59,7 +59,7 @@
                         || features.promptParts().stream().anyMatch(p -> isHeld(p, brokenOffAtStart)));
     }
 
-    /** Only the log holds proven parts, since this entry does not see which other parts account for their crashes. */
+    /** Only the log holds proven parts, since this entry has no record of the other parts that account for their crashes. */
     private boolean isHeld(Fingerprint fingerprint, Set<InstanceId> brokenOffBy) {
         return suspects.isHeldByLog(fingerprint)
                 || !answers.isProven(fingerprint, ticker.millis()) && suspects.isHeld(fingerprint, brokenOffBy);
--- a/serving/src/main/java/org/hallwall/serving/permit/PermitAllocator.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/PermitAllocator.java
@@ -37,7 +37,7 @@
 
     /** Maximum number of targets; the least recently used one is evicted. */
     private static final int MAX_TARGETS = 4_096;
-    /** How long the end of a limit is announced to all entries; later they learn it from grants. */
+    /** How long the end of a limit is announced to all entries; later grants carry it. */
     private static final long ANNOUNCE_END_MILLIS = 10_000;
 
     private final Ticker ticker;
--- a/serving/src/main/java/org/hallwall/serving/permit/PermitDemand.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/PermitDemand.java
@@ -21,7 +21,7 @@
 /**
  * An entry's request for permits of one target.
  *
- * @param limit the target's limit as the entry knows it
+ * @param limit the target's limit at the entry
  * @param heard whether the target has declared the limit to the entry since the last report
  * @param wanted the number of permits needed
  * @param unused the number of permits that expired unused since the last request
--- a/serving/src/main/java/org/hallwall/serving/permit/PermitGrant.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/PermitGrant.java
@@ -21,7 +21,7 @@
 /**
  * The permits granted to an entry for one target.
  *
- * @param limit the target's limit as the control instance knows it
+ * @param limit the target's limit at the control instance
  * @param permits the number of permits, valid for one lease
  * @param retryMillis the time until the next permit may be available, in milliseconds; zero if no more are needed
  */
--- a/serving/src/main/java/org/hallwall/serving/permit/package-info.java
+++ b/serving/src/main/java/org/hallwall/serving/permit/package-info.java
@@ -29,6 +29,6 @@
  *
  * <p>A stricter limit applies at once. A less strict one applies only if it was certainly declared later: at an entry, if the request was
  * sent after the stricter limit was received ({@code LimitStatement}); at the control instance, if the entry knew the current version of
- * the limit when it sent the request. Entries learn limits from each other through the control instance.
+ * the limit when it sent the request. The control instance passes limits on between entries.
  */
 package org.hallwall.serving.permit;
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryStatusExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryStatusExchange.java
@@ -138,7 +138,7 @@
                 });
     }
 
-    /** A control instance that has just taken over knows no entries yet; the known ones are kept for a while. */
+    /** A control instance that has just taken over has no list of entries yet; the previous list is kept for a while. */
     private void applyEntries(EntryStatus status, EntryList answer) {
         if (status.wantsEntries() && !answer.entries().isEmpty()) {
             entries = answer.entries();
