HTTP clients skip interim responses

What callers saw: a target that sends 103, with or without its final response, and closes: on the product's own path the caller of a service got status 102 or 103 with an empty body as the whole reply (a keyed call would store it); on the platform's path a 103 with the headers of the target reached the client as the response, and a whole response after 102 or 103 ended in 502. A run at an engine that sent 103 first was taken for one that the engine had refused, so that another group could run it as well.

Cause: Reactor Netty handles 100 only; every other interim response counts as the final one. Class: a head that is not the final one is taken for it.

Change: one handler behind the HTTP codec drops interim responses but 100 (handled by the client) and 101; all clients of targets and entries use it. EngineClient takes its HTTP client, since its module uses none of the others.

It holds because the codec ends each interim head with an empty last content, up to which all is dropped; an endless series ends with the timeout of the attempt.

--- a/engine/src/main/java/org/hallwall/engine/EngineClient.java
+++ b/engine/src/main/java/org/hallwall/engine/EngineClient.java
@@ -53,16 +53,27 @@
 
     private final HttpClient http;
 
-    /** Creates a client with its own connection pool. */
-    public EngineClient() {
-        ConnectionProvider provider = ConnectionProvider.builder("engines")
+    /**
+     * Creates a client.
+     *
+     * @param http the HTTP client, which skips interim responses
+     */
+    public EngineClient(HttpClient http) {
+        this.http = http.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .disableRetry(true);
+    }
+
+    /**
+     * Creates a connection pool for engines.
+     *
+     * @return the pool
+     */
+    public static ConnectionProvider createPool() {
+        return ConnectionProvider.builder("engines")
                 .maxConnections(MAX_CONNECTIONS)
                 .pendingAcquireMaxCount(MAX_CONNECTIONS)
                 .maxIdleTime(MAX_IDLE_TIME)
                 .build();
-        this.http = HttpClient.create(provider)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .disableRetry(true);
     }
 
     /**
--- a/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
@@ -77,6 +77,7 @@
 import org.hallwall.program.AdminServer;
 import org.hallwall.program.Daemon;
 import org.hallwall.program.ExitCode;
+import org.hallwall.program.InterimResponses;
 import org.hallwall.program.ProgramException;
 import org.hallwall.resource.DeclarationCache;
 import org.hallwall.resource.Declarations;
@@ -89,6 +90,7 @@
 import org.hallwall.wire.PeerServer;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
 
 /** A running entry. */
 final class EntryDaemon implements Daemon {
@@ -138,7 +140,7 @@
                 Math.floorMod(settings.instance().hashCode(), settings.voters().size());
         follower = new DeclarationFollower(declarations, peers.voterLinks(), peers.entryLinks(), first, ticker);
         relay = new AnnouncementRelay(directory, peers, ticker);
-        EngineClient engines = new EngineClient();
+        EngineClient engines = new EngineClient(InterimResponses.skip(HttpClient.create(EngineClient.createPool())));
         controller = new DomainController(
                 new DomainControllerConfig(settings.instance(), settings.failureDomain(), timing, settings.maxLoads()),
                 directory,
--- a/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
+++ b/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
@@ -40,6 +40,7 @@
 import org.hallwall.entry.EntrySettings;
 import org.hallwall.entry.exchange.Exchange;
 import org.hallwall.entry.relay.CrossDomainRunner;
+import org.hallwall.program.InterimResponses;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -62,7 +63,7 @@
      */
     public RemoteRunClient(List<EntrySettings.OtherDomain> domains) {
         this.domains = domains;
-        this.http = HttpClient.create()
+        this.http = InterimResponses.skip(HttpClient.create())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
     }
--- a/entry/src/main/java/org/hallwall/entry/forward/RequestForwarder.java
+++ b/entry/src/main/java/org/hallwall/entry/forward/RequestForwarder.java
@@ -35,6 +35,7 @@
 import org.hallwall.core.verdict.RefusalException;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.entry.exchange.RequestHeaders;
+import org.hallwall.program.InterimResponses;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -62,7 +63,7 @@
 
     /** Creates the forwarder. */
     public RequestForwarder() {
-        this.http = HttpClient.create()
+        this.http = InterimResponses.skip(HttpClient.create())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
     }
--- a/entry/src/main/java/org/hallwall/entry/relay/ServiceRunner.java
+++ b/entry/src/main/java/org/hallwall/entry/relay/ServiceRunner.java
@@ -44,6 +44,7 @@
 import org.hallwall.entry.exchange.Exchange;
 import org.hallwall.entry.exchange.RequestHeaders;
 import org.hallwall.entry.limit.RetryBudget;
+import org.hallwall.program.InterimResponses;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -83,9 +84,9 @@
         this.metrics = metrics;
         this.ticker = ticker;
         // A service may close an idle connection during a send, which leaves it unknown whether the call ran.
-        this.http = HttpClient.create(ConnectionProvider.builder("services")
+        this.http = InterimResponses.skip(HttpClient.create(ConnectionProvider.builder("services")
                         .maxConnections(MAX_CONNECTIONS)
-                        .build())
+                        .build()))
                 .keepAlive(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
--- a/load/src/main/java/org/hallwall/load/DirectLoadClient.java
+++ b/load/src/main/java/org/hallwall/load/DirectLoadClient.java
@@ -30,6 +30,7 @@
 import org.hallwall.engine.EnginePaths;
 import org.hallwall.engine.EngineRun;
 import org.hallwall.engine.GroupMembership;
+import org.hallwall.program.InterimResponses;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
@@ -37,7 +38,8 @@
 final class DirectLoadClient {
 
     private final LoadExperiment experiment;
-    private final EngineClient engines = new EngineClient();
+    private final EngineClient engines =
+            new EngineClient(InterimResponses.skip(HttpClient.create(EngineClient.createPool())));
     private final List<Head> heads = new ArrayList<>();
 
     DirectLoadClient(LoadExperiment experiment) {
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
@@ -30,6 +30,7 @@
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.program.BoundedBody;
+import org.hallwall.program.InterimResponses;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -73,7 +74,7 @@
                 .maxIdleTime(MAX_IDLE_TIME)
                 .lifo()
                 .build();
-        this.client = HttpClient.create(pool)
+        this.client = InterimResponses.skip(HttpClient.create(pool))
                 .runOn(loops)
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -33,6 +33,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.program.InterimResponses;
 import org.hallwall.serving.availability.NoticeParser;
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.availability.TargetNotice;
@@ -90,7 +91,7 @@
                 .maxIdleTime(MAX_IDLE_TIME)
                 .lifo()
                 .build();
-        this.client = HttpClient.create(pool)
+        this.client = InterimResponses.skip(HttpClient.create(pool))
                 .runOn(loops)
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
--- a/serving/src/test/java/org/hallwall/serving/relay/CloseDelimitedResponseTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/CloseDelimitedResponseTest.java
@@ -19,12 +19,8 @@
 package org.hallwall.serving.relay;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 
 import org.hallwall.serving.config.RequestKind;
 import org.junit.jupiter.api.AfterEach;
@@ -44,7 +40,6 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\nX-Stamp: s\r\n";
     private static final String PLAIN = HEAD + "\r\n";
     private static final String EVENTS = HEAD + "Content-Type: text/event-stream\r\n\r\n";
-    private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
 
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private RelayFixture entry;
@@ -105,58 +100,11 @@
         return "id: " + id + "\ndata: " + id + "\n\n";
     }
 
-    /** A response as a caller without an HTTP library reads it. */
-    private record Response(String head, String body, boolean reset) {
-
-        int status() {
-            return Integer.parseInt(head.split(" ")[1]);
-        }
-
-        boolean isChunked() {
-            return head.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked");
-        }
-
-        /** Returns whether the caller can tell that the body is complete. */
-        boolean isComplete() {
-            if (isChunked()) {
-                return body.endsWith("0\r\n\r\n");
-            }
-            int length = head.toLowerCase(Locale.ROOT).indexOf("content-length: ");
-            return length < 0
-                    ? !reset
-                    : body.length()
-                            == Integer.parseInt(head.substring(length + 16).split("\r")[0]);
-        }
-
-        String content() {
-            return isChunked() ? body.replaceAll("(?m)^[0-9a-f]+\r\n", "").replace("\r\n", "") : body;
-        }
-    }
-
-    private Response send(Path path, RequestKind kind) throws IOException {
-        try (Socket s = new Socket("127.0.0.1", entry.port())) {
-            s.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
-            String text =
-                    "POST /" + kind.name().toLowerCase(Locale.ROOT) + "/x " + path.version + "\r\nHost: 127.0.0.1\r\n"
-                            + "X-Attempt: attempt-1\r\nX-Model: m\r\nX-Key: secret\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-            s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-            StringBuilder out = new StringBuilder();
-            boolean reset = false;
-            try {
-                for (int b = s.getInputStream().read();
-                        b >= 0;
-                        b = s.getInputStream().read()) {
-                    out.append((char) b);
-                }
-            } catch (SocketException e) {
-                reset = true;
-            }
-            int end = out.indexOf("\r\n\r\n");
-            return new Response(out.substring(0, end + 2), out.substring(end + 4), reset);
-        }
+    private RawResponse send(Path path, RequestKind kind) throws IOException {
+        return RawResponse.request(entry.port(), path.version, kind);
     }
 
-    private void assertWhole(Response r, Path path, String content) {
+    private void assertWhole(RawResponse r, Path path, String content) {
         Assertions.assertEquals(200, r.status(), r::toString);
         Assertions.assertTrue(r.isComplete(), r::toString);
         Assertions.assertEquals(content, r.content());
@@ -245,7 +193,7 @@
                     .send("id: 9\nda")
                     .end();
         });
-        Response r = send(path, RequestKind.STREAM);
+        RawResponse r = send(path, RequestKind.STREAM);
         Assertions.assertFalse(r.isComplete(), r::toString);
     }
 
