An error response without a body from another entry is an error

Cause: RemoteRunClient read the problem document from the body; without one the sequence completed without an error and without frames, and what writes the stream sends the head at completion. Ruled out: a 200 without an end frame was an error already; runs at engines require an end frame (RunAttempt).

Change: a missing body counts as an invalid problem document, MAY_HAVE_RUN.

--- a/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
+++ b/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
@@ -115,7 +115,11 @@
 
     private static Flux<List<RunFrame>> decodeResponse(HttpClientResponse res, ByteBufFlux bytes) {
         if (res.status().code() != 200) {
-            return bytes.aggregate().asByteArray().flux().flatMap(b -> Flux.error(parseRefusal(b)));
+            return bytes.aggregate()
+                    .asByteArray()
+                    .defaultIfEmpty(new byte[0])
+                    .flux()
+                    .flatMap(b -> Flux.error(parseRefusal(b)));
         }
         RunFrameDecoder decoder = new RunFrameDecoder();
         boolean[] ended = {false};
--- a/entry/src/test/java/org/hallwall/entry/relay/TruncatedReplyTest.java
+++ b/entry/src/test/java/org/hallwall/entry/relay/TruncatedReplyTest.java
@@ -27,9 +27,12 @@
 import org.hallwall.core.id.FencingToken;
 import org.hallwall.core.id.GroupId;
 import org.hallwall.core.id.InstanceId;
+import org.hallwall.core.id.ModelGroupId;
 import org.hallwall.core.id.ServiceId;
 import org.hallwall.core.time.Ticker;
+import org.hallwall.core.verdict.ProblemType;
 import org.hallwall.core.verdict.RefusalException;
+import org.hallwall.core.verdict.Verdict;
 import org.hallwall.domain.DomainTiming;
 import org.hallwall.domain.TargetDirectory;
 import org.hallwall.engine.Announcement;
@@ -37,11 +40,13 @@
 import org.hallwall.engine.EngineRun;
 import org.hallwall.engine.RunFrame;
 import org.hallwall.engine.TargetLoad;
+import org.hallwall.entry.EntrySettings;
 import org.hallwall.entry.RawServer;
 import org.hallwall.entry.exchange.ChatRequest;
 import org.hallwall.entry.exchange.Exchange;
 import org.hallwall.entry.exchange.RequestHeaders;
 import org.hallwall.entry.exchange.RequestPriority;
+import org.hallwall.entry.forward.RemoteRunClient;
 import org.hallwall.entry.limit.RetryBudget;
 import org.hallwall.program.InterimResponses;
 import org.junit.jupiter.api.AfterEach;
@@ -158,4 +163,27 @@
         List<RunFrame> frames = engines.startRun(server.address(), run).blockFirst(TIMEOUT);
         Assertions.assertEquals(RunFrame.End.STOP, frames.get(0).end());
     }
+
+    /** A response of another entry that is neither frames nor a refusal must not end the run as a complete one without frames. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 204 No Content\r\n\r\n",
+                "HTTP/1.1 103 Early Hints\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            })
+    void runElsewhereWithoutFramesIsAnError(String response) throws Exception {
+        server.respond(response, false);
+        RemoteRunClient client = new RemoteRunClient(List.of(new EntrySettings.OtherDomain(
+                new FailureDomainId("e"), List.of(new EntrySettings.OtherEntry(server.address(), server.address())))));
+        Exchange x = exchange(ChatRequest.parse("""
+                {"model":"m","messages":[{"role":"user","content":"p"}]}""".getBytes()));
+        x.setRoute(new ModelGroupId("m"), null);
+        RefusalException local =
+                new RefusalException(ProblemType.NO_COMPLETE_GROUP, Verdict.NOT_RUN, "none", Duration.ZERO);
+        RuntimeException e = Assertions.assertThrows(
+                RuntimeException.class, () -> client.run(x, local).blockLast(TIMEOUT));
+        Assertions.assertEquals(Verdict.MAY_HAVE_RUN, ((RefusalException) e.getCause()).verdict());
+    }
 }
