The charge of a refused retry is passed on to its next attempt

Cause: a charged retry whose connection is refused settled its charge at once, and the next attempt went out uncharged; at a stopped target that one arrives at any later time, granted in one window and counted in another. Class: a bound kept at the sender for what the receiver counts. Beside it: attempts abandoned at a target that ended afterwards counted as never arrived, though the target may have read them.

Change: a refused attempt is withdrawn, and its charge stays with the request until its next attempt arrives or the request ends; what a target had not read counts as arrived when the target ends.

Before: ArrivalTrackerTest.chargeOfARefusedAttemptIsPassedOnToTheNextOne failed (0 charges open instead of 1), after: passes. Simulated entries get targets that refuse connections: RetryBudgetStopSimulationTest passes with and without the change, so the effect on the bound is shown by the unit test alone.

It holds because settle() keeps as many charges as attempts may arrive as repeats, and runs only when no further attempt follows.

--- a/serving/src/main/java/org/hallwall/serving/relay/ArrivalTracker.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ArrivalTracker.java
@@ -72,10 +72,11 @@
         /** Records that the attempt has arrived. */
         void confirm() {
             decide(true);
+            settle();
         }
 
-        /** Records that the attempt will not arrive. */
-        void exclude() {
+        /** Records that the attempt has reached no target. Its charge stays open for the next attempt, until {@link #settle}. */
+        void withdraw() {
             decide(false);
         }
 
@@ -84,7 +85,6 @@
                 decided = true;
                 pending--;
                 arrived |= hasArrived;
-                settle();
             }
         }
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -290,7 +290,7 @@
         if (arrival != null) {
             arrival.confirm();
         }
-        hop.state().confirmUnread();
+        hop.state().settleUnread();
     }
 
     private void recordArrival(NextHop hop, AttemptFailure f, ResponseProgress progress) {
@@ -302,17 +302,17 @@
         } else if (f.hasReachedTarget()) {
             recordResponse(hop);
         } else {
-            excludeArrival(hop, f);
+            withdrawArrival(hop, f);
         }
     }
 
-    private void excludeArrival(NextHop hop, AttemptFailure f) {
+    private void withdrawArrival(NextHop hop, AttemptFailure f) {
         ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
         if (arrival != null) {
-            arrival.exclude();
+            arrival.withdraw();
         }
         if (f.kind() == AttemptFailure.Kind.CONNECTION_REFUSED) {
-            hop.state().excludeUnread();
+            hop.state().settleUnread();
         }
     }
 
@@ -382,6 +382,9 @@
         }
         verdict = verdict.combineWith(f.verdict());
         RetryDecision decision = decide(f, hop.hasReport() ? reached : f.hasReachedTarget());
+        if (decision != RetryDecision.UNCHARGED) {
+            arrivals.settle();
+        }
         context.metrics().countRetryDecision(request.service(), decision);
         LOG.infof(
                 "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); %d of %d runs counted; attempt %d of %s%s",
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -79,18 +79,15 @@
         unread.add(arrival);
     }
 
-    /** Records a response of the target: it has continued, and reads what was sent to it before. */
-    void confirmUnread() {
+    /**
+     * Records that the target has read what was sent to it before, or never will: it has responded or ended. Whether an abandoned attempt
+     * was read before the target ended is unknown, so it counts as arrived.
+     */
+    void settleUnread() {
         unread.forEach(ArrivalTracker.Arrival::confirm);
         unread.clear();
     }
 
-    /** Records that the target has ended with what it has not read. */
-    void excludeUnread() {
-        unread.forEach(ArrivalTracker.Arrival::exclude);
-        unread.clear();
-    }
-
     void recordProgress(long now) {
         lastProgressAt = now;
         held = 0;
--- a/serving/src/test/java/org/hallwall/serving/relay/ArrivalTrackerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ArrivalTrackerTest.java
@@ -62,7 +62,8 @@
         addCharge();
         tracker.recordSend();
         Assertions.assertEquals(1, window.openCharges());
-        first.exclude();
+        first.withdraw();
+        tracker.settle();
         Assertions.assertEquals(0, window.openCharges());
     }
 
@@ -82,8 +83,34 @@
         TargetState state = new TargetState();
         state.addUnread(abandoned, now.get());
         now.addAndGet(RetryWindow.MAX_ARRIVAL_DELAY_MILLIS / 2);
-        state.confirmUnread();
+        state.settleUnread();
         Assertions.assertEquals(0, window.openCharges());
         Assertions.assertEquals(1, window.retries(now.get()));
     }
+
+    /** Guards against a retry whose target refuses the connection, and that reaches a stopped target with its next attempt, uncharged. */
+    @Test
+    void chargeOfARefusedAttemptIsPassedOnToTheNextOne() {
+        tracker.recordSend().confirm();
+        addCharge();
+        tracker.recordSend().withdraw();
+        Assertions.assertEquals(1, window.openCharges());
+        ArrivalTracker.Arrival next = tracker.recordSend();
+        now.addAndGet(2 * RetryBudgetFixture.WINDOW_MILLIS);
+        Assertions.assertEquals(1, window.openCharges());
+        next.confirm();
+        Assertions.assertEquals(1, window.retries(now.get()));
+    }
+
+    /** Whether the target had read the attempt before it ended is unknown. */
+    @Test
+    void attemptAtATargetThatHasEndedCountsAsArrived() {
+        ArrivalTracker.Arrival abandoned = tracker.recordSend();
+        addCharge();
+        tracker.recordSend();
+        TargetState state = new TargetState();
+        state.addUnread(abandoned, now.get());
+        state.settleUnread();
+        Assertions.assertEquals(1, window.openCharges());
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
@@ -38,11 +38,24 @@
         "82, 300, 3, 10000"
     })
     void retriesStayWithinTheBound(int entries, int requestsPerSecond, int stopped, long millis) {
+        play(entries, requestsPerSecond, stopped, 0, millis);
+    }
+
+    /** Guards against retries that go from targets that refuse connections to stopped ones without a charge. */
+    @ParameterizedTest
+    @CsvSource({"9, 40, 2, 2, 5000", "9, 40, 2, 3, 12000", "9, 300, 3, 2, 25000", "82, 300, 3, 2, 10000"})
+    void retriesBesideRefusingTargetsStayWithinTheBound(
+            int entries, int requestsPerSecond, int stopped, int ended, long millis) {
+        play(entries, requestsPerSecond, stopped, ended, millis);
+    }
+
+    private static void play(int entries, int requestsPerSecond, int stopped, int ended, long millis) {
         for (long seed = 1; seed <= SEEDS; seed++) {
             SimulatedEntries s = new SimulatedEntries(entries, requestsPerSecond, seed);
             s.run(15_000, false);
             s.run(12_000, true);
             s.stopTargets(stopped, millis);
+            s.endTargets(ended, millis);
             s.run(millis + 25_000, true);
             s.assertWithinTheBound("seed " + seed);
         }
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
@@ -52,6 +52,7 @@
     private final List<SimulatedEntry> entries = new ArrayList<>();
     private final SimulatedControls controls;
     private final long[] stoppedUntil = new long[TARGETS];
+    private final long[] endedUntil = new long[TARGETS];
     private final List<List<SimulatedRequest>> unread = new ArrayList<>();
     private final Map<String, TreeMap<Long, Integer>> requests = new HashMap<>();
     private final Map<String, TreeMap<Long, Integer>> retries = new HashMap<>();
@@ -96,6 +97,14 @@
         Arrays.fill(stoppedUntil, 0, count, now + millis);
     }
 
+    /** Ends the last targets, which refuse connections until they start again. */
+    void endTargets(int count, long millis) {
+        for (int i = TARGETS - count; i < TARGETS; i++) {
+            endedUntil[i] = now + millis;
+            unread.get(i).clear();
+        }
+    }
+
     /** Lets the targets that have continued read what was sent to them. */
     private void readUnread() {
         for (int i = 0; i < TARGETS; i++) {
@@ -258,20 +267,33 @@
         /** Sends a request to targets until one accepts it or no retry is left. */
         void serve(SimulatedRequest request) {
             int sent = 0;
+            boolean reached;
             do {
                 sent++;
-                int target = choose();
-                ArrivalTracker.Arrival arrival = request.arrivals.recordSend();
-                if (stoppedUntil[target] > now) {
-                    unread.get(target).add(request);
-                    states[target].recordStall(now);
-                    states[target].addUnread(arrival, now);
-                } else {
-                    request.arrive();
-                    arrival.confirm();
-                    states[target].confirmUnread();
-                }
-            } while (sent <= RETRIES_PER_REQUEST && request.tryRetry(budget));
+                reached = send(request, choose());
+            } while (sent <= RETRIES_PER_REQUEST && (!reached || request.tryRetry(budget)));
+            request.arrivals.settle();
+        }
+
+        /** Sends an attempt; returns whether a target has accepted the connection. */
+        private boolean send(SimulatedRequest request, int target) {
+            ArrivalTracker.Arrival arrival = request.arrivals.recordSend();
+            if (endedUntil[target] > now) {
+                arrival.withdraw();
+                states[target].settleUnread();
+                states[target].recordFailure(now);
+                return false;
+            }
+            if (stoppedUntil[target] > now) {
+                unread.get(target).add(request);
+                states[target].recordStall(now);
+                states[target].addUnread(arrival, now);
+            } else {
+                request.arrive();
+                arrival.confirm();
+                states[target].settleUnread();
+            }
+            return true;
         }
 
         /** Returns a target that is not ejected, if there is one. */
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEvent.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEvent.java
@@ -59,6 +59,12 @@
             s.stopTargets(1 + random.nextInt(5), 500 + random.nextInt(12_000));
         }
     },
+    END_TARGETS {
+        @Override
+        void apply(SimulatedEntries s, Random random) {
+            s.endTargets(1 + random.nextInt(2), 500 + random.nextInt(12_000));
+        }
+    },
     SHIFT_CALLERS {
         @Override
         void apply(SimulatedEntries s, Random random) {
