--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -83,6 +83,11 @@
         return recordStart(hop);
     }
 
+    /** Settles the charges of retries that are not sent, since the request has ended. */
+    void finish() {
+        arrivals.settle();
+    }
+
     /** Returns whether the request may be sent to a second target while the first one runs it. */
     private boolean mayHedge() {
         // an entry runs a forwarded request at one target, and a suspect might crash both
--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
@@ -237,6 +238,19 @@
         return states.computeIfAbsent(target.instance(), i -> new TargetState());
     }
 
+    /**
+     * Settles what targets that have ended will never read.
+     *
+     * @param hasEnded returns whether a target has ended
+     */
+    void settleUnread(Predicate<InstanceId> hasEnded) {
+        states.forEach((id, s) -> {
+            if (s.hasUnread() && hasEnded.test(id)) {
+                s.settleUnread();
+            }
+        });
+    }
+
     private double load(ServingTarget t) {
         int outstanding = state(t).outstanding() + (fleet.isFresh() ? fleet.othersOutstanding(t.instance()) : 0);
         double load =
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -240,6 +240,7 @@
 
     private void finish() {
         done = true;
+        attempts.finish();
         cancel(hedgeTimer);
         cancel(deadlineTimer);
         primary = null;
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
@@ -39,9 +39,6 @@
      */
     private static final int DELIVERY_BUCKETS = 2;
 
-    /** Longest time in which a stopped target is assumed to continue and read a request, in milliseconds. */
-    static final long MAX_ARRIVAL_DELAY_MILLIS = 30_000;
-
     private static final int RETAINED_BUCKETS = 2 * BUCKETS + DELIVERY_BUCKETS + 1;
 
     private final long bucketMillis;
@@ -107,7 +104,7 @@
     }
 
     private static boolean isOver(RetryCharge charge, long now) {
-        return !charge.isOpen() || now - charge.grantedAt() >= MAX_ARRIVAL_DELAY_MILLIS;
+        return !charge.isOpen() || now - charge.grantedAt() >= RetryBudget.MAX_ARRIVAL_DELAY_MILLIS;
     }
 
     /** Returns the number of retries that may still arrive at their targets. */
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -386,6 +386,7 @@
 
     private void finish() {
         done = true;
+        attempts.finish();
         context.streamMonitor().remove(progressCheck);
         if (primary != null) {
             primary.cancel();
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -73,12 +73,17 @@
 
     /** Records that an attempt was abandoned, which the target may read later. */
     void addUnread(ArrivalTracker.Arrival arrival, long now) {
-        while (!unread.isEmpty() && now - unread.peek().sentAt() >= RetryWindow.MAX_ARRIVAL_DELAY_MILLIS) {
+        while (!unread.isEmpty() && now - unread.peek().sentAt() >= RetryBudget.MAX_ARRIVAL_DELAY_MILLIS) {
             unread.remove();
         }
         unread.add(arrival);
     }
 
+    /** Returns whether attempts were abandoned that the target may read later. */
+    boolean hasUnread() {
+        return !unread.isEmpty();
+    }
+
     /**
      * Records that the target has read what was sent to it before, or never will: it has responded or ended. Whether an abandoned attempt
      * was read before the target ended is unknown, so it counts as arrived.
--- a/serving/src/main/java/org/hallwall/serving/target/TargetDirectory.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetDirectory.java
@@ -125,6 +125,28 @@
         return announced == null ? null : announced.record();
     }
 
+    /**
+     * Returns whether a target has ended: it is unknown or over, or another one has announced its address since.
+     *
+     * @param instance the target
+     * @return true if it has ended
+     */
+    public synchronized boolean hasEnded(InstanceId instance) {
+        AnnouncedTarget announced = targets.get(instance);
+        return announced == null || announced.record().isOver() || isAddressReused(announced);
+    }
+
+    private boolean isAddressReused(AnnouncedTarget announced) {
+        for (AnnouncedTarget other : targets.values()) {
+            boolean sameAddress =
+                    other.record().address().equals(announced.record().address());
+            if (other != announced && sameAddress && other.heardAt() > announced.heardAt()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Removes expired targets and returns the others.
      *
--- a/serving/src/test/java/org/hallwall/serving/relay/ArrivalTrackerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ArrivalTrackerTest.java
@@ -82,7 +82,7 @@
         tracker.recordSend().confirm();
         TargetState state = new TargetState();
         state.addUnread(abandoned, now.get());
-        now.addAndGet(RetryWindow.MAX_ARRIVAL_DELAY_MILLIS / 2);
+        now.addAndGet(RetryBudget.MAX_ARRIVAL_DELAY_MILLIS / 2);
         state.settleUnread();
         Assertions.assertEquals(0, window.openCharges());
         Assertions.assertEquals(1, window.retries(now.get()));
--- a/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
@@ -160,4 +160,18 @@
         fleet.update(Map.of("h0", 1), Map.of("h0", 8));
         Assertions.assertEquals(8, balancer.outstanding(targets.get(0)));
     }
+
+    /** Guards against retries that stay open at targets that have ended, and against those of stopped targets that are settled. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void unreadAttemptsAreSettledWhenTheirTargetHasEnded(boolean ended) {
+        RetryWindow window = new RetryWindow(RetryBudgetFixture.WINDOW_MILLIS);
+        ArrivalTracker tracker = new ArrivalTracker(() -> now);
+        ServingTarget target = targets(1).get(0);
+        balancer.state(target).addUnread(tracker.recordSend(), now);
+        tracker.add(window.tryRetry(now, 0, 10));
+        tracker.recordSend().confirm();
+        balancer.settleUnread(id -> ended);
+        Assertions.assertEquals(ended ? 0 : 1, window.openCharges());
+    }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
@@ -35,6 +35,9 @@
         "9, 40, 5, 5000",
         "9, 300, 3, 5000",
         "9, 300, 3, 12000",
+        "9, 60, 3, 35000",
+        "9, 60, 2, 60000",
+        "82, 300, 3, 45000",
         "82, 300, 3, 10000"
     })
     void retriesStayWithinTheBound(int entries, int requestsPerSecond, int stopped, long millis) {
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -95,7 +95,7 @@
         AtomicLong now = new AtomicLong();
         RetryBudget budget = RetryBudgetFixture.createCounted(0, 2, 1, now::get);
         Assertions.assertNotNull(budget.tryRetry("s"));
-        now.addAndGet(RetryWindow.MAX_ARRIVAL_DELAY_MILLIS);
+        now.addAndGet(RetryBudget.MAX_ARRIVAL_DELAY_MILLIS);
         Assertions.assertNull(budget.tryRetry("s"));
         now.addAndGet(WINDOW + 1_000);
         Assertions.assertNotNull(budget.tryRetry("s"));
