The charge of a granted retry is not settled before the retry is sent

Change: charges are settled after the decision only if no retry follows.

Before: OpenRetriesTest 2 of 2 cases failed (0 open retries instead of 1 while a target holds the retry); after: 2 of 2 pass. The unit tests of the tracker could not see it, since they call it in the right order; this one goes through the relay.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -387,7 +387,7 @@
         }
         verdict = verdict.combineWith(f.verdict());
         RetryDecision decision = decide(f, hop.hasReport() ? reached : f.hasReachedTarget());
-        if (decision != RetryDecision.UNCHARGED) {
+        if (!decision.isRetry()) {
             arrivals.settle();
         }
         context.metrics().countRetryDecision(request.service(), decision);
--- /dev/null
+++ b/serving/src/test/java/org/hallwall/serving/relay/OpenRetriesTest.java
@@ -0,0 +1,92 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.relay;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.awaitility.Awaitility;
+import org.hallwall.serving.config.RequestKind;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a charge of the retry budget that is settled before its retry has arrived at a target. */
+class OpenRetriesTest {
+
+    private static final String REJECTED =
+            "HTTP/1.1 503 Busy\r\nX-Attempt: ATTEMPT\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String WHOLE =
+            "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello";
+
+    /** The first target that gets the request rejects it, the second one holds it; others refuse connections. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2})
+    void retryIsOpenUntilItsTargetResponds(int refusing) throws Exception {
+        AtomicInteger arrivals = new AtomicInteger();
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        ScriptedTarget.Script script = (r, c) -> {
+            if (arrivals.incrementAndGet() == 1) {
+                c.send(REJECTED);
+                return;
+            }
+            held.countDown();
+            awaitUninterrupted(released);
+            c.send(WHOLE);
+        };
+        try (RelayFixture entry = new RelayFixture();
+                ScriptedTarget first = new ScriptedTarget(script);
+                ScriptedTarget second = new ScriptedTarget(script)) {
+            entry.add("app", "first", first.port());
+            entry.add("app", "second", second.port());
+            for (int i = 0; i < refusing; i++) {
+                try (ServerSocket closed = new ServerSocket(0)) {
+                    entry.add("app", "refusing-" + i, closed.getLocalPort());
+                }
+            }
+            CompletableFuture<Integer> status = CompletableFuture.supplyAsync(() -> send(entry));
+            held.await();
+            Assertions.assertEquals(1, entry.openRetries("app"));
+            released.countDown();
+            Assertions.assertEquals(200, status.get());
+            Awaitility.await().until(() -> entry.openRetries("app") == 0);
+        }
+    }
+
+    private static int send(RelayFixture entry) {
+        try {
+            return RawResponse.request(entry.port(), "HTTP/1.1", RequestKind.NON_IDEMPOTENT)
+                    .status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -92,6 +92,7 @@
     private final ScriptedCrashPeers crashPeers = new ScriptedCrashPeers();
     private final AtomicLong sequence = new AtomicLong();
     private final CrashWatch crashes;
+    private final RetryBudget budget;
     private final BodyMemory bodyMemory;
     private final RelayServer server;
     private volatile GroupLiveness liveness = GroupLiveness.UNKNOWN;
@@ -119,7 +120,7 @@
     RelayFixture(double ratio, double extraRetries, long objectiveMillis, BodyMemory memory, int maxBodyBytes)
             throws ProgramException {
         this.bodyMemory = memory;
-        RetryBudget budget = RetryBudgetFixture.createCounted(ratio, extraRetries, 1, Ticker.SYSTEM);
+        budget = RetryBudgetFixture.createCounted(ratio, extraRetries, 1, Ticker.SYSTEM);
         FleetLoad fleet = new FleetLoad(Ticker.SYSTEM);
         Balancer balancer = new Balancer("a", fleet, Mechanisms.ALL, Ticker.SYSTEM);
         EventLoop io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
@@ -161,6 +162,11 @@
         readingsLeft.set(readingsBefore);
     }
 
+    /** Returns the retries of a service that may still arrive at targets. */
+    int openRetries(String service) {
+        return budget.openRetries().getOrDefault(service, 0);
+    }
+
     /** Returns whether the failure of {@link #failReading} has happened. */
     boolean hasFailed() {
         return readingsLeft.get() < 0;
