Entries that restart count the open retries of their earlier process

Class: a bound whose state is lost with the process that keeps it.

Observability and change in one: each entry reports its open retries by service with its polls; control instances keep the last report of each entry and its process id, and tell a later process of the same entry what the earlier one has left. It counts as open for 75 s from the start of the process; the entry logs it, and hallwall_retry_open includes it. At the first start of the system nothing can be inherited.

It holds because an entry reports at least every 0.4 s, and what it grants between its last report and its end fits into the tenth of the bound that is never used; simulated entries report every 0.4 s.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -69,6 +69,7 @@
     private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
     private final EntryCountRecord entryCount = new EntryCountRecord();
     private final EntryReports entryReports;
+    private final OpenRetryReports openRetries;
     private final LoadSummary loadSummary;
     private final EntryDirectory entryDirectory;
     private final PermitAllocator permits;
@@ -99,6 +100,7 @@
         this.settings = settings;
         this.currentSeeds = settings.seeds();
         this.entryReports = new EntryReports(entryCount, ticker);
+        this.openRetries = new OpenRetryReports(ticker);
         this.loadSummary = new LoadSummary(ticker);
         this.entryDirectory = new EntryDirectory(new SecureRandom(), ticker);
         this.permits = permits;
@@ -304,6 +306,7 @@
         if (found.isEmpty() && settings.firstStart()) {
             found = settings.seeds();
             memberList.initialize(found);
+            openRetries.recordFirstStart();
         } else if (found.isEmpty()) {
             found = ControlMembers.discover(
                     new FeedMessage.MembersRequest(settings.self().instance()), this::seedLinks);
@@ -338,7 +341,7 @@
                     true,
                     () -> KnownConfiguration.NEWEST,
                     () -> Long.MAX_VALUE,
-                    Map::of,
+                    () -> FeedMessage.EntryUsage.NONE,
                     this::applyNews);
             f.start();
             return f;
@@ -414,22 +417,26 @@
     private Mono<FeedMessage.Changes> answerPoll(InstanceId from, FeedMessage.Poll poll) {
         if (poll.heardAfter() < 0) {
             entryReports.recordPoll(from, poll.streams());
+            if (poll.process() != null) {
+                openRetries.record(from, poll.process(), poll.openRetries() == null ? Map.of() : poll.openRetries());
+            }
             if (crashService != null) {
                 crashService.ensureKey();
                 entryCountService.update();
             }
         }
         return feed.await(poll, configurationMachine.current().version(), crashLedger.version())
-                .map(news -> createNews(poll));
+                .map(news -> createNews(from, poll));
     }
 
-    private FeedMessage.Changes createNews(FeedMessage.Poll poll) {
+    private FeedMessage.Changes createNews(InstanceId from, FeedMessage.Poll poll) {
         FeedMessage.Changes changes = feed.news(poll)
                 .with(
                         members(),
                         entryReports.activeCount(),
                         entryCountService == null ? 0 : entryCountService.sharingCount(),
-                        crashLedger.changesSince(poll.suspectsVersion()));
+                        crashLedger.changesSince(poll.suspectsVersion()),
+                        openRetries.inheritedBy(from));
         return documents.addTo(poll, changes);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -26,6 +26,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -101,6 +102,7 @@
     private final RelayServer server;
     private final EventLoopThread feedThread;
     private final Map<String, String> bootIds = new HashMap<>();
+    private final String process = UUID.randomUUID().toString();
     private final ConfigurationUpdates configurations;
     private ScheduledFuture<?> crashCheck;
     private volatile TargetGateway gateway;
@@ -356,7 +358,7 @@
                         false,
                         configurations::known,
                         crashWatch::version,
-                        admission::streamDemand,
+                        this::usage,
                         onFeedThread(news -> applyUpdate(m.instance().value(), news)));
                 followers.put(m.instance(), follower);
                 follower.start();
@@ -364,6 +366,10 @@
         }
     }
 
+    private FeedMessage.EntryUsage usage() {
+        return new FeedMessage.EntryUsage(admission.streamDemand(), process, retryBudget.openRetries());
+    }
+
     /** Hands updates to the feed thread; throws if its queue is full, so that the follower requests them again. */
     private Consumer<FeedMessage.Changes> onFeedThread(Consumer<FeedMessage.Changes> consumer) {
         return news -> {
@@ -388,6 +394,7 @@
             io.execute(() -> crashWatch.applyUpdate(news.suspects()));
         }
         retryBudget.recordEntryCount(news.mostEntries());
+        retryBudget.recordInherited(news.inheritedRetries());
         permits.entryCount(news.mostEntries());
         admission.setEntryCount(news.entries());
         loadExchange.setEntryCount(news.entries());
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -25,6 +25,7 @@
 
 import org.hallwall.core.time.RecentMaximum;
 import org.hallwall.core.time.Ticker;
+import org.jboss.logging.Logger;
 
 /**
  * Retry budget per service: in any window, the entries together send at most a fraction of the requests of the service
@@ -35,6 +36,8 @@
  */
 public final class RetryBudget {
 
+    private static final Logger LOG = Logger.getLogger(RetryBudget.class);
+
     /**
      * Fraction of the bound that is used. The margin covers requests that are read after the end of the window in which
      * they were sent, and differing entry counts.
@@ -59,6 +62,9 @@
     private final Ticker ticker;
     private final Map<String, RetryWindow> windows = new ConcurrentHashMap<>();
     private final RecentMaximum entryPeak;
+    private final Map<String, Integer> inherited = new ConcurrentHashMap<>();
+    private final long inheritedUntil;
+    private volatile boolean inheritedKnown;
     private volatile long extraFrom = Long.MAX_VALUE;
 
     /**
@@ -76,6 +82,7 @@
         this.windowMillis = windowMillis;
         this.ticker = ticker;
         this.entryPeak = new RecentMaximum(ENTRY_PEAK_MILLIS, ticker);
+        this.inheritedUntil = ticker.millis() + MAX_ARRIVAL_DELAY_MILLIS;
     }
 
     /**
@@ -90,6 +97,22 @@
         entryPeak.record(most);
     }
 
+    /**
+     * Records the retries that an earlier process of this entry has left, as a control instance has sent them. The highest numbers apply.
+     *
+     * @param open the number of retries by service; null if unknown to this control instance
+     */
+    public void recordInherited(Map<String, Integer> open) {
+        if (open == null) {
+            return;
+        }
+        open.forEach((service, count) -> inherited.merge(service, count, Math::max));
+        if (!inheritedKnown) {
+            LOG.infof("retries: %s of an earlier process may still arrive", open);
+        }
+        inheritedKnown = true;
+    }
+
     /**
      * Counts a client request.
      *
@@ -106,7 +129,8 @@
      * @return the charge, to be settled once the retry can no longer arrive; null if the request must not be retried
      */
     RetryCharge tryRetry(String service) {
-        return window(service).tryRetry(ticker.millis(), ratio * USABLE_FRACTION, extraShare());
+        return window(service)
+                .tryRetry(ticker.millis(), ratio * USABLE_FRACTION, extraShare() - inheritedRetries(service));
     }
 
     /**
@@ -125,17 +149,25 @@
      */
     public double extraShare() {
         int count = entryCount();
-        return count == 0 || ticker.millis() < extraFrom ? 0 : extra / count * USABLE_FRACTION;
+        long now = ticker.millis();
+        boolean withheld = now < extraFrom || !inheritedKnown && now < inheritedUntil;
+        return count == 0 || withheld ? 0 : extra / count * USABLE_FRACTION;
+    }
+
+    private int inheritedRetries(String service) {
+        return ticker.millis() < inheritedUntil ? inherited.getOrDefault(service, 0) : 0;
     }
 
     /**
-     * Returns the retries that may still arrive at their targets.
+     * Returns the retries that may still arrive at their targets, including those of an earlier process.
      *
-     * @return the number of retries by service
+     * @return the number of retries by service; services without such retries are omitted
      */
     public Map<String, Integer> openRetries() {
         Map<String, Integer> out = new TreeMap<>();
         windows.forEach((service, window) -> out.put(service, window.openCharges()));
+        inherited.keySet().forEach(service -> out.merge(service, inheritedRetries(service), Integer::sum));
+        out.values().removeIf(count -> count == 0);
         return out;
     }
 
@@ -154,7 +186,7 @@
                 service,
                 window.retries(now),
                 window.requests(now),
-                window.openCharges(),
+                window.openCharges() + inheritedRetries(service),
                 extraShare());
     }
 
--- a/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedFollower.java
@@ -20,7 +20,6 @@
 
 import java.io.Closeable;
 import java.time.Duration;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -47,7 +46,7 @@
     private final boolean wantsHeartbeats;
     private final Supplier<KnownConfiguration> configuration;
     private final LongSupplier suspectsVersion;
-    private final Supplier<Map<String, Integer>> streams;
+    private final Supplier<FeedMessage.EntryUsage> usage;
     private final Consumer<FeedMessage.Changes> consumer;
     private String boot = "";
     private long after;
@@ -65,7 +64,7 @@
      * @param wantsHeartbeats whether to request heartbeats without changes
      * @param configuration supplies the known version of the configuration
      * @param suspectsVersion supplies the known version of the suspects
-     * @param streams supplies the streams in progress by model
+     * @param usage supplies what is reported with each poll
      * @param consumer receives the answers in order
      */
     public FeedFollower(
@@ -74,14 +73,14 @@
             boolean wantsHeartbeats,
             Supplier<KnownConfiguration> configuration,
             LongSupplier suspectsVersion,
-            Supplier<Map<String, Integer>> streams,
+            Supplier<FeedMessage.EntryUsage> usage,
             Consumer<FeedMessage.Changes> consumer) {
         this.name = name;
         this.link = link;
         this.wantsHeartbeats = wantsHeartbeats;
         this.configuration = configuration;
         this.suspectsVersion = suspectsVersion;
-        this.streams = streams;
+        this.usage = usage;
         this.consumer = consumer;
     }
 
@@ -122,15 +121,18 @@
             return;
         }
         KnownConfiguration known = configuration.get();
+        FeedMessage.EntryUsage reported = usage.get();
         FeedMessage.Poll poll = new FeedMessage.Poll(
                 boot,
                 after,
                 wantsHeartbeats ? heardAfter : -1,
                 known.version(),
                 POLL_WAIT_MILLIS,
-                streams.get(),
+                reported.streams(),
                 suspectsVersion.getAsLong(),
-                known.checksum());
+                known.checksum(),
+                reported.process(),
+                reported.openRetries());
         current = link.call(poll, ANSWER_TIMEOUT)
                 .cast(FeedMessage.Changes.class)
                 .subscribe(this::onAnswer, this::onFailure);
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -75,6 +75,8 @@
      * @param suspectsVersion the version of the suspects that the sender has
      * @param configurationChecksum the checksum of the configuration that the sender has, to which a difference can be
      *     applied; zero to receive the whole
+     * @param process the random id of the sender's process; null if the sender does not retry requests
+     * @param openRetries the sender's retries that may still arrive at targets, by service; null for none
      */
     record Poll(
             String boot,
@@ -84,7 +86,9 @@
             long waitMillis,
             Map<String, Integer> streams,
             long suspectsVersion,
-            long configurationChecksum)
+            long configurationChecksum,
+            String process,
+            Map<String, Integer> openRetries)
             implements FeedMessage {}
 
     /**
@@ -103,6 +107,8 @@
      * @param mostEntries the recent maximum number of entries; zero if unknown
      * @param suspects the changes of the suspects, or null if there are none
      * @param configurationDelta what changed since the receiver's configuration, instead of the whole, or null
+     * @param inheritedRetries the retries of earlier processes of the receiver that may still arrive at targets, by service; null if
+     *     unknown
      */
     record Changes(
             String boot,
@@ -117,7 +123,8 @@
             int entries,
             int mostEntries,
             SuspectUpdate suspects,
-            ConfigurationDelta configurationDelta)
+            ConfigurationDelta configurationDelta,
+            Map<String, Integer> inheritedRetries)
             implements FeedMessage {
 
         /**
@@ -127,10 +134,15 @@
          * @param entryCount the number of entries that have polled recently
          * @param maxEntryCount the recent maximum number of entries, or zero
          * @param suspectUpdate the changes of the suspects, or null
+         * @param inherited the retries of earlier processes of the receiver, or null
          * @return the complete answer
          */
         public Changes with(
-                List<ControlMember> controlMembers, int entryCount, int maxEntryCount, SuspectUpdate suspectUpdate) {
+                List<ControlMember> controlMembers,
+                int entryCount,
+                int maxEntryCount,
+                SuspectUpdate suspectUpdate,
+                Map<String, Integer> inherited) {
             return new Changes(
                     boot,
                     next,
@@ -144,7 +156,8 @@
                     entryCount,
                     maxEntryCount,
                     suspectUpdate,
-                    configurationDelta);
+                    configurationDelta,
+                    inherited);
         }
 
         /**
@@ -169,7 +182,8 @@
                     entries,
                     mostEntries,
                     suspects,
-                    delta);
+                    delta,
+                    inheritedRetries);
         }
 
         /**
@@ -182,6 +196,19 @@
         }
     }
 
+    /**
+     * What an entry reports with each poll.
+     *
+     * @param streams its streams in progress by model
+     * @param process the random id of its process; null for an instance that does not retry requests
+     * @param openRetries its retries that may still arrive at targets, by service
+     */
+    record EntryUsage(Map<String, Integer> streams, String process, Map<String, Integer> openRetries) {
+
+        /** The report of an instance that serves no requests. */
+        public static final EntryUsage NONE = new EntryUsage(Map.of(), null, Map.of());
+    }
+
     /**
      * Requests the list of control instances.
      *
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -340,7 +340,7 @@
     }
 
     private int poll(String entry, int n) {
-        FeedMessage.Poll poll = new FeedMessage.Poll("", 0, -1, 0, 0, Map.of(), 0, 0);
+        FeedMessage.Poll poll = new FeedMessage.Poll("", 0, -1, 0, 0, Map.of(), 0, 0, null, null);
         return ((FeedMessage.Changes) call(entry, n, poll)).mostEntries();
     }
 
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetFixture.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.hallwall.core.time.Ticker;
@@ -34,6 +35,7 @@
         AtomicLong offset = new AtomicLong(-2 * WINDOW_MILLIS);
         RetryBudget budget = new RetryBudget(ratio, extra, WINDOW_MILLIS, () -> ticker.millis() + offset.get());
         budget.recordEntryCount(entries);
+        budget.recordInherited(Map.of());
         offset.set(0);
         return budget;
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -18,11 +18,13 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The retries of all entries stay within the bound. */
@@ -54,6 +56,7 @@
         RetryBudget budget = new RetryBudget(0, 10, WINDOW, now::get);
         now.set(3 * WINDOW);
         budget.recordEntryCount(1);
+        budget.recordInherited(Map.of());
         Assertions.assertNull(budget.tryRetry("s"));
         now.addAndGet(WINDOW);
         Assertions.assertNull(budget.tryRetry("s"));
@@ -61,6 +64,31 @@
         Assertions.assertNotNull(budget.tryRetry("s"));
     }
 
+    /** What an earlier process has sent to stopped targets may still arrive. */
+    @ParameterizedTest
+    @CsvSource({"3, 7", "0, 10", ", 0"})
+    void retriesOfAnEarlierProcessCountUntilTheyCanNoLongerArrive(Integer inherited, int granted) {
+        AtomicLong now = new AtomicLong();
+        RetryBudget budget = new RetryBudget(0, 12, WINDOW, now::get);
+        budget.recordEntryCount(1);
+        budget.recordInherited(inherited == null ? null : Map.of("s", inherited));
+        now.set(2 * WINDOW);
+        budget.recordEntryCount(1);
+        Assertions.assertEquals(granted, countGranted(budget, now.get()));
+        Assertions.assertEquals(
+                inherited == null ? 0 : inherited, budget.openRetries().getOrDefault("s", 0));
+        now.set(RetryBudget.MAX_ARRIVAL_DELAY_MILLIS);
+        Assertions.assertEquals(10, countGranted(budget, now.get()));
+    }
+
+    private static int countGranted(RetryBudget budget, long now) {
+        int out = 0;
+        while (settle(budget.tryRetry("s"), now)) {
+            out++;
+        }
+        return out;
+    }
+
     @Test
     void windowSlides() {
         AtomicLong now = new AtomicLong();
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedControls.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedControls.java
@@ -24,6 +24,7 @@
 import org.hallwall.core.time.Ticker;
 import org.hallwall.serving.control.EntryCountRecord;
 import org.hallwall.serving.control.EntryReports;
+import org.hallwall.serving.control.OpenRetryReports;
 
 /** Simulates three control instances that count entries, and their log, to which only a side of a partition with a quorum can write. */
 final class SimulatedControls {
@@ -40,6 +41,9 @@
     SimulatedControls(Ticker ticker) {
         this.ticker = ticker;
         restart();
+        for (Instance i : instances) {
+            i.openRetries.recordFirstStart();
+        }
     }
 
     /** Restarts all instances, which keep the log. */
@@ -72,17 +76,20 @@
         }
     }
 
-    /** Records a poll and returns the number of entries in the answer. */
-    int poll(int instance, InstanceId entry) {
+    /** Records a poll, and passes the answer on to the budget of the entry. */
+    void poll(int instance, InstanceId entry, String process, Map<String, Integer> openRetries, RetryBudget budget) {
         Instance c = instances[instance];
         c.reports.recordPoll(entry, Map.of());
-        return c.followedLeader ? c.reports.sharingCount() : 0;
+        c.openRetries.record(entry, process, openRetries);
+        budget.recordEntryCount(c.followedLeader ? c.reports.sharingCount() : 0);
+        budget.recordInherited(c.openRetries.inheritedBy(entry));
     }
 
     private final class Instance {
 
         private final EntryCountRecord record = new EntryCountRecord();
         private final EntryReports reports = new EntryReports(record, ticker);
+        private final OpenRetryReports openRetries = new OpenRetryReports(ticker);
         private boolean followedLeader;
     }
 }
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedEntries.java
@@ -44,6 +44,9 @@
 
     private static final long STEP_MILLIS = 100;
     private static final int RETRIES_PER_REQUEST = 4;
+    /** The longest time between two polls. */
+    private static final long REPORT_INTERVAL_MILLIS = 400;
+
     private static final int TARGETS = 6;
 
     private final Random random;
@@ -233,6 +236,9 @@
         private final int controlDomain = nextId % SimulatedControls.COUNT;
         private final long startAt;
         private RetryBudget budget;
+        private String process;
+        private Map<String, Integer> reported;
+        private long nextReportAt;
         private TargetState[] states;
         private int weight = 1;
 
@@ -243,6 +249,8 @@
         /** Starts the entry, which has no state. */
         private void start() {
             budget = new RetryBudget(RATIO, EXTRA, WINDOW, () -> now);
+            process = id + " " + now;
+            nextReportAt = now;
             states =
                     IntStream.range(0, TARGETS).mapToObj(i -> new TargetState()).toArray(TargetState[]::new);
         }
@@ -257,9 +265,13 @@
         }
 
         private void poll() {
+            if (now >= nextReportAt) {
+                reported = budget.openRetries();
+                nextReportAt = now + REPORT_INTERVAL_MILLIS;
+            }
             for (int c = 0; c < SimulatedControls.COUNT; c++) {
                 if (controls.isCutOff(c) == controls.isCutOff(controlDomain)) {
-                    budget.recordEntryCount(controls.poll(c, id));
+                    controls.poll(c, id, process, reported, budget);
                 }
             }
         }
