Fixed retries are shared by a number of entries that a majority has confirmed

Cause: an instance behind a partition that had followed a leader once went on telling the number of entries it knew, while more entries were counted on the other side; and an entry counted its window from its first poll, though no number was known then, so that after the partition it used its share while others had used larger ones within the same window. Class: shares by a count that not all know.

Change: a control instance tells the number only while it follows a leader that holds its lease, or once the committed number has not changed for 15 s; an entry counts its window from the first number, and uses its share once a number has arrived after that window.

Ruled out: the sequences without partitions, which passed before.

It holds for entries that have started within 15 s of each other; entries that join during a partition were covered before.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -147,7 +147,7 @@
         ControllerInputs view = new ControllerInputs(directory, documents::configuration, entryReports::streams);
         groupController = new GroupController(
                 voter, view, gateway, feed::setLost, settings.timing(), settings.mechanisms(), ticker);
-        entryCountService = new EntryCountService(voter, entryReports);
+        entryCountService = new EntryCountService(settings.self().instance(), voter, entryReports);
         crashService = new CrashService(voter, crashLedger, System::currentTimeMillis);
         configurationService = new ConfigurationService(
                 settings.self().instance(),
--- a/serving/src/main/java/org/hallwall/serving/control/EntryCountService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/EntryCountService.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.serving.control;
 
+import org.hallwall.core.id.InstanceId;
 import org.hallwall.log.LogVoter;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
@@ -27,18 +28,20 @@
 
     private static final Logger LOG = Logger.getLogger(EntryCountService.class);
 
+    private final InstanceId self;
     private final LogVoter voter;
     private final EntryReports reports;
     private boolean proposed;
-    private volatile boolean followedLeader;
 
     /**
      * Creates the service.
      *
+     * @param self this instance
      * @param voter the voter of this instance
      * @param reports counts the entries that poll this instance
      */
-    EntryCountService(LogVoter voter, EntryReports reports) {
+    EntryCountService(InstanceId self, LogVoter voter, EntryReports reports) {
+        this.self = self;
         this.voter = voter;
         this.reports = reports;
     }
@@ -61,14 +64,18 @@
         proposed = false;
     }
 
+    /** A leader without a lease may be partitioned from the others. */
+    private boolean isFollowing() {
+        InstanceId leader = voter.state().leader();
+        return leader != null && (voter.holdsLease() || !leader.equals(self));
+    }
+
     /**
      * Returns the number of entries that may share a system-wide limit.
      *
      * @return the number of entries; zero until it is known after the start
      */
     int sharingCount() {
-        // without a leader, what a restarted instance has recorded may be missing or out of date
-        followedLeader |= voter.state().leader() != null;
-        return followedLeader ? reports.sharingCount() : 0;
+        return reports.sharingCount(isFollowing());
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
+++ b/serving/src/main/java/org/hallwall/serving/control/EntryReports.java
@@ -38,12 +38,20 @@
      */
     private static final long SHARE_RETENTION_MILLIS = 3_600_000;
 
+    /** The time without a change after which the recorded number of entries counts as complete, in milliseconds. */
+    private static final long SETTLING_MILLIS = 15_000;
+
     private final EntryCountRecord record;
     private final Ticker ticker;
     private final long startedAt;
     private final Map<InstanceId, Report> reports = new HashMap<>();
     /** The time of the last poll of each entry that may use a share, oldest first. */
     private final Map<InstanceId, Long> lastPolls = new LinkedHashMap<>();
+    /** The last recorded number of entries while this instance followed a leader, and since when. */
+    private int followedCount;
+
+    private long followedCountSince;
+    private boolean settled;
 
     /**
      * Creates the reports without entries.
@@ -83,10 +91,19 @@
     /**
      * Returns the number of entries that may share a system-wide limit.
      *
-     * @return the larger of the observed number and the recorded one; zero until every entry has had time to poll after the start
+     * @param following whether this instance follows a leader now; without one, entries may join that it does not know of
+     * @return the larger of the observed number and the recorded one; zero if unknown: until every entry has had time to poll after the
+     *     start, and without a leader unless the recorded number had settled before
      */
-    public synchronized int sharingCount() {
-        return ticker.millis() - startedAt < EXPIRY_MILLIS ? 0 : Math.max(observedCount(), record.count());
+    public synchronized int sharingCount(boolean following) {
+        long now = ticker.millis();
+        if (following && record.count() != followedCount) {
+            followedCount = record.count();
+            followedCountSince = now;
+        }
+        settled |= following && followedCount > 0 && now - followedCountSince >= SETTLING_MILLIS;
+        boolean known = now - startedAt >= EXPIRY_MILLIS && (following || settled);
+        return known ? Math.max(observedCount(), record.count()) : 0;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -66,6 +66,7 @@
     private final long inheritedUntil;
     private volatile boolean inheritedKnown;
     private volatile long extraFrom = Long.MAX_VALUE;
+    private volatile boolean countConfirmed;
 
     /**
      * Creates a budget. Until a window has passed since the control instances count this entry, only the fraction of the requests is
@@ -91,9 +92,15 @@
      * @param most the highest recent number of entries; zero if unknown
      */
     public void recordEntryCount(int most) {
+        if (most == 0) {
+            return;
+        }
+        long now = ticker.millis();
         if (extraFrom == Long.MAX_VALUE) {
-            extraFrom = ticker.millis() + windowMillis + RetryWindow.deliveryMillis(windowMillis);
+            extraFrom = now + windowMillis + RetryWindow.deliveryMillis(windowMillis);
         }
+        // other entries may have joined meanwhile
+        countConfirmed |= now >= extraFrom;
         entryPeak.record(most);
     }
 
@@ -150,7 +157,7 @@
     public double extraShare() {
         int count = entryCount();
         long now = ticker.millis();
-        boolean withheld = now < extraFrom || !inheritedKnown && now < inheritedUntil;
+        boolean withheld = !countConfirmed || !inheritedKnown && now < inheritedUntil;
         return count == 0 || withheld ? 0 : extra / count * USABLE_FRACTION;
     }
 
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetFixture.java
@@ -32,9 +32,11 @@
 
     /** Creates the budget of an entry that the control instances have counted for longer than a window. */
     static RetryBudget createCounted(double ratio, double extra, int entries, Ticker ticker) {
-        AtomicLong offset = new AtomicLong(-2 * WINDOW_MILLIS);
+        AtomicLong offset = new AtomicLong(-4 * WINDOW_MILLIS);
         RetryBudget budget = new RetryBudget(ratio, extra, WINDOW_MILLIS, () -> ticker.millis() + offset.get());
         budget.recordEntryCount(entries);
+        offset.addAndGet(2 * WINDOW_MILLIS);
+        budget.recordEntryCount(entries);
         budget.recordInherited(Map.of());
         offset.set(0);
         return budget;
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -61,6 +61,8 @@
         now.addAndGet(WINDOW);
         Assertions.assertNull(budget.tryRetry("s"));
         now.addAndGet(1_000);
+        Assertions.assertNull(budget.tryRetry("s"), "the number has not been confirmed since");
+        budget.recordEntryCount(1);
         Assertions.assertNotNull(budget.tryRetry("s"));
     }
 
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedControls.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedControls.java
@@ -71,7 +71,6 @@
         for (int i = 0; i < COUNT; i++) {
             if (!isCutOff(i)) {
                 instances[i].record.apply(committed);
-                instances[i].followedLeader = true;
             }
         }
     }
@@ -81,7 +80,7 @@
         Instance c = instances[instance];
         c.reports.recordPoll(entry, Map.of());
         c.openRetries.record(entry, process, openRetries);
-        budget.recordEntryCount(c.followedLeader ? c.reports.sharingCount() : 0);
+        budget.recordEntryCount(c.reports.sharingCount(!isCutOff(instance)));
         budget.recordInherited(c.openRetries.inheritedBy(entry));
     }
 
@@ -90,6 +89,5 @@
         private final EntryCountRecord record = new EntryCountRecord();
         private final EntryReports reports = new EntryReports(record, ticker);
         private final OpenRetryReports openRetries = new OpenRetryReports(ticker);
-        private boolean followedLeader;
     }
 }
