--- a/serving/src/main/java/org/hallwall/serving/relay/ArrivalTracker.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ArrivalTracker.java
@@ -38,6 +38,10 @@
         this.ticker = ticker;
     }
 
+    long now() {
+        return ticker.millis();
+    }
+
     /** Adds the charge of a retry that is about to be sent. */
     void add(RetryCharge charge) {
         charges.add(charge);
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -20,9 +20,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -53,8 +51,7 @@
     private Verdict verdict = Verdict.NOT_RUN;
     private RequestHistory history;
     private final List<NextHop> open = new ArrayList<>();
-    private final ArrivalTracker arrivals;
-    private final Map<NextHop, ArrivalTracker.Arrival> arrivalsByHop = new IdentityHashMap<>();
+    private final RequestCharges charges;
     private int unsentCount;
     private int sendCount;
     private int unreachableCount;
@@ -67,7 +64,7 @@
         this.context = context;
         this.request = request;
         this.features = request.features();
-        this.arrivals = new ArrivalTracker(context.ticker());
+        this.charges = new RequestCharges(context.retryBudget(), request.service(), context.ticker());
         this.history = request.priorHistory();
         triedRecipients.addAll(history.targets());
         this.nextSend = history.isEmpty() ? SendKind.FIRST : SendKind.REPEAT;
@@ -77,7 +74,7 @@
     NextHop nextHop() {
         NextHop hop = chooseHop();
         if (hop == null) {
-            arrivals.settle();
+            charges.settle();
             return null;
         }
         return recordStart(hop);
@@ -85,7 +82,7 @@
 
     /** Settles the charges of retries that are not sent, since the request has ended. */
     void finish() {
-        arrivals.settle();
+        charges.settle();
     }
 
     /** Returns whether the request may be sent to a second target while the first one runs it. */
@@ -111,7 +108,7 @@
         boolean usable = hop != null
                 && !hop.state().isEjected(now)
                 && (hop.isEntry() || hasRoom(hop.target(), lost))
-                && tryRetry();
+                && charges.tryRetry();
         return usable ? recordStart(hop) : null;
     }
 
@@ -121,19 +118,9 @@
                 : context.balancer().hasSpareSlot(target);
     }
 
-    /** Acquires a retry from the budget. */
-    private boolean tryRetry() {
-        RetryCharge charge = context.retryBudget().tryRetry(request.service());
-        if (charge == null) {
-            return false;
-        }
-        arrivals.add(charge);
-        return true;
-    }
-
     private NextHop recordStart(NextHop hop) {
         open.add(hop);
-        arrivalsByHop.put(hop, arrivals.recordSend());
+        charges.recordSend(hop);
         triedRecipients.add(hop.target().instance());
         if (hop.isEntry()) {
             forwardCount++;
@@ -289,42 +276,15 @@
                 request.route().maxAttempts());
     }
 
-    /** Records that a recipient has responded, so that the attempt has arrived at a target. */
+    /** Records that a recipient has responded. */
     void recordResponse(NextHop hop) {
-        ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
-        if (arrival != null) {
-            arrival.confirm();
-        }
-        hop.state().settleUnread();
-    }
-
-    private void recordArrival(NextHop hop, AttemptFailure f, ResponseProgress progress) {
-        if (progress == ResponseProgress.NONE && f.mayArriveLater(hop)) {
-            ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
-            if (arrival != null) {
-                hop.state().addUnread(arrival, context.now());
-            }
-        } else if (f.hasReachedTarget()) {
-            recordResponse(hop);
-        } else {
-            withdrawArrival(hop, f);
-        }
-    }
-
-    private void withdrawArrival(NextHop hop, AttemptFailure f) {
-        ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
-        if (arrival != null) {
-            arrival.withdraw();
-        }
-        if (f.kind() == AttemptFailure.Kind.CONNECTION_REFUSED) {
-            hop.state().settleUnread();
-        }
+        charges.recordResponse(hop);
     }
 
     /** Adds a finished attempt to the history; returns whether it has reached a target. */
     private boolean recordEnd(NextHop hop, AttemptFailure f, ResponseProgress progress) {
         open.remove(hop);
-        recordArrival(hop, f, progress);
+        charges.recordFailure(hop, f, progress);
         RequestHistory before = historyBefore(hop);
         RequestHistory after = hop.historyAfter(before, f, progress);
         history = after;
@@ -388,7 +348,7 @@
         verdict = verdict.combineWith(f.verdict());
         RetryDecision decision = decide(f, hop.hasReport() ? reached : f.hasReachedTarget());
         if (!decision.isRetry()) {
-            arrivals.settle();
+            charges.settle();
         }
         context.metrics().countRetryDecision(request.service(), decision);
         LOG.infof(
@@ -467,6 +427,6 @@
             nextSend = SendKind.UNCHARGED;
             return RetryDecision.UNCHARGED;
         }
-        return tryRetry() ? RetryDecision.GRANTED : RetryDecision.REFUSED;
+        return charges.tryRetry() ? RetryDecision.GRANTED : RetryDecision.REFUSED;
     }
 }
