--- a/serving/src/test/java/org/hallwall/serving/relay/TruncatedResponseTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/TruncatedResponseTest.java
@@ -62,10 +62,10 @@
             return (STATUS + rest).replace("ATTEMPT", ATTEMPT);
         }
 
-        Stream<RequestKind> kinds() {
+        List<RequestKind> kinds() {
             return this == EVENTS
-                    ? Stream.of(RequestKind.STREAM)
-                    : Stream.of(RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT);
+                    ? List.of(RequestKind.STREAM)
+                    : List.of(RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT);
         }
     }
 
@@ -75,6 +75,15 @@
         RESET
     }
 
+    /** Who sends the response to the entry. */
+    private enum Sender {
+        TARGET,
+        /** A target that only another entry can connect to. */
+        TARGET_BEHIND_ENTRY,
+        /** Another entry, whose response is scripted. */
+        ENTRY
+    }
+
     @BeforeEach
     void open() throws Exception {
         entry = new RelayFixture();
@@ -88,38 +97,52 @@
         targets.forEach(ScriptedTarget::close);
     }
 
-    /** Adds two targets with the same script; if requests are forwarded, only the helper can connect to them. */
-    private void addTargets(boolean forwarded, ScriptedTarget.Script script) throws Exception {
-        if (forwarded) {
+    /** Adds two targets or entries with the same script. */
+    private void addSenders(Sender sender, ScriptedTarget.Script script) throws Exception {
+        if (sender != Sender.TARGET) {
             try (ServerSocket closed = new ServerSocket(0)) {
                 entry.add("app", "i-app", closed.getLocalPort());
                 entry.add("llm", "i-llm", closed.getLocalPort());
             }
+        }
+        if (sender == Sender.TARGET_BEHIND_ENTRY) {
             entry.addEntry("helper", helper);
         }
         for (int i = 0; i < 2; i++) {
             ScriptedTarget t = new ScriptedTarget(script);
             targets.add(t);
-            RelayFixture sender = forwarded ? helper : entry;
-            sender.add("app", "i-app" + i, t.port());
-            sender.add("llm", "i-llm" + i, t.port());
+            if (sender == Sender.ENTRY) {
+                entry.addEntry("entry-" + i, t.port());
+            } else {
+                RelayFixture relay = sender == Sender.TARGET ? entry : helper;
+                relay.add("app", "i-app" + i, t.port());
+                relay.add("llm", "i-llm" + i, t.port());
+            }
         }
     }
 
     static Stream<Arguments> truncations() {
-        return Stream.of(Framing.values())
-                .flatMap(f -> Stream.of(End.values())
-                        .flatMap(e -> Stream.of(false, true)
-                                .flatMap(forwarded -> f.kinds().map(kind -> Arguments.of(f, e, forwarded, kind)))));
+        List<Arguments> out = new ArrayList<>();
+        for (Framing f : Framing.values()) {
+            for (End e : End.values()) {
+                for (RequestKind kind : f.kinds()) {
+                    for (Sender s : Sender.values()) {
+                        out.add(Arguments.of(f, e, s, kind, "HTTP/1.1"));
+                    }
+                    out.add(Arguments.of(f, e, Sender.TARGET, kind, "HTTP/1.0"));
+                }
+            }
+        }
+        return out.stream();
     }
 
     @ParameterizedTest
     @MethodSource("truncations")
-    void responseCutAtAnyByteIsNotForwardedAsComplete(Framing framing, End end, boolean forwarded, RequestKind kind)
-            throws Exception {
+    void responseCutAtAnyByteIsNotForwardedAsComplete(
+            Framing framing, End end, Sender sender, RequestKind kind, String callerVersion) throws Exception {
         String whole = framing.response();
         int[] length = {0};
-        addTargets(forwarded, (r, c) -> {
+        addSenders(sender, (r, c) -> {
             c.send(whole.substring(0, length[0]));
             if (end == End.RESET) {
                 c.reset();
@@ -128,25 +151,38 @@
             }
         });
         for (length[0] = 0; length[0] < whole.length(); length[0]++) {
-            RawResponse r = RawResponse.request(entry.port(), "HTTP/1.1", kind);
+            RawResponse r = RawResponse.request(entry.port(), callerVersion, kind);
             Assertions.assertFalse(r.status() == 200 && r.isComplete(), "cut at byte " + length[0] + ": " + r);
         }
     }
 
+    /** The target neither ends its head nor closes the connection within the time of the request. */
+    @ParameterizedTest
+    @CsvSource({"10, IDEMPOTENT", "40, NON_IDEMPOTENT", "72, NON_IDEMPOTENT"})
+    void headThatStopsIsNotForwarded(int length, RequestKind kind) throws Exception {
+        addSenders(
+                Sender.TARGET,
+                (r, c) -> c.send(Framing.LENGTH_FIRST.response().substring(0, length))
+                        .awaitClose());
+        RawResponse r = RawResponse.request(entry.port(), "HTTP/1.1", kind);
+        Assertions.assertTrue(r.status() >= 500, r::toString);
+    }
+
     /** Guards against an interim response that is taken for the final one. */
     @ParameterizedTest
     @CsvSource({
-        "100, 1, false",
-        "102, 1, false",
-        "103, 1, false",
-        "103, 5, false",
-        "102, 1, true",
-        "103, 1, true",
-        "103, 5, true"
+        "100, 1, TARGET",
+        "102, 1, TARGET",
+        "103, 1, TARGET",
+        "103, 5, TARGET",
+        "102, 1, TARGET_BEHIND_ENTRY",
+        "103, 1, TARGET_BEHIND_ENTRY",
+        "103, 5, TARGET_BEHIND_ENTRY",
+        "103, 1, ENTRY"
     })
-    void finalResponseFollowsInterimOnes(int status, int count, boolean forwarded) throws Exception {
+    void finalResponseFollowsInterimOnes(int status, int count, Sender sender) throws Exception {
         String interim = "HTTP/1.1 " + status + " Interim\r\nLink: </a>\r\n\r\n";
-        addTargets(forwarded, (r, c) -> c.send(interim.repeat(count) + Framing.LENGTH_LAST.response()));
+        addSenders(sender, (r, c) -> c.send(interim.repeat(count) + Framing.LENGTH_LAST.response()));
         for (int i = 0; i < 3; i++) {
             RawResponse r = RawResponse.request(entry.port(), "HTTP/1.1", RequestKind.NON_IDEMPOTENT);
             Assertions.assertEquals(200, r.status(), r::toString);
@@ -160,7 +196,7 @@
     @ParameterizedTest
     @CsvSource({"CLOSE", "RESET"})
     void interimResponseAloneIsNotComplete(End end) throws Exception {
-        addTargets(false, (r, c) -> {
+        addSenders(Sender.TARGET, (r, c) -> {
             c.send("HTTP/1.1 103 Early Hints\r\n" + FIELDS + "\r\n");
             if (end == End.RESET) {
                 c.reset();
