--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -23,6 +23,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
 
@@ -54,7 +56,8 @@
     private final FleetLoad fleet;
     private final Mechanisms mechanisms;
     private final Ticker ticker;
-    private final Map<InstanceId, TargetState> states = new HashMap<>();
+    /** Metrics read it from another thread. */
+    private final Map<InstanceId, TargetState> states = new ConcurrentHashMap<>();
 
     /**
      * Creates a balancer.
@@ -246,11 +249,28 @@
     void settleUnread(Predicate<InstanceId> hasEnded) {
         states.forEach((id, s) -> {
             if (s.hasUnread() && hasEnded.test(id)) {
+                s.unreadAttempts(ticker.millis()).logSettled(id, "it has ended");
                 s.settleUnread();
             }
         });
     }
 
+    /**
+     * Returns the abandoned attempts that targets may still read.
+     *
+     * @return the attempts by target; targets without such attempts are omitted
+     */
+    public Map<String, UnreadAttempts> unreadAttempts() {
+        Map<String, UnreadAttempts> out = new TreeMap<>();
+        states.forEach((id, s) -> {
+            UnreadAttempts unread = s.unreadAttempts(ticker.millis());
+            if (unread.count() > 0) {
+                out.put(id.value(), unread);
+            }
+        });
+        return out;
+    }
+
     private double load(ServingTarget t) {
         int outstanding = state(t).outstanding() + (fleet.isFresh() ? fleet.othersOutstanding(t.instance()) : 0);
         double load =
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -94,6 +94,7 @@
     private final AdmissionControl admission;
     private final LoadExchange loadExchange;
     private final PermitExchange permitExchange;
+    private final Balancer balancer;
     private final RetryBudget retryBudget;
     private final CrashWatch crashWatch;
     private final TargetLinks targetLinks;
@@ -130,7 +131,7 @@
         this.retryBudget =
                 new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis(), ticker);
         FleetLoad fleet = new FleetLoad(ticker);
-        Balancer balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), ticker);
+        this.balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), ticker);
         this.admission = new AdmissionControl(balancer, fleet, settings.mechanisms(), ticker);
         this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.loadExchange = new LoadExchange(io, balancer, fleet, permits, links::values);
@@ -269,6 +270,15 @@
         return retryBudget;
     }
 
+    /**
+     * Returns the abandoned attempts that targets may still read.
+     *
+     * @return the attempts by target
+     */
+    public Map<String, UnreadAttempts> unreadAttempts() {
+        return balancer.unreadAttempts();
+    }
+
     /**
      * Returns the links to the targets.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestCharges.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestCharges.java
@@ -59,7 +59,15 @@
         if (arrival != null) {
             arrival.confirm();
         }
-        hop.state().settleUnread();
+        settleUnread(hop, "it has responded");
+    }
+
+    private void settleUnread(NextHop hop, String reason) {
+        UnreadAttempts unread = hop.state().unreadAttempts(arrivals.now());
+        if (unread.count() > 0) {
+            unread.logSettled(hop.target().instance(), reason);
+            hop.state().settleUnread();
+        }
     }
 
     /**
@@ -92,7 +100,7 @@
             arrival.withdraw();
         }
         if (f.kind() == AttemptFailure.Kind.CONNECTION_REFUSED) {
-            hop.state().settleUnread();
+            settleUnread(hop, "it refuses connections");
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
@@ -22,6 +22,8 @@
 import java.util.Arrays;
 import java.util.Deque;
 
+import org.jboss.logging.Logger;
+
 /**
  * Sliding-window counts of the requests and retries of one service at one entry.
  *
@@ -31,6 +33,8 @@
  */
 final class RetryWindow {
 
+    private static final Logger LOG = Logger.getLogger(RetryWindow.class);
+
     /** Buckets per window; a window that starts within a bucket loses the requests of this bucket. */
     private static final int BUCKETS = 40;
     /**
@@ -99,7 +103,13 @@
 
     private void settleExpired(long now) {
         while (!charges.isEmpty() && isOver(charges.peek(), now)) {
-            charges.remove().settle(now);
+            RetryCharge charge = charges.remove();
+            if (charge.isOpen()) {
+                LOG.infof(
+                        "retries: one granted %d ms ago counts as arrived, without a response",
+                        now - charge.grantedAt());
+                charge.settle(now);
+            }
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -18,10 +18,10 @@
  */
 package org.hallwall.serving.relay;
 
-import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.ConcurrentLinkedDeque;
 
-/** Load and failure statistics of one target, as observed by this entry. Confined to the I/O thread. */
+/** Load and failure statistics of one target, as observed by this entry. Confined to the I/O thread, except for what metrics read. */
 final class TargetState {
 
     /** Ejection time after the first failure, in milliseconds; doubles with each consecutive failure. */
@@ -46,7 +46,7 @@
     /** How long a silent target is assumed to hold requests that were cancelled, in milliseconds. */
     private static final long HELD_MILLIS = 3_000;
 
-    private final Deque<ArrivalTracker.Arrival> unread = new ArrayDeque<>();
+    private final Deque<ArrivalTracker.Arrival> unread = new ConcurrentLinkedDeque<>();
     private int outstanding;
     private int held;
     private long heldUntil;
@@ -84,6 +84,12 @@
         return !unread.isEmpty();
     }
 
+    /** Returns the abandoned attempts that the target may read later. */
+    UnreadAttempts unreadAttempts(long now) {
+        ArrivalTracker.Arrival oldest = unread.peek();
+        return oldest == null ? UnreadAttempts.NONE : new UnreadAttempts(unread.size(), now - oldest.sentAt());
+    }
+
     /**
      * Records that the target has read what was sent to it before, or never will: it has responded or ended. Whether an abandoned attempt
      * was read before the target ended is unknown, so it counts as arrived.
--- a/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/BalancerTest.java
@@ -171,7 +171,10 @@
         balancer.state(target).addUnread(tracker.recordSend(), now);
         tracker.add(window.tryRetry(now, 0, 10));
         tracker.recordSend().confirm();
+        now += 700;
+        Assertions.assertEquals(Map.of("h0", new UnreadAttempts(1, 700)), balancer.unreadAttempts());
         balancer.settleUnread(id -> ended);
+        Assertions.assertEquals(!ended, balancer.unreadAttempts().containsKey("h0"));
         Assertions.assertEquals(ended ? 0 : 1, window.openCharges());
     }
 }
