--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
@@ -25,6 +25,8 @@
 class RetryBudgetStopSimulationTest {
 
     private static final int SEEDS = 5;
+    /** Multiplies one request a second. */
+    private static final int CROWD_FACTOR = 300;
 
     @ParameterizedTest
     @CsvSource({
@@ -37,6 +39,8 @@
         "9, 300, 3, 12000",
         "9, 60, 3, 35000",
         "9, 60, 2, 60000",
+        "9, 60, 2, 95000",
+        "9, 300, 3, 200000",
         "82, 300, 3, 45000",
         "82, 300, 3, 10000"
     })
@@ -52,6 +56,28 @@
         play(entries, requestsPerSecond, stopped, ended, millis);
     }
 
+    /** Guards against retries that a crowd has paid for and that arrive when it has gone, at targets that continue then. */
+    @ParameterizedTest
+    @CsvSource({
+        "3, 3, 12000, 16000",
+        "9, 3, 12000, 16000",
+        "9, 5, 3000, 100000",
+        "30, 2, 12000, 200000",
+        "82, 3, 12000, 16000"
+    })
+    void retriesOfAnEndedCrowdStayWithinTheBound(int entries, int stopped, long crowdMillis, long stopMillis) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedEntries s = new SimulatedEntries(entries, 10, seed);
+            s.run(15_000, true);
+            s.stopTargets(stopped, crowdMillis + stopMillis);
+            s.setIdleLoadFactor(CROWD_FACTOR);
+            s.run(crowdMillis, true);
+            s.setIdleLoadFactor(1);
+            s.run(stopMillis + 25_000, true);
+            s.assertWithinTheBound("seed " + seed);
+        }
+    }
+
     private static void play(int entries, int requestsPerSecond, int stopped, int ended, long millis) {
         for (long seed = 1; seed <= SEEDS; seed++) {
             SimulatedEntries s = new SimulatedEntries(entries, requestsPerSecond, seed);
