Retries that may still arrive never exceed the fixed part of the budget

What callers saw: BUDGET, repeats beyond what is allowed.

Cause: a retry is granted on the requests of the window in which it is sent, and arrives in another one if its target is stopped meanwhile. Open retries counted in every later window, so no further ones were granted, but those that were already sent had been paid for by callers who have left when the target goes on.

One may always be open, or an entry whose share is less than one could never retry. The rule on each window stays.

Why it holds: retries that arrive in a window were granted before it, and are no more than the fixed part, or within it, and the last of these was checked against the requests of this window and all that was open.

--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -32,7 +32,8 @@
  * plus a fixed number of retries. Requests of one service do not pay for the retries of another.
  *
  * <p>Each entry spends the fraction of its own requests and an equal share of the fixed number. A retry counts until it has arrived at its
- * target, and for a window after that. Retries are acquired on the I/O thread only.
+ * target, and for a window after that; requests that have paid for it may be long over by then. Hence the retries that may still arrive never
+ * exceed the share of the fixed number, whatever the requests allow. Retries are acquired on the I/O thread only.
  */
 public final class RetryBudget {
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
@@ -70,6 +70,8 @@
     /**
      * Acquires a retry if no window that ends now or later would exceed its bound.
      *
+     * <p>Open retries may all arrive in a window without requests, so no more of them are open at once than the fixed number allows, or one.
+     *
      * @param now the current time, in milliseconds
      * @param ratio retries allowed per request
      * @param extra additional retries allowed per window
@@ -77,6 +79,9 @@
      */
     RetryCharge tryRetry(long now, double ratio, double extra) {
         settleExpired(now);
+        if (openCharges + 1 > Math.max(1, extra)) {
+            return null;
+        }
         long bucket = advance(now);
         long retriesInWindow = openCharges + sum(retries, bucket - DELIVERY_BUCKETS + 1, bucket);
         long requestsInWindow = 0;
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -120,6 +120,20 @@
         Assertions.assertNotNull(budget.tryRetry("s"));
     }
 
+    /** Guards against retries that many requests have paid for, and that arrive when the callers have gone. */
+    @ParameterizedTest
+    @CsvSource({"10, 9", "3, 2", "1, 1", "0, 1"})
+    void openRetriesStayWithinTheFixedPart(double extra, int most) {
+        AtomicLong now = new AtomicLong();
+        RetryBudget budget = RetryBudgetFixture.createCounted(0.2, extra, 1, now::get);
+        for (int i = 0; i < 1_000; i++) {
+            budget.recordRequest("s");
+            now.addAndGet(5);
+            budget.tryRetry("s");
+        }
+        Assertions.assertEquals(Map.of("s", most), budget.openRetries());
+    }
+
     @Test
     void chargeOfATargetThatNeverContinuesIsReleased() {
         AtomicLong now = new AtomicLong();
