Retries at stopped targets are never forgotten by time

What callers saw: BUDGET.

Cause: a charge was settled 75 s after its grant, whatever was known of its retry. The entries then granted as many again, to targets that were still stopped, and after the stop both arrived.

Change: a charge is settled by evidence alone: the connection of its attempt has closed. A recipient that ended while it was cut off tells nobody; whether it refuses connections is checked after 3 s, and then less and less often. After 600 s attempts are discarded anyway, or a machine that has lost its power would hold retries for ever. What an earlier process of an entry has left still counts for 75 s: nobody holds its connections.

Ruled out as evidence: a connection attempt without a response.

RetryBudgetTest.chargeOfATargetThatNeverContinuesIsReleased demanded the fault; in its place stand chargeStaysOpenHoweverLongItsTargetIsStopped and UnreadAttemptCheckTest, which tells when it is released.

--- a/serving/src/main/java/org/hallwall/serving/reachability/TargetConnector.java
+++ b/serving/src/main/java/org/hallwall/serving/reachability/TargetConnector.java
@@ -19,6 +19,8 @@
 package org.hallwall.serving.reachability;
 
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.time.Duration;
 
 import io.netty.channel.ChannelOption;
@@ -55,8 +57,18 @@
      */
     public Mono<ConnectResult> connect(NetAddress announced, Duration timeout) {
         NetAddress address = addresses.translate(announced);
-        return client.host(address.host())
-                .port(address.port())
+        return connect(InetSocketAddress.createUnresolved(address.host(), address.port()), timeout);
+    }
+
+    /**
+     * Opens and closes a connection.
+     *
+     * @param address the address to connect to
+     * @param timeout the maximum time to wait
+     * @return the result; never fails
+     */
+    public Mono<ConnectResult> connect(SocketAddress address, Duration timeout) {
+        return client.remoteAddress(() -> address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
                 .connect()
                 .map(c -> {
--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
@@ -18,6 +18,8 @@
  */
 package org.hallwall.serving.relay;
 
+import java.net.SocketAddress;
+
 import io.netty.channel.Channel;
 import org.hallwall.program.LingeringClose;
 
@@ -36,6 +38,11 @@
         return channel != null;
     }
 
+    /** Returns the address of the recipient. */
+    SocketAddress peer() {
+        return channel.remoteAddress();
+    }
+
     /** Runs a step when the connection has closed, at once if it has already: the recipient can then no longer read the attempt. */
     void whenClosed(Runnable step) {
         channel.closeFuture().addListener(f -> step.run());
--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -247,14 +247,25 @@
      * @param hasEnded returns whether a target has ended
      */
     void abortUnread(Predicate<InstanceId> hasEnded) {
-        states.forEach((id, s) -> {
-            if (s.hasUnread() && hasEnded.test(id)) {
+        unreadStates().forEach((id, s) -> {
+            if (hasEnded.test(id)) {
                 s.unreadAttempts(ticker.millis()).logSettled(id, "it has ended");
                 s.abortUnread();
             }
         });
     }
 
+    /** Returns the states of the targets that may still read abandoned attempts. */
+    Map<InstanceId, TargetState> unreadStates() {
+        Map<InstanceId, TargetState> out = new HashMap<>();
+        states.forEach((id, s) -> {
+            if (s.hasUnread()) {
+                out.put(id, s);
+            }
+        });
+        return out;
+    }
+
     /**
      * Returns the abandoned attempts that targets may still read.
      *
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -105,7 +105,9 @@
     private final Map<String, String> bootIds = new HashMap<>();
     private final String process = UUID.randomUUID().toString();
     private final ConfigurationUpdates configurations;
+    private final UnreadAttemptCheck unreadCheck;
     private ScheduledFuture<?> crashCheck;
+    private ScheduledFuture<?> unreadTimer;
     private volatile TargetGateway gateway;
     private volatile long firstUpdateAt = -1;
     private volatile boolean hasSeenTargets;
@@ -150,6 +152,10 @@
                         this::reachesNeighbours),
                 io,
                 ticker);
+        Balancer entryBalancer =
+                new Balancer(settings.failureDomain(), new FleetLoad(ticker), settings.mechanisms(), ticker);
+        this.unreadCheck =
+                new UnreadAttemptCheck(List.of(balancer, entryBalancer), targetLinks.connector()::connect, ticker);
         HeadLivenessQuery headQuery =
                 new HeadLivenessQuery(loadExchange::controllers, availability, targetLinks.detector(), this::probe);
         RelayContext context = new RelayContext(
@@ -172,7 +178,7 @@
                 new EntryForwarder(
                         targetLinks,
                         statusExchange::availableEntries,
-                        new Balancer(settings.failureDomain(), new FleetLoad(ticker), settings.mechanisms(), ticker),
+                        entryBalancer,
                         new EntryClient(loops, names, settings.instance(), state, ticker)),
                 ticker);
         this.server = new RelayServer(context, BodyMemory.ofProcess());
@@ -200,6 +206,11 @@
         permits.onDue(permitExchange::trigger);
         crashCheck = io.scheduleAtFixedRate(
                 crashWatch::tick, CRASH_CHECK_INTERVAL_MILLIS, CRASH_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        unreadTimer = io.scheduleAtFixedRate(
+                new GuardedTask("check of unread attempts", unreadCheck::tick),
+                UnreadAttemptCheck.INTERVAL_MILLIS,
+                UnreadAttemptCheck.INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         connect(settings.seeds());
         LOG.infof("entry: %s accepts client requests on port %d", settings.instance(), server.port());
     }
@@ -329,6 +340,7 @@
         statusExchange.close();
         permitExchange.close();
         crashCheck.cancel(false);
+        unreadTimer.cancel(false);
         feedThread.close();
         links.values().forEach(PeerLink::close);
         server.close();
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -52,8 +52,7 @@
     private static final long ENTRY_PEAK_MILLIS = 3_600_000;
 
     /**
-     * Longest time in which a stopped target is assumed to continue and read a request, in milliseconds. A response of the target, or its
-     * end, tells earlier that nothing is left to read.
+     * Longest time in which a stopped target is assumed to continue and read what an earlier process of an entry has sent, in milliseconds.
      */
     public static final long MAX_ARRIVAL_DELAY_MILLIS = 75_000;
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryCharge.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryCharge.java
@@ -25,26 +25,15 @@
 final class RetryCharge {
 
     private final RetryWindow window;
-    private final long grantedAt;
     private boolean open = true;
 
     /**
      * Creates an open charge.
      *
      * @param window the window in which the retry counts
-     * @param grantedAt the current time, in milliseconds
      */
-    RetryCharge(RetryWindow window, long grantedAt) {
+    RetryCharge(RetryWindow window) {
         this.window = window;
-        this.grantedAt = grantedAt;
-    }
-
-    long grantedAt() {
-        return grantedAt;
-    }
-
-    boolean isOpen() {
-        return open;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
@@ -18,11 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
-import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.Deque;
-
-import org.jboss.logging.Logger;
 
 /**
  * Sliding-window counts of the requests and retries of one service at one entry.
@@ -33,8 +29,6 @@
  */
 final class RetryWindow {
 
-    private static final Logger LOG = Logger.getLogger(RetryWindow.class);
-
     /** Buckets per window; a window that starts within a bucket loses the requests of this bucket. */
     private static final int BUCKETS = 40;
     /**
@@ -48,7 +42,6 @@
     private final long bucketMillis;
     private final long[] requests = new long[RETAINED_BUCKETS];
     private final long[] retries = new long[RETAINED_BUCKETS];
-    private final Deque<RetryCharge> charges = new ArrayDeque<>();
     /** Written by the I/O thread, read by others for metrics. */
     private volatile int openCharges;
 
@@ -78,7 +71,6 @@
      * @return the charge of the retry; null if it is refused
      */
     RetryCharge tryRetry(long now, double ratio, double extra) {
-        settleExpired(now);
         if (openCharges + 1 > Math.max(1, extra)) {
             return null;
         }
@@ -94,10 +86,8 @@
             requestsInWindow += requests[index(first)];
             requestsBefore += requests[index(first - BUCKETS)] - requests[index(first - 1)];
         }
-        RetryCharge charge = new RetryCharge(this, now);
-        charges.add(charge);
         openCharges++;
-        return charge;
+        return new RetryCharge(this);
     }
 
     /** Records that an open charge was settled. */
@@ -106,22 +96,6 @@
         retries[index(advance(now))]++;
     }
 
-    private void settleExpired(long now) {
-        while (!charges.isEmpty() && isOver(charges.peek(), now)) {
-            RetryCharge charge = charges.remove();
-            if (charge.isOpen()) {
-                LOG.infof(
-                        "retries: one granted %d ms ago counts as arrived, without a response",
-                        now - charge.grantedAt());
-                charge.settle(now);
-            }
-        }
-    }
-
-    private static boolean isOver(RetryCharge charge, long now) {
-        return !charge.isOpen() || now - charge.grantedAt() >= RetryBudget.MAX_ARRIVAL_DELAY_MILLIS;
-    }
-
     /** Returns the number of retries that may still arrive at their targets. */
     int openCharges() {
         return openCharges;
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetState.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.serving.relay;
 
+import java.net.SocketAddress;
 import java.util.Deque;
 import java.util.concurrent.ConcurrentLinkedDeque;
 
@@ -94,6 +95,12 @@
                 : new UnreadAttempts(unread.size(), now - oldest.arrival().sentAt());
     }
 
+    /** Returns the address to which the oldest abandoned attempt was sent; null if there is none. */
+    SocketAddress unreadPeer() {
+        UnreadAttempt oldest = unread.peek();
+        return oldest == null ? null : oldest.connection().peer();
+    }
+
     /** Records that the target has ended. Whether it has read an abandoned attempt before is unknown, so that it counts as arrived. */
     void abortUnread() {
         unread.forEach(a -> a.connection().abort());
--- a/serving/src/test/java/org/hallwall/serving/relay/OpenRetriesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/OpenRetriesTest.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.relay;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -83,13 +84,21 @@
     @Test
     void abandonedRetryIsOpenUntilItsTargetHasReadIt() throws Exception {
         try (RelayFixture entry = new RelayFixture();
-                ScriptedTarget first = new ScriptedTarget((r, c) -> c.send(REJECTED));
-                ServerSocket second = new ServerSocket(0, 0, InetAddress.getLoopbackAddress())) {
-            entry.add("app", "first", first.port());
-            entry.add("app", "second", second.getLocalPort());
+                ServerSocket a = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+                ServerSocket b = new ServerSocket(0, 0, InetAddress.getLoopbackAddress())) {
+            entry.add("app", "a", a.getLocalPort());
+            entry.add("app", "b", b.getLocalPort());
+            CompletableFuture<Socket> atA = CompletableFuture.supplyAsync(() -> accept(a));
+            CompletableFuture<Socket> atB = CompletableFuture.supplyAsync(() -> accept(b));
             Socket caller = startRequest(entry);
-            Socket unread = second.accept();
-            Awaitility.await().until(() -> entry.openRetries("app") == 1);
+            Socket first = (Socket) CompletableFuture.anyOf(atA, atB).get();
+            ServerSocket second = atA.isDone() ? b : a;
+            (atA.isDone() ? a : b).close();
+            readHead(first);
+            first.getOutputStream()
+                    .write(REJECTED.replace("ATTEMPT", "attempt-1").getBytes(StandardCharsets.US_ASCII));
+            Socket unread = (second == b ? atB : atA).get();
+            Assertions.assertEquals(1, entry.openRetries("app"));
             caller.close();
             CompletableFuture<Integer> status = CompletableFuture.supplyAsync(() -> send(entry));
             try (Socket other = second.accept()) {
@@ -111,6 +120,14 @@
         return caller;
     }
 
+    private static Socket accept(ServerSocket target) {
+        try {
+            return target.accept();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static void readHead(Socket from) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -134,12 +134,17 @@
         Assertions.assertEquals(Map.of("s", most), budget.openRetries());
     }
 
-    @Test
-    void chargeOfATargetThatNeverContinuesIsReleased() {
+    /** Guards against retries that are forgotten while their targets are stopped for long. */
+    @ParameterizedTest
+    @ValueSource(longs = {75_000, 95_000, 3_600_000})
+    void chargeStaysOpenHoweverLongItsTargetIsStopped(long stopMillis) {
         AtomicLong now = new AtomicLong();
         RetryBudget budget = RetryBudgetFixture.createCounted(0, 2, 1, now::get);
-        Assertions.assertNotNull(budget.tryRetry("s"));
-        now.addAndGet(RetryBudget.MAX_ARRIVAL_DELAY_MILLIS);
+        RetryCharge charge = budget.tryRetry("s");
+        for (long end = now.get() + stopMillis; now.get() < end; now.addAndGet(1_000)) {
+            Assertions.assertNull(budget.tryRetry("s"));
+        }
+        charge.settle(now.get());
         Assertions.assertNull(budget.tryRetry("s"));
         now.addAndGet(WINDOW + 1_000);
         Assertions.assertNotNull(budget.tryRetry("s"));
