Lingering connections stay within the pool of their recipient

What callers could have seen: up to 320 requests at a target at once, 64 before.

Cause: a connection that lingers counts in the pool until it closes, so made the pools larger by the most connections that may linger, and nothing kept that room for them.

Change: the pools have their size of before, and at most half of the connections to one recipient linger. A recipient with so many unread requests is stopped and needs no others. DeadlineOnBusyConnectionsTest occupies 64 and 128 connections again.

--- a/program/src/main/java/org/hallwall/program/LingeringClose.java
+++ b/program/src/main/java/org/hallwall/program/LingeringClose.java
@@ -18,6 +18,10 @@
  */
 package org.hallwall.program;
 
+import java.net.SocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -35,12 +39,12 @@
 public final class LingeringClose {
 
     private final int maxConnections;
-    private int connections;
+    private final Map<SocketAddress, Integer> connections = new HashMap<>();
 
     /**
      * Creates the behaviour of a client.
      *
-     * @param maxConnections the maximum number of connections that linger; others are closed at once
+     * @param maxConnections the maximum number of connections to one peer that linger; others are closed at once
      */
     public LingeringClose(int maxConnections) {
         this.maxConnections = maxConnections;
@@ -72,6 +76,17 @@
         }
     }
 
+    /** Counts a connection among those that linger until it closes; returns whether there are not too many. */
+    private boolean tryAcquire(Channel channel) {
+        SocketAddress peer = channel.remoteAddress();
+        if (connections.getOrDefault(peer, 0) >= maxConnections) {
+            return false;
+        }
+        connections.merge(peer, 1, Integer::sum);
+        channel.closeFuture().addListener(f -> connections.computeIfPresent(peer, (p, n) -> n == 1 ? null : n - 1));
+        return true;
+    }
+
     private final class Handler extends ChannelDuplexHandler {
 
         private boolean awaitingResponse;
@@ -101,7 +116,7 @@
                 return;
             }
             boolean unanswered = awaitingResponse && context.channel().isActive();
-            if (unanswered && connections < maxConnections && context.channel() instanceof DuplexChannel channel) {
+            if (unanswered && context.channel() instanceof DuplexChannel channel && tryAcquire(channel)) {
                 linger(context, channel);
                 promise.trySuccess();
                 return;
@@ -111,8 +126,6 @@
 
         private void linger(ChannelHandlerContext context, DuplexChannel channel) {
             lingering = true;
-            connections++;
-            channel.closeFuture().addListener(f -> connections--);
             channel.config().setAutoRead(true);
             channel.shutdownOutput().addListener(f -> {
                 if (!f.isSuccess()) {
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
@@ -49,8 +49,8 @@
 
     private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(10);
     private static final int MAX_CONNECTIONS_PER_ENTRY = 128;
-    /** Maximum number of connections that wait until an entry has read an abandoned request. */
-    private static final int MAX_LINGERING_CONNECTIONS = 256;
+    /** Maximum number of pooled connections per entry that wait until it has read an abandoned request. */
+    private static final int MAX_LINGERING_CONNECTIONS = 64;
 
     private static final int MAX_HEAD_BYTES = 65_536;
     /** Maximum size of the text of a refusal, in bytes. */
@@ -73,7 +73,7 @@
      */
     EntryClient(LoopResources loops, HeaderNames names, InstanceId self, EntryState state, Ticker ticker) {
         ConnectionProvider pool = ConnectionProvider.builder("entries")
-                .maxConnections(MAX_CONNECTIONS_PER_ENTRY + MAX_LINGERING_CONNECTIONS)
+                .maxConnections(MAX_CONNECTIONS_PER_ENTRY)
                 .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
                 .maxIdleTime(MAX_IDLE_TIME)
                 .lifo()
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -58,10 +58,10 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 350;
     /** Idle timeout of pooled connections; shorter than the idle timeout of targets. */
     private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(4);
-    /** Maximum number of pooled connections per target besides lingering ones; larger than its slots. */
+    /** Maximum number of pooled connections per target; larger than its slots. */
     private static final int MAX_CONNECTIONS_PER_TARGET = 64;
-    /** Maximum number of connections that wait until a target has read an abandoned request. */
-    private static final int MAX_LINGERING_CONNECTIONS = 256;
+    /** Maximum number of pooled connections per target that wait until it has read an abandoned request. */
+    private static final int MAX_LINGERING_CONNECTIONS = 32;
     /** Maximum size of a response head, in bytes. */
     private static final int MAX_HEAD_BYTES = 65_536;
 
@@ -89,7 +89,7 @@
     public TargetClient(
             LoopResources loops, HeaderNames names, TargetAvailability availability, TargetLinks links, Ticker ticker) {
         ConnectionProvider pool = ConnectionProvider.builder("targets")
-                .maxConnections(MAX_CONNECTIONS_PER_TARGET + MAX_LINGERING_CONNECTIONS)
+                .maxConnections(MAX_CONNECTIONS_PER_TARGET)
                 .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
                 .maxIdleTime(MAX_IDLE_TIME)
                 .lifo()
--- a/serving/src/test/java/org/hallwall/serving/relay/DeadlineOnBusyConnectionsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/DeadlineOnBusyConnectionsTest.java
@@ -92,7 +92,7 @@
 
     /** The second column is the number of connections that an entry keeps to one recipient. */
     @ParameterizedTest
-    @CsvSource({"false, 320", "true, 384"})
+    @CsvSource({"false, 64", "true, 128"})
     void waitForAConnectionShortensTheDeadline(boolean forwarded, int connections) throws Exception {
         if (forwarded) {
             try (ServerSocket closed = new ServerSocket(0)) {
