OpenRetriesTest waits for requests, not for connections

abandonedRetryIsOpenUntilItsTargetHasReadIt hung in a run of the tests of serving at a load of 17: a loop that read the end of a connection for ever. Traced: the entry probes its targets once the first one refuses connections, and the test took the probe for the request; and the caller could leave before the retry was sent, which is then withdrawn, as it should be. The test now accepts connections with a request only, and its reads have a time limit. What it asserts is the same.

--- a/serving/src/test/java/org/hallwall/serving/relay/OpenRetriesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/OpenRetriesTest.java
@@ -38,6 +38,7 @@
 /** Guards against a charge of the retry budget that is settled before its retry has arrived at a target. */
 class OpenRetriesTest {
 
+    private static final int TIMEOUT_MILLIS = 10_000;
     private static final String REJECTED =
             "HTTP/1.1 503 Busy\r\nX-Attempt: ATTEMPT\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     private static final String WHOLE =
@@ -88,8 +89,8 @@
                 ServerSocket b = new ServerSocket(0, 0, InetAddress.getLoopbackAddress())) {
             entry.add("app", "a", a.getLocalPort());
             entry.add("app", "b", b.getLocalPort());
-            CompletableFuture<Socket> atA = CompletableFuture.supplyAsync(() -> accept(a));
-            CompletableFuture<Socket> atB = CompletableFuture.supplyAsync(() -> accept(b));
+            CompletableFuture<Socket> atA = CompletableFuture.supplyAsync(() -> acceptRequest(a));
+            CompletableFuture<Socket> atB = CompletableFuture.supplyAsync(() -> acceptRequest(b));
             Socket caller = startRequest(entry);
             Socket first = (Socket) CompletableFuture.anyOf(atA, atB).get();
             ServerSocket second = atA.isDone() ? b : a;
@@ -101,7 +102,7 @@
             Assertions.assertEquals(1, entry.openRetries("app"));
             caller.close();
             CompletableFuture<Integer> status = CompletableFuture.supplyAsync(() -> send(entry));
-            try (Socket other = second.accept()) {
+            try (Socket other = acceptRequest(second)) {
                 readHead(other);
                 other.getOutputStream()
                         .write(WHOLE.replace("ATTEMPT", "attempt-1").getBytes(StandardCharsets.US_ASCII));
@@ -120,9 +121,18 @@
         return caller;
     }
 
-    private static Socket accept(ServerSocket target) {
+    /** Accepts the next connection with a request, and reads its first character; others are probes of the entry. */
+    private static Socket acceptRequest(ServerSocket target) {
         try {
-            return target.accept();
+            target.setSoTimeout(TIMEOUT_MILLIS);
+            Socket accepted = target.accept();
+            accepted.setSoTimeout(TIMEOUT_MILLIS);
+            while (accepted.getInputStream().read() < 0) {
+                accepted.close();
+                accepted = target.accept();
+                accepted.setSoTimeout(TIMEOUT_MILLIS);
+            }
+            return accepted;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -131,7 +141,9 @@
     private static void readHead(Socket from) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) from.getInputStream().read());
+            int c = from.getInputStream().read();
+            Assertions.assertTrue(c >= 0, () -> "the connection has ended after " + head);
+            head.append((char) c);
         }
     }
 
