--- a/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Balancer.java
@@ -25,7 +25,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 
 import org.hallwall.core.id.InstanceId;
@@ -55,6 +55,7 @@
     private final String failureDomain;
     private final FleetLoad fleet;
     private final Mechanisms mechanisms;
+    private final DoubleSupplier random;
     private final Ticker ticker;
     /** Metrics read it from another thread. */
     private final Map<InstanceId, TargetState> states = new ConcurrentHashMap<>();
@@ -65,12 +66,15 @@
      * @param failureDomain the local failure domain
      * @param fleet the load of other entries
      * @param mechanisms the enabled mechanisms
+     * @param random supplies numbers in [0, 1)
      * @param ticker the clock
      */
-    public Balancer(String failureDomain, FleetLoad fleet, Mechanisms mechanisms, Ticker ticker) {
+    public Balancer(
+            String failureDomain, FleetLoad fleet, Mechanisms mechanisms, DoubleSupplier random, Ticker ticker) {
         this.failureDomain = failureDomain;
         this.fleet = fleet;
         this.mechanisms = mechanisms;
+        this.random = random;
         this.ticker = ticker;
     }
 
@@ -196,13 +200,16 @@
         return outstanding(target) + state(target).held(ticker.millis());
     }
 
-    private static List<ServingTarget> pickTwo(List<ServingTarget> targets) {
-        ThreadLocalRandom random = ThreadLocalRandom.current();
-        int first = random.nextInt(targets.size());
-        int second = (first + 1 + random.nextInt(targets.size() - 1)) % targets.size();
+    private List<ServingTarget> pickTwo(List<ServingTarget> targets) {
+        int first = randomIndex(targets.size());
+        int second = (first + 1 + randomIndex(targets.size() - 1)) % targets.size();
         return List.of(targets.get(first), targets.get(second));
     }
 
+    private int randomIndex(int size) {
+        return (int) (random.getAsDouble() * size);
+    }
+
     /**
      * Returns the outstanding requests at a target, including the known ones of other entries.
      *
@@ -284,8 +291,7 @@
 
     private double load(ServingTarget t) {
         int outstanding = state(t).outstanding() + (fleet.isFresh() ? fleet.othersOutstanding(t.instance()) : 0);
-        double load =
-                (outstanding + 1) * t.slowdown() + ThreadLocalRandom.current().nextDouble();
+        double load = (outstanding + 1) * t.slowdown() + random.getAsDouble();
         return t.failureDomain().equals(failureDomain) ? load : load + REMOTE_DOMAIN_PENALTY;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -31,6 +31,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -80,12 +81,14 @@
      */
     private static final long CRASH_CHECK_INTERVAL_MILLIS = 200;
 
+    private static final DoubleSupplier RANDOM =
+            () -> ThreadLocalRandom.current().nextDouble();
+
     private final EntryNodeSettings settings;
     private final Ticker ticker = Ticker.SYSTEM;
     private final TargetDirectory directory = new TargetDirectory(ticker);
     private final EntryState state = new EntryState(directory);
-    private final EntryPermits permits =
-            new EntryPermits(ticker, () -> ThreadLocalRandom.current().nextDouble());
+    private final EntryPermits permits = new EntryPermits(ticker, RANDOM);
     private final TargetAvailability availability = new TargetAvailability(ticker, permits);
     private final PeerCodec codec = new PeerCodec(ControlNode.messageTypes());
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
@@ -133,7 +136,7 @@
         this.retryBudget =
                 new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis(), ticker);
         FleetLoad fleet = new FleetLoad(ticker);
-        this.balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), ticker);
+        this.balancer = new Balancer(settings.failureDomain(), fleet, settings.mechanisms(), RANDOM, ticker);
         this.admission = new AdmissionControl(balancer, fleet, settings.mechanisms(), ticker);
         this.io = loops.onServer(LoopResources.DEFAULT_NATIVE).next();
         this.loadExchange = new LoadExchange(io, balancer, fleet, permits, links::values);
@@ -153,18 +156,14 @@
                 io,
                 ticker);
         Balancer entryBalancer =
-                new Balancer(settings.failureDomain(), new FleetLoad(ticker), settings.mechanisms(), ticker);
+                new Balancer(settings.failureDomain(), new FleetLoad(ticker), settings.mechanisms(), RANDOM, ticker);
         this.unreadCheck =
                 new UnreadAttemptCheck(List.of(balancer, entryBalancer), targetLinks.connector()::connect, ticker);
         HeadLivenessQuery headQuery =
                 new HeadLivenessQuery(loadExchange::controllers, availability, targetLinks.detector(), this::probe);
         RelayContext context = new RelayContext(
                 state,
-                new CandidateTargets(
-                        state,
-                        availability,
-                        permits,
-                        () -> ThreadLocalRandom.current().nextDouble()),
+                new CandidateTargets(state, availability, permits, RANDOM),
                 balancer,
                 client,
                 retryBudget,
