--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetStopSimulationTest.java
@@ -78,6 +78,21 @@
         }
     }
 
+    /** Guards against retries that the earlier processes of entries have left, and that are forgotten before they arrive. */
+    @ParameterizedTest
+    @CsvSource({"9, 40, 3, 95000", "9, 300, 3, 200000", "30, 60, 2, 400000", "82, 300, 3, 120000"})
+    void retriesOfEarlierProcessesStayWithinTheBound(int entries, int requestsPerSecond, int stopped, long millis) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedEntries s = new SimulatedEntries(entries, requestsPerSecond, seed);
+            s.run(15_000, true);
+            s.stopTargets(stopped, millis);
+            s.run(10_000, true);
+            s.restart(1);
+            s.run(millis + 15_000, true);
+            s.assertWithinTheBound("seed " + seed);
+        }
+    }
+
     private static void play(int entries, int requestsPerSecond, int stopped, int ended, long millis) {
         for (long seed = 1; seed <= SEEDS; seed++) {
             SimulatedEntries s = new SimulatedEntries(entries, requestsPerSecond, seed);
