Retries of ended processes of an entry count for as long as unread ones do

Ruled out: that the share is used too early; it is withheld for a window, and the new process counted what it had inherited until 75 s had passed.

Change: both keep the number for 600 s, the time after which a running process discards unread attempts. Entries whose earlier process is unknown still wait 75 s only (all programs restart), since they would lose the fixed part for 600 s otherwise; that case stays open. It is a longer time, not construction: nobody holds the connections of a process that has ended.

OpenRetryReportsTest gets a case.

--- a/serving/src/main/java/org/hallwall/serving/control/OpenRetryReports.java
+++ b/serving/src/main/java/org/hallwall/serving/control/OpenRetryReports.java
@@ -95,7 +95,7 @@
         if (last != null && last.inherited != null) {
             return last.inherited;
         }
-        boolean complete = firstStart || ticker.millis() - startedAt >= RetryBudget.MAX_ARRIVAL_DELAY_MILLIS;
+        boolean complete = firstStart || ticker.millis() - startedAt >= RetryBudget.UNKNOWN_PROCESS_MILLIS;
         return complete ? Map.of() : null;
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -57,8 +57,15 @@
 
     /**
      * Longest time in which a stopped target is assumed to continue and read what an earlier process of an entry has sent, in milliseconds.
+     * Nobody holds the connections of that process, whose end would tell.
      */
-    public static final long MAX_ARRIVAL_DELAY_MILLIS = 75_000;
+    public static final long MAX_ARRIVAL_DELAY_MILLIS = UnreadAttemptCheck.MAX_AGE_MILLIS;
+
+    /**
+     * Time after the start of a control instance or an entry for which an entry whose earlier process is unknown does not use its share, in
+     * milliseconds. Shorter than the longest delay, since all programs seldom start again while targets are stopped.
+     */
+    public static final long UNKNOWN_PROCESS_MILLIS = 75_000;
 
     private final double ratio;
     private final double extra;
@@ -68,7 +75,7 @@
     private final RecentMaximum entryPeak;
     private final RetryLeases leases;
     private final Map<String, Integer> inherited = new ConcurrentHashMap<>();
-    private final long inheritedUntil;
+    private final long startedAt;
     private volatile boolean inheritedKnown;
     private volatile long extraFrom = Long.MAX_VALUE;
     private volatile boolean countConfirmed;
@@ -89,7 +96,7 @@
         this.ticker = ticker;
         this.entryPeak = new RecentMaximum(ENTRY_PEAK_MILLIS, ticker);
         this.leases = new RetryLeases(ticker);
-        this.inheritedUntil = ticker.millis() + MAX_ARRIVAL_DELAY_MILLIS;
+        this.startedAt = ticker.millis();
     }
 
     /**
@@ -196,7 +203,7 @@
     }
 
     private boolean isWithheld() {
-        return !countConfirmed || !inheritedKnown && ticker.millis() < inheritedUntil;
+        return !countConfirmed || !inheritedKnown && ticker.millis() < startedAt + UNKNOWN_PROCESS_MILLIS;
     }
 
     private double availableExtra(String service) {
@@ -224,7 +231,7 @@
     }
 
     private int inheritedRetries(String service) {
-        return ticker.millis() < inheritedUntil ? inherited.getOrDefault(service, 0) : 0;
+        return ticker.millis() < startedAt + MAX_ARRIVAL_DELAY_MILLIS ? inherited.getOrDefault(service, 0) : 0;
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/relay/UnreadAttemptCheck.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/UnreadAttemptCheck.java
@@ -48,7 +48,7 @@
     private static final long MAX_PAUSE_MILLIS = 30_000;
 
     /** Age at which attempts are discarded anyway, in milliseconds: a recipient that has lost its power never closes its connections. */
-    private static final long MAX_AGE_MILLIS = 600_000;
+    static final long MAX_AGE_MILLIS = 600_000;
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
--- a/serving/src/test/java/org/hallwall/serving/control/OpenRetryReportsTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/OpenRetryReportsTest.java
@@ -61,10 +61,19 @@
     }
 
     @Test
-    void newEntryInheritsNothingOnceEarlierRetriesHaveArrived() {
+    void newEntryInheritsNothingSomeTimeAfterTheStart() {
         reports.record(ENTRY, "p1", Map.of());
         Assertions.assertNull(reports.inheritedBy(ENTRY));
-        now.addAndGet(RetryBudget.MAX_ARRIVAL_DELAY_MILLIS);
+        now.addAndGet(RetryBudget.UNKNOWN_PROCESS_MILLIS);
         Assertions.assertEquals(Map.of(), reports.inheritedBy(ENTRY));
     }
+
+    /** Guards against retries that are forgotten while their targets are stopped for long. */
+    @Test
+    void reportOfAnEndedProcessIsKeptAsLongAsItsRetriesMayArrive() {
+        reports.record(ENTRY, "p1", Map.of("s", 5));
+        now.addAndGet(RetryBudget.MAX_ARRIVAL_DELAY_MILLIS);
+        reports.record(ENTRY, "p2", Map.of());
+        Assertions.assertEquals(Map.of("s", 5), reports.inheritedBy(ENTRY));
+    }
 }
