An abandoned attempt of a forwarded request is charged where it was sent

An entry without links forwards a repeat to another one, whose target has stopped. When that one responds or is cancelled, the first entry settles its retry, and the target reads a repeat later that no entry has charged.

Cause: the charge follows the connection between the entries, the repeat waits on the one between the second entry and its target, and that entry charges a forwarded request like one of its own callers, whose first arrival is free.

Change: an entry that abandons an attempt of a forwarded request charges it to its own budget until the connection to the target has closed, and counts it as arrived then. It refuses repeats of other entries as not run while as many of its retries are open as its share of the fixed number allows. Ruled out: leaving the connection between the entries open as long, since a response ends it.

OpenRetriesTest.abandonedAttemptOfAForwardedRequestIsOpenUntilItsTargetHasReadIt failed before (0 open retries at the other entry for 10 s) and passes; RetryBudgetTest checks the limit; ForwardedRequestTest, ForwardedAttemptsTest and ForwardSimulationTest pass as before.

--- a/serving/src/main/java/org/hallwall/serving/relay/ArrivalTracker.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ArrivalTracker.java
@@ -47,6 +47,12 @@
         charges.add(charge);
     }
 
+    /** Treats all attempts as repeats; returns whether one that may still arrive lacks a charge. */
+    boolean needsChargeAsRepeat() {
+        arrived = true;
+        return charges.size() < pending;
+    }
+
     /** Records that an attempt is sent. */
     Arrival recordSend() {
         pending++;
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -64,7 +64,8 @@
         this.context = context;
         this.request = request;
         this.features = request.features();
-        this.charges = new RequestCharges(context.retryBudget(), request.service(), context.ticker());
+        this.charges =
+                new RequestCharges(context.retryBudget(), request.service(), request.isForwarded(), context.ticker());
         this.history = request.priorHistory();
         triedRecipients.addAll(history.targets());
         this.nextSend = history.isEmpty() ? SendKind.FIRST : SendKind.REPEAT;
@@ -72,7 +73,7 @@
 
     /** Selects an untried recipient and records the attempt; returns null if none is left. */
     NextHop nextHop() {
-        NextHop hop = chooseHop();
+        NextHop hop = isRefusedRepeat() ? null : chooseHop();
         if (hop == null) {
             charges.settle();
             return null;
@@ -80,6 +81,12 @@
         return recordStart(hop);
     }
 
+    private boolean isRefusedRepeat() {
+        return request.isForwarded()
+                && !history.isEmpty()
+                && !context.retryBudget().acceptsRepeat(request.service());
+    }
+
     /** Settles the charges of retries that are not sent, since the request has ended. Attempts in progress are cancelled. */
     void finish() {
         charges.finish();
@@ -177,6 +184,9 @@
 
     /** Describes why no recipient is left, for logs and clients. */
     String describeNoHop() {
+        if (isRefusedRepeat()) {
+            return "too many abandoned repeats of this entry may still arrive";
+        }
         return context.forwarder().isPartitioned()
                 ? "this entry has lost its links to the targets, and no other entry is left"
                 : context.candidates().describe(request);
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestCharges.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestCharges.java
@@ -30,12 +30,22 @@
 
     private final RetryBudget budget;
     private final String service;
+    private final boolean forwarded;
     private final ArrivalTracker arrivals;
     private final Map<NextHop, ArrivalTracker.Arrival> arrivalsByHop = new IdentityHashMap<>();
 
-    RequestCharges(RetryBudget budget, String service, Ticker ticker) {
+    /**
+     * Creates charges without a retry.
+     *
+     * @param budget the budget of this entry
+     * @param service the service of the request
+     * @param forwarded whether another entry has forwarded the request, which may have sent it before or may send it again
+     * @param ticker the clock
+     */
+    RequestCharges(RetryBudget budget, String service, boolean forwarded, Ticker ticker) {
         this.budget = budget;
         this.service = service;
+        this.forwarded = forwarded;
         this.arrivals = new ArrivalTracker(ticker);
     }
 
@@ -85,9 +95,14 @@
             return;
         }
         ArrivalTracker.Arrival arrival = arrivalsByHop.remove(hop);
-        if (arrival != null) {
-            hop.state().addUnread(arrival, hop.connection());
+        if (arrival == null) {
+            return;
+        }
+        if (forwarded && arrivals.needsChargeAsRepeat()) {
+            // the other entry settles its charge when this one responds
+            arrivals.add(budget.chargeRepeat(service));
         }
+        hop.state().addUnread(arrival, hop.connection());
     }
 
     private void withdraw(NextHop hop) {
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -154,6 +154,21 @@
                 .tryRetry(ticker.millis(), ratio * USABLE_FRACTION, available, maxOpen(service, available));
     }
 
+    /**
+     * Charges a repeat for which another entry has acquired a retry, and which a target of this entry may read later.
+     *
+     * @param service the service of the request
+     * @return the charge
+     */
+    RetryCharge chargeRepeat(String service) {
+        return window(service).charge();
+    }
+
+    /** Returns whether this entry may send a repeat of another one, which it charges if it abandons it. */
+    boolean acceptsRepeat(String service) {
+        return openRetries().getOrDefault(service, 0) + 1 <= Math.max(1, extraShare());
+    }
+
     /** Requests pay for one retry at a time until the share is known. */
     private double maxOpen(String service, double available) {
         if (!isLeased()) {
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryWindow.java
@@ -75,6 +75,11 @@
         if (openCharges + 1 > maxOpen || !isWithin(now, 1, ratio, extra)) {
             return null;
         }
+        return charge();
+    }
+
+    /** Charges a repeat that another entry was allowed to send. */
+    RetryCharge charge() {
         openCharges++;
         return new RetryCharge(this);
     }
--- a/serving/src/test/java/org/hallwall/serving/relay/OpenRetriesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/OpenRetriesTest.java
@@ -115,6 +115,32 @@
         }
     }
 
+    /**
+     * Guards against repeats that no entry has charged: the entry that has forwarded a request settles its retry when the other one
+     * responds, though the target of that one has not read the attempt.
+     */
+    @Test
+    void abandonedAttemptOfAForwardedRequestIsOpenUntilItsTargetHasReadIt() throws Exception {
+        try (RelayFixture partitioned = new RelayFixture();
+                RelayFixture helper = new RelayFixture();
+                ServerSocket target = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+                ServerSocket closed = new ServerSocket(0)) {
+            partitioned.add("app", "unreachable", closed.getLocalPort());
+            closed.close();
+            partitioned.addEntry("helper", helper);
+            helper.add("app", "stopped", target.getLocalPort());
+            Socket caller = startRequest(partitioned);
+            Socket unread = acceptRequest(target);
+            Assertions.assertEquals(0, helper.openRetries("app"));
+            caller.close();
+            Awaitility.await().until(() -> helper.openRetries("app") == 1);
+            Assertions.assertEquals(0, partitioned.openRetries("app"));
+            unread.getInputStream().readAllBytes();
+            unread.close();
+            Awaitility.await().until(() -> helper.openRetries("app") == 0);
+        }
+    }
+
     private static Socket startRequest(RelayFixture entry) throws IOException {
         Socket caller = new Socket("127.0.0.1", entry.port());
         RawResponse.write(caller, "HTTP/1.1", RequestKind.NON_IDEMPOTENT);
--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -83,6 +83,24 @@
         Assertions.assertEquals(10, countGranted(budget, now.get()));
     }
 
+    /** Guards against more abandoned repeats of other entries than the fixed part covers. */
+    @ParameterizedTest
+    @CsvSource({"10, 9", "3, 2", "1, 1"})
+    void repeatsOfOtherEntriesAreAcceptedUpToTheFixedPart(double extra, int most) {
+        AtomicLong now = new AtomicLong();
+        RetryBudget budget = RetryBudgetFixture.createCounted(0.2, extra, 1, now::get);
+        RetryCharge charge = null;
+        int accepted = 0;
+        while (budget.acceptsRepeat("s")) {
+            charge = budget.chargeRepeat("s");
+            accepted++;
+        }
+        Assertions.assertEquals(most, accepted);
+        Assertions.assertNull(budget.tryRetry("s"));
+        charge.settle(now.get());
+        Assertions.assertTrue(budget.acceptsRepeat("s"));
+    }
+
     private static int countGranted(RetryBudget budget, long now) {
         int out = 0;
         while (settle(budget.tryRetry("s"), now)) {
