Control: a service answers the reports of leases

ControlNode no longer holds the table of leases and its conditions; RetryLeaseService does, beside EntryCountService.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -46,7 +46,6 @@
 import org.hallwall.serving.target.FeedMessage;
 import org.hallwall.serving.target.FeedMessage.ControlMember;
 import org.hallwall.serving.target.KnownConfiguration;
-import org.hallwall.serving.target.RetryLeaseGrant;
 import org.hallwall.serving.target.TargetDirectory;
 import org.hallwall.serving.target.TargetFeed;
 import org.hallwall.serving.target.TargetIds;
@@ -73,7 +72,6 @@
     private final OpenRetryReports openRetries;
     private final LoadSummary loadSummary;
     private final EntryDirectory entryDirectory;
-    private final RetryLeaseTable retryLeases = new RetryLeaseTable();
     private final PermitAllocator permits;
     private final TargetFeed feed;
     private final TargetDirectory directory;
@@ -90,6 +88,7 @@
     private ConfigurationService configurationService;
     private CrashService crashService;
     private EntryCountService entryCountService;
+    private RetryLeaseService retryLeases;
 
     /**
      * Creates a control instance; {@link #start(TargetGateway)} starts it.
@@ -150,6 +149,7 @@
         groupController = new GroupController(
                 voter, view, gateway, feed::setLost, settings.timing(), settings.mechanisms(), ticker);
         entryCountService = new EntryCountService(settings.self().instance(), voter, entryReports);
+        retryLeases = new RetryLeaseService(voter, entryCountService, entryReports);
         crashService = new CrashService(voter, crashLedger, System::currentTimeMillis);
         configurationService = new ConfigurationService(
                 settings.self().instance(),
@@ -431,20 +431,6 @@
                 .map(news -> createNews(from, poll));
     }
 
-    /** Answers the report of leases if this instance leads. */
-    private RetryLeaseGrant leaseRetries(InstanceId from, FeedMessage.Poll poll) {
-        if (poll.retryLeases() == null || poll.process() == null || voter == null || !voter.holdsLease()) {
-            return null;
-        }
-        return retryLeases.update(
-                voter.state().term(),
-                entryCountService.committedCount(),
-                entryReports::hasPolled,
-                from,
-                poll.process(),
-                poll.retryLeases());
-    }
-
     private FeedMessage.Changes createNews(InstanceId from, FeedMessage.Poll poll) {
         FeedMessage.Changes changes = feed.news(poll)
                 .with(
@@ -453,7 +439,7 @@
                         entryCountService == null ? 0 : entryCountService.sharingCount(),
                         crashLedger.changesSince(poll.suspectsVersion()),
                         openRetries.inheritedBy(from),
-                        leaseRetries(from, poll));
+                        retryLeases == null ? null : retryLeases.answer(from, poll));
         return documents.addTo(poll, changes);
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -177,7 +177,7 @@
         return !isWithheld() && leases.acquire(service) ? 1 - inheritedRetries(service) : 0;
     }
 
-    /** Returns the leases that other entries may need; called at an interval on the I/O thread. */
+    /** Gives expired leases back once requests have paid for what they were used for; called at an interval on the I/O thread. */
     public void tick() {
         for (String service : leases.expired()) {
             if (window(service).isPaid(ticker.millis(), ratio * USABLE_FRACTION)) {
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryLeases.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryLeases.java
@@ -38,7 +38,7 @@
  */
 final class RetryLeases {
 
-    /** Time after which an entry returns a lease, and requests the next one when it needs it, in milliseconds. */
+    /** Time after which an entry gives a lease back, and requests the next one when it needs it, in milliseconds. */
     private static final long MAX_MILLIS = 10_000;
     /** The same while other entries wait for a lease: several retries long, so that leases change hands without much idle time. */
     private static final long SCARCE_MILLIS = 1_000;
@@ -75,7 +75,7 @@
         return held.containsKey(service) && !isExpired(service);
     }
 
-    /** Returns the services whose lease is to be returned when it is no longer used. */
+    /** Returns the services whose lease is to be given back when it is no longer used. */
     synchronized List<String> expired() {
         return held.keySet().stream().filter(this::isExpired).toList();
     }
@@ -85,7 +85,7 @@
         return age >= (scarce.contains(service) ? SCARCE_MILLIS : MAX_MILLIS);
     }
 
-    /** Returns a lease. No retry may still arrive, and requests have paid for all others. */
+    /** Gives a lease back. No retry may still arrive, and requests have paid for all others. */
     synchronized void release(String service) {
         held.remove(service);
     }
