--- a/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RetryBudgetTest.java
@@ -83,6 +83,22 @@
         Assertions.assertEquals(10, countGranted(budget, now.get()));
     }
 
+    /** Guards against retries paid for by requests that were sent long before the entry, which was stopped, has read them. */
+    @ParameterizedTest
+    @CsvSource({"1000, 26", "35000, 9"})
+    void requestsThatWaitedWhileTheEntryWasStoppedPayForNothing(long stopMillis, int most) {
+        AtomicLong now = new AtomicLong();
+        RetryBudget budget = RetryBudgetFixture.createCounted(0.2, 10, 1, now::get);
+        budget.tick();
+        now.addAndGet(stopMillis);
+        for (int i = 0; i < 200; i++) {
+            budget.recordRequest("s");
+            budget.tick();
+            now.addAndGet(25);
+        }
+        Assertions.assertEquals(most, countGranted(budget, now.get()));
+    }
+
     /** Guards against more abandoned repeats of other entries than the fixed part covers. */
     @ParameterizedTest
     @CsvSource({"10, 9", "3, 2", "1, 1"})
