Requests that waited while an entry was stopped pay for no retries

Cause: the rule counts requests when they are sent, an entry when it reads them. Requests of 35 s that half of the entries read in the first seconds paid for retries of the window in which they were read.

Change: a gap of more than 2 s between two ticks of a second shows that the process was stopped. Requests of the window that follows pay for nothing; the fixed part stays usable. A stop of less than 2 s moves requests by less than the windows of the rule overlap.

--- a/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryBudget.java
@@ -67,6 +67,9 @@
      */
     public static final long UNKNOWN_PROCESS_MILLIS = 75_000;
 
+    /** A longer time between two ticks shows that the process was stopped, in milliseconds. */
+    private static final long MAX_TICK_GAP_MILLIS = 2 * UnreadAttemptCheck.INTERVAL_MILLIS;
+
     private final double ratio;
     private final double extra;
     private final long windowMillis;
@@ -76,6 +79,10 @@
     private final RetryLeases leases;
     private final Map<String, Integer> inherited = new ConcurrentHashMap<>();
     private final long startedAt;
+    /** Confined to the I/O thread, like {@link #requestsCountFrom}. */
+    private long lastTickAt = Long.MIN_VALUE;
+
+    private long requestsCountFrom = Long.MIN_VALUE;
     private volatile boolean inheritedKnown;
     private volatile long extraFrom = Long.MAX_VALUE;
     private volatile boolean countConfirmed;
@@ -134,12 +141,23 @@
     }
 
     /**
-     * Counts a client request.
+     * Counts a client request. Requests that are read in the window after the process was stopped may have been sent long before, and pay
+     * for nothing.
      *
      * @param service the service of the request
      */
     public void recordRequest(String service) {
-        window(service).recordRequest(ticker.millis());
+        long now = ticker.millis();
+        detectStop(now);
+        if (now >= requestsCountFrom) {
+            window(service).recordRequest(now);
+        }
+    }
+
+    private void detectStop(long now) {
+        if (lastTickAt != Long.MIN_VALUE && now - lastTickAt > MAX_TICK_GAP_MILLIS) {
+            requestsCountFrom = now + windowMillis;
+        }
     }
 
     /**
@@ -177,10 +195,16 @@
         return !isWithheld() && leases.acquire(service) ? 1 - inheritedRetries(service) : 0;
     }
 
-    /** Gives expired leases back once requests have paid for what they were used for; called at an interval on the I/O thread. */
+    /**
+     * Detects whether the process was stopped, and gives expired leases back once requests have paid for what they were used for; called every
+     * {@link UnreadAttemptCheck#INTERVAL_MILLIS} on the I/O thread.
+     */
     public void tick() {
+        long now = ticker.millis();
+        detectStop(now);
+        lastTickAt = now;
         for (String service : leases.expired()) {
-            if (window(service).isPaid(ticker.millis(), ratio * USABLE_FRACTION)) {
+            if (window(service).isPaid(now, ratio * USABLE_FRACTION)) {
                 leases.release(service);
             }
         }
