Each end of a relayed request leaves a line, with the connection that it was sent on

The record of the incident names four requests that no line of any log names: a request that ends with a whole response wrote none, neither in BufferedRun nor in StreamRun, nor did a buffered request whose client had left. Now each says status, target, connection and time; the line of a failed attempt and that of a stream name the connection too. No logic changes.

--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
@@ -38,6 +38,11 @@
         return channel != null;
     }
 
+    /** Describes the connection for logs, as the client library does in its own log messages. */
+    String describe() {
+        return channel == null ? "-" : channel.id().asShortText();
+    }
+
     /** Returns the address of the recipient. */
     SocketAddress peer() {
         return channel.remoteAddress();
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -288,6 +288,20 @@
                 request.route().maxAttempts());
     }
 
+    /** Logs the complete response that is returned to the client. */
+    void logResponse(NextHop hop, int status, int bytes) {
+        LOG.infof(
+                "request %s on %s: status %d with %d bytes in %d ms from %s on connection %s, %d rejected",
+                request.attemptId(),
+                request.route().name(),
+                status,
+                bytes,
+                context.now() - request.receivedAt(),
+                hop.target().instance(),
+                hop.connection().describe(),
+                rejections());
+    }
+
     /** Records that a recipient has responded. */
     void recordResponse(NextHop hop) {
         charges.recordResponse(hop);
@@ -364,7 +378,7 @@
         }
         context.metrics().countRetryDecision(request.service(), decision);
         LOG.infof(
-                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); %d of %d runs counted; attempt %d of %s%s",
+                "request %s: attempt at %s of %s failed after %d ms and %d events, %s: %s; %s (%s); %d of %d runs counted; attempt %d of %s%s on connection %s",
                 request.attemptId(),
                 target.instance(),
                 target.group() == null ? "-" : target.group().name(),
@@ -378,7 +392,8 @@
                 request.route().maxAttempts(),
                 sendCount,
                 features == null ? null : features.request(),
-                describePromptParts());
+                describePromptParts(),
+                hop.connection().describe());
         return decision;
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -53,6 +53,7 @@
     private BufferedAttempt primary;
     private BufferedAttempt hedge;
     private BufferedResponse failedResponse;
+    private NextHop failedHop;
     private ScheduledFuture<?> hedgeTimer;
     private ScheduledFuture<?> deadlineTimer;
     private boolean done;
@@ -163,6 +164,9 @@
     /** Cancels the request because the client has disconnected. */
     private void cancel() {
         if (!done) {
+            LOG.infof(
+                    "request %s: client disconnected after %d ms",
+                    request.attemptId(), context.now() - request.receivedAt());
             abandonAll();
             finish();
         }
@@ -181,6 +185,7 @@
         attempts.markAnswered();
         if (response.isFailure() || other(a) != null && !response.isSuccess()) {
             failedResponse = response;
+            failedHop = a.hop();
             onFailure(a, new AttemptFailure(Verdict.RAN, "the target responded with status " + response.status()));
             return;
         }
@@ -195,6 +200,7 @@
             attempts.recordSuperseded(loser.hop(), loser.progress());
         }
         finish();
+        attempts.logResponse(a.hop(), response.status(), response.body().length);
         result.tryEmitValue(response);
     }
 
@@ -220,6 +226,7 @@
     private void fail(String reason) {
         finish();
         if (failedResponse != null) {
+            attempts.logResponse(failedHop, failedResponse.status(), failedResponse.body().length);
             result.tryEmitValue(failedResponse);
         } else {
             result.tryEmitError(attempts.toRefusal(reason));
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -295,6 +295,7 @@
             attempts.markEstablished();
         }
         finish();
+        attempts.logResponse(a.hop(), a.status(), body.length);
         headSent = true;
         context.metrics().countResponse(a.status());
         head.tryEmitValue(new Head(a.status(), a.headers(), body));
@@ -314,7 +315,7 @@
         context.metrics().countAttempt("answered");
         finish();
         LOG.infof(
-                "request %s on %s: %d events in %d ms from %s, first after %d ms, longest pause %d ms, %d resumed, %d rejected",
+                "request %s on %s: %d events in %d ms from %s, first after %d ms, longest pause %d ms, %d resumed, %d rejected, status %d on connection %s",
                 request.attemptId(),
                 request.route().name(),
                 progress.events(),
@@ -323,7 +324,9 @@
                 progress.firstEventMillis(),
                 progress.longestPauseMillis(),
                 resumptions,
-                attempts.rejections());
+                attempts.rejections(),
+                a.status(),
+                a.hop().connection().describe());
         events.tryEmitComplete();
     }
 
