--- a/cli/src/main/java/org/hallwall/cli/RequestTrace.java
+++ b/cli/src/main/java/org/hallwall/cli/RequestTrace.java
@@ -45,8 +45,8 @@
     private static final Pattern DIGEST =
             Pattern.compile("(?:attempt \\d+ of|held back as) ([0-9a-f]{32}|part-[0-9a-f]+)");
 
-    /** Target that sent the response: "from TARGET, first after". */
-    private static final Pattern RESPONSE = Pattern.compile(" from (\\S+?), first after");
+    /** Target that sent the response: "from TARGET, first after", "from TARGET on connection". */
+    private static final Pattern RESPONSE = Pattern.compile(" from (\\S+?)(?:, first after| on connection)");
     /** Logged for a request that is rejected because every target backs off, drains or is rate-limited. */
     private static final Pattern NO_TARGET_AVAILABLE = Pattern.compile("no target is left, 0 of [0-9]+ are available");
     /** Logged by an entry when a target announces a backoff, draining or a rate limit. */
