Response correlation: a connection is used again only while no response is owed on it

What callers saw: beside targets that respond twice, 502 or 504 in place of the response of a sound run, and, where a request was sent again under its id, the outcome of its earlier run: 200 where the run said 500, or the reverse.

Cause: a response was matched to a request by the id alone, which is the request's and not the attempt's, and only after the connection had been taken from the pool. What a target sent behind a response, or while none was awaited, stayed on the connection: the client library dropped it, failed the next request with it, or stopped reading. Two attempts under one id on one connection could not be told apart. Of a head with two ids the first was believed; 000, 099 and 101 were passed on as statuses.

Change: ResponseCorrelation owns this for the clients of targets and of entries. A connection is closed on bytes that arrive while no response is awaited, also on those left in the decoder when a response ends, before the pool gets the connection back. A response to an earlier request of the connection is discarded, bounded in number and bytes, and the attempt goes on waiting; the connection then ends with that response. No two requests with one id are sent on a connection, nor more than 1,024, which bounds the record of ids. A head with two ids, an id never sent on the connection, or a status that is none ends the attempt and the connection. A connection found closed before anything is sent is replaced by another one instead of counting as sent.

Ruled out: failing at once on any other id (before: 502 for sound runs); waiting on an id that was never sent there (RelayTest: 504 at the deadline instead of 502).

HEAD beside surplus responses is decoded by the awaited request. It holds because an id that is unique on a connection names one attempt.

--- a/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
@@ -30,8 +31,10 @@
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.program.BoundedBody;
+import org.hallwall.program.ConnectionNotReusableException;
 import org.hallwall.program.InterimResponses;
 import org.hallwall.program.LingeringClose;
+import org.hallwall.program.ResponseCorrelation;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -78,13 +81,14 @@
                 .maxIdleTime(MAX_IDLE_TIME)
                 .lifo()
                 .build();
+        this.names = names;
         this.client = new LingeringClose(MAX_LINGERING_CONNECTIONS)
-                .enable(InterimResponses.skip(HttpClient.create(pool)))
+                .enable(new ResponseCorrelation(names.attemptId(), MAX_HEAD_BYTES)
+                        .enable(InterimResponses.skip(HttpClient.create(pool))))
                 .runOn(loops)
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .httpResponseDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES));
-        this.names = names;
         this.self = self;
         this.state = state;
         this.ticker = ticker;
@@ -109,16 +113,22 @@
             TargetClient.ResponseReader<T> reader) {
         ServingTarget entry = hop.target();
         AtomicBoolean sent = new AtomicBoolean();
-        return client.headers(headers(request, lastEventId, history))
+        Flux<T> response = client.headers(headers(request, lastEventId, history))
                 .request(request.method())
                 .uri("http://" + entry.address() + request.uri())
                 .send((r, out) -> {
+                    Optional<ConnectionNotReusableException> conflict =
+                            ResponseCorrelation.findConflict(out, request.attemptId());
+                    if (conflict.isPresent()) {
+                        return Mono.error(conflict.get());
+                    }
                     sent.set(true);
                     out.withConnection(c -> hop.connection().recordSend(c.channel()));
                     r.header(names.deadlineMillis(), Long.toString(request.remainingMillis(ticker.millis())));
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
-                .response((head, body) -> readResponse(hop, request, head, body, reader))
+                .response((head, body) -> readResponse(hop, request, head, body, reader));
+        return ResponseCorrelation.retryOnOtherConnections(response, MAX_CONNECTIONS_PER_ENTRY)
                 .onErrorMap(e -> !(e instanceof AttemptFailure), e -> toFailure(entry, e, sent.get()));
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -33,8 +34,10 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.time.Ticker;
 import org.hallwall.core.verdict.Verdict;
+import org.hallwall.program.ConnectionNotReusableException;
 import org.hallwall.program.InterimResponses;
 import org.hallwall.program.LingeringClose;
+import org.hallwall.program.ResponseCorrelation;
 import org.hallwall.serving.availability.NoticeParser;
 import org.hallwall.serving.availability.TargetAvailability;
 import org.hallwall.serving.availability.TargetNotice;
@@ -94,13 +97,14 @@
                 .maxIdleTime(MAX_IDLE_TIME)
                 .lifo()
                 .build();
+        this.names = names;
         this.client = new LingeringClose(MAX_LINGERING_CONNECTIONS)
-                .enable(InterimResponses.skip(HttpClient.create(pool)))
+                .enable(new ResponseCorrelation(names.attemptId(), MAX_HEAD_BYTES)
+                        .enable(InterimResponses.skip(HttpClient.create(pool))))
                 .runOn(loops)
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .httpResponseDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES).maxInitialLineLength(MAX_HEAD_BYTES));
-        this.names = names;
         this.noticeParser = new NoticeParser(names.leaving(), names.answeredBy(), names.rateLimit());
         this.availability = availability;
         this.links = links;
@@ -148,11 +152,16 @@
             ScheduledFuture<?> suspicion) {
         ServingTarget target = hop.target();
         AtomicLong sentAt = new AtomicLong(NOT_SENT);
-        return client.headers(targetHeaders(target, request, lastEventId))
+        Flux<T> sent = client.headers(targetHeaders(target, request, lastEventId))
                 .request(request.method())
                 .uri("http://" + links.addresses().translate(target.address()) + request.uri())
                 .send((r, out) -> {
                     suspicion.cancel(false);
+                    Optional<ConnectionNotReusableException> conflict =
+                            ResponseCorrelation.findConflict(out, request.attemptId());
+                    if (conflict.isPresent()) {
+                        return Mono.error(conflict.get());
+                    }
                     // availability may have changed while the request waited for a connection
                     if (!availability.tryAcquireForRequest(target.instance())) {
                         return Mono.error(AttemptFailure.unavailable("the target is no longer available"));
@@ -163,7 +172,8 @@
                     r.header(names.deadlineMillis(), Long.toString(request.remainingMillis(now)));
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
-                .response((head, body) -> readResponse(target, request, sentAt.get(), head, body, reader))
+                .response((head, body) -> readResponse(target, request, sentAt.get(), head, body, reader));
+        return ResponseCorrelation.retryOnOtherConnections(sent, MAX_CONNECTIONS_PER_TARGET)
                 .onErrorMap(
                         e -> !(e instanceof AttemptFailure),
                         e -> toFailure(target.instance(), e, sentAt.get() != NOT_SENT));
--- a/serving/src/test/java/org/hallwall/serving/relay/ScriptedTarget.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedTarget.java
@@ -159,6 +159,11 @@
             this.request = request;
         }
 
+        /** Returns the port of the client, which identifies the connection. */
+        int port() {
+            return socket.getPort();
+        }
+
         /** Sends raw text; {@code ATTEMPT} is replaced by the attempt id of the request. */
         Connection send(String text) throws IOException {
             OutputStream out = socket.getOutputStream();
--- a/serving/src/test/java/org/hallwall/serving/relay/SurplusResponseTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SurplusResponseTest.java
@@ -47,6 +47,7 @@
 class SurplusResponseTest {
 
     private static final int REQUESTS = 24;
+    private static final int SUCCESS = 200;
 
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private final AtomicInteger runs = new AtomicInteger();
@@ -130,19 +131,29 @@
         ThreadLocal<StutteringConnection> connections = ThreadLocal.withInitial(StutteringConnection::new);
         target(forwarded ? helper : entry, (r, c) -> {
             int run = runs.incrementAndGet();
-            int status = run % 3 == 0 ? 500 : 200;
+            int status = run % 3 == 0 ? failure(kind) : SUCCESS;
             String stamp = "run-" + run;
             statusOfRun.put(stamp, status);
             StutteringConnection s = connections.get();
             s.connection = c;
             String id = r.headers().get("x-attempt");
-            timing.respond(s, response(kind, status, id, stamp), response(kind, 700 - status, id, stamp + "-surplus"));
+            timing.respond(
+                    s, response(kind, status, id, stamp), response(kind, other(kind, status), id, stamp + "-surplus"));
         });
     }
 
+    /** A stream that fails with a server error is retried, and there is one target only. */
+    private static int failure(RequestKind kind) {
+        return kind == RequestKind.STREAM ? 404 : 500;
+    }
+
+    private static int other(RequestKind kind, int status) {
+        return status == SUCCESS ? failure(kind) : SUCCESS;
+    }
+
     private static String response(RequestKind kind, int status, String id, String stamp) {
         String head = "HTTP/1.1 " + status + " Status\r\nX-Attempt: " + id + "\r\nX-Stamp: " + stamp + "\r\n";
-        if (kind == RequestKind.STREAM && status == 200) {
+        if (kind == RequestKind.STREAM && status == SUCCESS) {
             String event = "id: 0\ndata: " + stamp + "\n\n";
             return head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                     + Integer.toHexString(event.length()) + "\r\n" + event + "\r\n0\r\n\r\n";
