Engines: a connection for each order, run and cancellation

What callers saw, beside an engine that responds twice: a run that an engine executed was refused or retried with the verdict NOT_RUN, so that a request that may not be repeated could run twice; a cancelled run that had started counted as not started, with the same effect; an order that was refused counted as taken, and the reverse.

Cause: EngineClient used pooled connections; only frames carry the attempt's id (FrameSequencer drops and counts those of other attempts), refusals and the responses to orders and cancellations carry none, so a stale one was read as the response that was due.

The pool evicts a connection on its release, whether or not the engine honours "Connection: close". It costs one handshake a run. The module engine may depend on core alone, so it doesn't use SingleUseConnections.

--- a/engine/src/main/java/org/hallwall/engine/EngineClient.java
+++ b/engine/src/main/java/org/hallwall/engine/EngineClient.java
@@ -49,7 +49,6 @@
     private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAX_CONNECTIONS = 4_096;
-    private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(20);
 
     private final HttpClient http;
 
@@ -60,11 +59,13 @@
      */
     public EngineClient(HttpClient http) {
         this.http = http.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .keepAlive(false)
                 .disableRetry(true);
     }
 
     /**
-     * Creates a connection pool for engines.
+     * Creates a connection pool for engines, whose connections serve one request each: responses to orders and cancellations, and
+     * refusals, carry no id of their request, so on a connection that is used again a stale one could not be told apart.
      *
      * @return the pool
      */
@@ -72,7 +73,7 @@
         return ConnectionProvider.builder("engines")
                 .maxConnections(MAX_CONNECTIONS)
                 .pendingAcquireMaxCount(MAX_CONNECTIONS)
-                .maxIdleTime(MAX_IDLE_TIME)
+                .evictionPredicate((connection, metadata) -> metadata.acquireCount() > 0)
                 .build();
     }
 
