Service calls: connections are closed even if the service keeps them open

What callers saw, beside a service that ignores "Connection: close" and replies twice: the status and body of another caller's call.

Cause: HttpClient.keepAlive(false) only sends the header. When the service's response lacks "Connection: close", the client library returns the connection to the pool, and the next call read the surplus reply.

The pool now evicts a connection on its release; no further connection is opened beside services that honour the header.

--- a/entry/src/main/java/org/hallwall/entry/relay/ServiceRunner.java
+++ b/entry/src/main/java/org/hallwall/entry/relay/ServiceRunner.java
@@ -45,9 +45,9 @@
 import org.hallwall.entry.exchange.RequestHeaders;
 import org.hallwall.entry.limit.RetryBudget;
 import org.hallwall.program.InterimResponses;
+import org.hallwall.program.SingleUseConnections;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
-import reactor.netty.resources.ConnectionProvider;
 
 /**
  * Runs service calls on the target with the fewest outstanding calls. Retries failed calls on other targets if the
@@ -83,8 +83,9 @@
         this.budget = budget;
         this.metrics = metrics;
         this.ticker = ticker;
-        // A service may close an idle connection during a send, which leaves it unknown whether the call ran.
-        this.http = InterimResponses.skip(HttpClient.create(ConnectionProvider.builder("services")
+        // A service may close an idle connection during a send, which leaves it unknown whether the call ran; and since
+        // replies carry no id, a surplus one on a reused connection would count as the next reply.
+        this.http = InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("services")
                         .maxConnections(MAX_CONNECTIONS)
                         .build()))
                 .keepAlive(false)
