Forwarded requests: a connection for each

What callers saw, when another entry responds twice: the response to another caller's request.

Cause: RequestForwarder used the client library's default pool, and nothing in a response names its request.

ForwardedSurplusResponseTest before the fix: 3 of 4 cases failed (later, when due, split): "expected: <200 POST /r2 HTTP/1.1> but was: <500 POST /r1 HTTP/1.1>".

Only requests whose idempotency key belongs to another entry are forwarded; each of them costs one handshake. The limit of 500 connections to an entry is the one of the default pool.

--- a/entry/src/main/java/org/hallwall/entry/forward/RequestForwarder.java
+++ b/entry/src/main/java/org/hallwall/entry/forward/RequestForwarder.java
@@ -36,6 +36,7 @@
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.entry.exchange.RequestHeaders;
 import org.hallwall.program.InterimResponses;
+import org.hallwall.program.SingleUseConnections;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -48,6 +49,9 @@
 public final class RequestForwarder {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
+    /** The maximum number of concurrent requests to one entry. */
+    private static final int MAX_CONNECTIONS = 500;
+
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final List<String> REQUEST_HEADERS = List.of(
             "Authorization",
@@ -63,7 +67,10 @@
 
     /** Creates the forwarder. */
     public RequestForwarder() {
-        this.http = InterimResponses.skip(HttpClient.create())
+        this.http = InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("forwarded requests")
+                        .maxConnections(MAX_CONNECTIONS)
+                        .build()))
+                .keepAlive(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
     }
