Runs in other failure domains: a connection for each

What callers saw, when an entry of another failure domain responds twice: the tokens of another caller's run, or a refusal NOT_RUN for a run that ran, which is then tried at the next entry.

Cause: RemoteRunClient used the client library's default pool. Frames carry the attempt's id, but the other entry chooses it, so they can't be compared.

Runs go to another failure domain only while no group of the own one serves them; each costs one handshake.

--- a/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
+++ b/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
@@ -41,6 +41,7 @@
 import org.hallwall.entry.exchange.Exchange;
 import org.hallwall.entry.relay.CrossDomainRunner;
 import org.hallwall.program.InterimResponses;
+import org.hallwall.program.SingleUseConnections;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -51,6 +52,9 @@
 public final class RemoteRunClient implements CrossDomainRunner {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
+    /** The maximum number of concurrent requests to one entry. */
+    private static final int MAX_CONNECTIONS = 500;
+
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
     private final List<EntrySettings.OtherDomain> domains;
@@ -63,7 +67,10 @@
      */
     public RemoteRunClient(List<EntrySettings.OtherDomain> domains) {
         this.domains = domains;
-        this.http = InterimResponses.skip(HttpClient.create())
+        this.http = InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("remote runs")
+                        .maxConnections(MAX_CONNECTIONS)
+                        .build()))
+                .keepAlive(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
     }
