A request is sent on another connection only if it was not sent

The retry on another connection also followed AbortedException, which the client library documents for connections that are closed before the request is sent; whether it was sent is now decided by the sender's own record, so that no reading of that exception can send a request twice.

--- a/program/src/main/java/org/hallwall/program/ResponseCorrelation.java
+++ b/program/src/main/java/org/hallwall/program/ResponseCorrelation.java
@@ -20,6 +20,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
@@ -106,16 +107,19 @@
      * has closed.
      *
      * @param response sends the request when subscribed
+     * @param isSent whether the request was sent
      * @param maxConnections the maximum number of pooled connections to the server
      * @param <T> the type of the response
      * @return the response
      */
-    public static <T> Flux<T> retryOnOtherConnections(Publisher<T> response, int maxConnections) {
-        return Flux.from(response).retryWhen(Retry.max(maxConnections).filter(ResponseCorrelation::isUnsent));
+    public static <T> Flux<T> retryOnOtherConnections(
+            Publisher<T> response, BooleanSupplier isSent, int maxConnections) {
+        return Flux.from(response)
+                .retryWhen(Retry.max(maxConnections).filter(e -> !isSent.getAsBoolean() && isUnusableConnection(e)));
     }
 
-    /** The client reports a connection that is closed before the request is sent as {@link AbortedException}. */
-    private static boolean isUnsent(Throwable e) {
+    /** The client may report a connection that {@link #findConflict} has closed by an exception of its own. */
+    private static boolean isUnusableConnection(Throwable e) {
         return e instanceof ConnectionNotReusableException || e instanceof AbortedException;
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryClient.java
@@ -128,7 +128,7 @@
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
                 .response((head, body) -> readResponse(hop, request, head, body, reader));
-        return ResponseCorrelation.retryOnOtherConnections(response, MAX_CONNECTIONS_PER_ENTRY)
+        return ResponseCorrelation.retryOnOtherConnections(response, sent::get, MAX_CONNECTIONS_PER_ENTRY)
                 .onErrorMap(e -> !(e instanceof AttemptFailure), e -> toFailure(entry, e, sent.get()));
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -152,7 +152,7 @@
             ScheduledFuture<?> suspicion) {
         ServingTarget target = hop.target();
         AtomicLong sentAt = new AtomicLong(NOT_SENT);
-        Flux<T> sent = client.headers(targetHeaders(target, request, lastEventId))
+        Flux<T> response = client.headers(targetHeaders(target, request, lastEventId))
                 .request(request.method())
                 .uri("http://" + links.addresses().translate(target.address()) + request.uri())
                 .send((r, out) -> {
@@ -173,7 +173,8 @@
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
                 .response((head, body) -> readResponse(target, request, sentAt.get(), head, body, reader));
-        return ResponseCorrelation.retryOnOtherConnections(sent, MAX_CONNECTIONS_PER_TARGET)
+        return ResponseCorrelation.retryOnOtherConnections(
+                        response, () -> sentAt.get() != NOT_SENT, MAX_CONNECTIONS_PER_TARGET)
                 .onErrorMap(
                         e -> !(e instanceof AttemptFailure),
                         e -> toFailure(target.instance(), e, sentAt.get() != NOT_SENT));
