--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -73,8 +73,6 @@
      * Timeout of a probe that this entry sends to a target; several round trips and the time of the response.
      */
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(150);
-    /** Interval between checks of the number of requests in flight during shutdown, in milliseconds. */
-    private static final long STOP_POLL_MILLIS = 50;
     /**
      * Interval between checks for terminated targets, and between retries of unacknowledged crash reports, in
      * milliseconds.
@@ -326,18 +324,9 @@
     public void close() {
         LOG.infof("entry: %s is shutting down, %d requests in flight", settings.instance(), server.inFlight());
         stopping = true;
-        server.beginDrain();
+        server.beginShutdown(settings.drainNoticeMillis(), settings.stopTimeoutMillis());
         io.execute(statusExchange::report);
-        long now = ticker.millis();
-        long earliest = now + settings.drainNoticeMillis();
-        long latest = now + settings.stopTimeoutMillis();
-        while (ticker.millis() < earliest) {
-            sleep();
-        }
-        server.rejectNewRequests();
-        while (ticker.millis() < latest && server.inFlight() > 0) {
-            sleep();
-        }
+        server.completeShutdown();
         LOG.infof("entry: %s terminates, %d requests aborted", settings.instance(), server.inFlight());
         followers.values().forEach(FeedFollower::close);
         loadExchange.close();
@@ -350,14 +339,6 @@
         server.close();
     }
 
-    private static void sleep() {
-        try {
-            Thread.sleep(STOP_POLL_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Closes links to control instances that are no longer members and are unreachable. */
     private void disconnectUnlisted(List<ControlMember> members) {
         List<InstanceId> listed = members.stream().map(ControlMember::instance).toList();
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -55,6 +55,9 @@
     /** Timeout for closing connections at shutdown. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
 
+    /** Interval between checks of the number of requests in flight during shutdown, in milliseconds. */
+    private static final long SHUTDOWN_POLL_MILLIS = 50;
+
     private final RelayContext context;
     private final BodyMemory bodyMemory;
     private final ResponseWriter writer;
@@ -64,6 +67,8 @@
     private DisposableServer server;
     private DisposableServer forwardingServer;
     private volatile boolean draining;
+    private volatile long noticeEndAt;
+    private volatile long endAt;
 
     /**
      * Creates a server that is not listening yet; see {@link #open}.
@@ -148,6 +153,38 @@
         receiver.rejectNewRequests();
     }
 
+    /**
+     * Begins the shutdown: client connections are closed after each response, and new requests are rejected after a notice period.
+     *
+     * @param noticeMillis how long new requests are accepted, in milliseconds
+     * @param timeoutMillis how long requests in flight may take, in milliseconds
+     */
+    public void beginShutdown(long noticeMillis, long timeoutMillis) {
+        long now = context.now();
+        endAt = now + timeoutMillis;
+        noticeEndAt = now + noticeMillis;
+        beginDrain();
+    }
+
+    /** Waits until the shutdown is complete: the notice period is over, and no request is in flight or the timeout has expired. */
+    public void completeShutdown() {
+        while (context.now() < noticeEndAt) {
+            sleep();
+        }
+        rejectNewRequests();
+        while (context.now() < endAt && inFlight() > 0) {
+            sleep();
+        }
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(SHUTDOWN_POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public void close() {
         if (server != null) {
