A stopping entry refuses what it cannot complete, and answers what it cuts off

What callers saw: an entry accepted every request for 2.8 s after SIGTERM, whatever its deadline, and closed the connections of those that were in progress at the end of the grace with no response, non-idempotent ones among them. An HTTP/1.0 stream that was cut then looked complete. A request whose body came after the notice period was still sent to a target, and retries and hedges were started until the end.

Cause: the shutdown only knew the head of a request and the time since the signal, not the time that the request needs; and it ended with the connections instead of with the requests.

Now Shutdown decides whether a request (its head, its whole body, each retry and hedge) can complete: its deadline is before the end, or 95% of the latest 32 requests of its route took less than what is left. Fewer than 8 requests are no evidence, then the deadline decides. Resumptions of streams that have begun go on: they need less than a whole stream, and there is nothing better to offer. At the end, each request in progress is aborted with its verdict (502 if it may have run, 503 if not), a stream that has begun is broken off visibly, and a line names request, duration and verdict.

Weighed: refusing everything from the signal on would be simpler, but the load balancer sends new connections for 2 s more, so that callers would come back to an entry that refuses them; refusing by the deadline alone would refuse nearly all requests of routes with long timeouts.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -98,6 +98,7 @@
         return mayRetry()
                 && !request.isForwarded()
                 && rejections() <= MAX_REJECTIONS
+                && canComplete()
                 && !context.crashWatch().isSuspect(features())
                 && !isHeldBack();
     }
@@ -119,6 +120,10 @@
         return usable ? recordStart(hop) : null;
     }
 
+    private boolean canComplete() {
+        return context.shutdown().canComplete(request.route(), request.deadlineAt());
+    }
+
     private boolean hasRoom(ServingTarget target, boolean lost) {
         return lost
                 ? context.balancer().hasFreeSlot(target)
@@ -194,6 +199,9 @@
 
     /** Returns the Retry-After time of a request that has not run, in milliseconds. */
     long retryAfterMillis() {
+        if (!canComplete()) {
+            return Shutdown.OTHER_ENTRY_RETRY_MILLIS;
+        }
         return retryAfterMillis > 0 ? retryAfterMillis : context.candidates().retryAfterMillis(request);
     }
 
@@ -288,6 +296,18 @@
                 request.route().maxAttempts());
     }
 
+    /** Logs that the request is ended by the shutdown of this entry. */
+    void logShutdown() {
+        LOG.warnf(
+                "request %s on %s: aborted by the shutdown of this entry after %d ms, %s, %d of %d runs counted",
+                request.attemptId(),
+                request.route().name(),
+                context.now() - request.receivedAt(),
+                verdict,
+                history.runs(),
+                request.route().maxAttempts());
+    }
+
     /** Logs the complete response that is returned to the client. */
     void logResponse(NextHop hop, int status, int bytes) {
         LOG.infof(
@@ -372,7 +392,7 @@
             updateCrashWatch(hop, f, progress);
         }
         verdict = verdict.combineWith(f.verdict());
-        RetryDecision decision = decide(f, hop.hasReport() ? reached : f.hasReachedTarget());
+        RetryDecision decision = decide(f, hop.hasReport() ? reached : f.hasReachedTarget(), events);
         if (!decision.isRetry()) {
             charges.settle();
         }
@@ -432,7 +452,7 @@
         }
     }
 
-    private RetryDecision decide(AttemptFailure f, boolean arrived) {
+    private RetryDecision decide(AttemptFailure f, boolean arrived, long events) {
         if (!open.isEmpty()) {
             return RetryDecision.IN_PROGRESS;
         }
@@ -450,6 +470,10 @@
         if (isHeldBack()) {
             return RetryDecision.HELD_BACK;
         }
+        // a stream that has begun needs less time than a whole one
+        if (events == 0 && !canComplete()) {
+            return RetryDecision.SHUTTING_DOWN;
+        }
         if (!arrived) {
             nextSend = SendKind.UNCHARGED;
             return RetryDecision.UNCHARGED;
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -161,6 +161,17 @@
         }
     }
 
+    /** Ends the request because the entry is shutting down. */
+    void shutDown() {
+        loop.execute(() -> runGuarded(() -> {
+            if (!done) {
+                abandonAll();
+                attempts.logShutdown();
+                fail(Shutdown.REASON);
+            }
+        }));
+    }
+
     /** Cancels the request because the client has disconnected. */
     private void cancel() {
         if (!done) {
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -177,6 +177,7 @@
                         statusExchange::availableEntries,
                         entryBalancer,
                         new EntryClient(loops, names, settings.instance(), state, ticker)),
+                new Shutdown(ticker),
                 ticker);
         this.server = new RelayServer(context, BodyMemory.ofProcess());
         state.addTargetListener(() -> io.execute(() -> balancer.abortUnread(directory::hasEnded)));
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayContext.java
@@ -37,6 +37,7 @@
  * @param metrics the metrics
  * @param crashWatch blocks requests that crash targets
  * @param forwarder selects requests for other entries
+ * @param shutdown decides which requests are accepted during the shutdown
  * @param ticker the clock
  */
 public record RelayContext(
@@ -53,6 +54,7 @@
         RelayMetrics metrics,
         CrashWatch crashWatch,
         EntryForwarder forwarder,
+        Shutdown shutdown,
         Ticker ticker) {
 
     /** Retry-After if no target is available, in milliseconds; about the time to repair a group. */
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -26,6 +26,7 @@
 import java.util.function.Function;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GenericFutureListener;
 import org.hallwall.core.settings.NetAddress;
@@ -35,6 +36,7 @@
 import org.hallwall.serving.crash.CrashWatch;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -55,6 +57,8 @@
     /** Timeout for closing connections at shutdown. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
 
+    /** Time in which the responses to aborted requests are written at shutdown, in milliseconds. */
+    private static final long ABORT_TIMEOUT_MILLIS = 200;
     /** Interval between checks of the number of requests in flight during shutdown, in milliseconds. */
     private static final long SHUTDOWN_POLL_MILLIS = 50;
 
@@ -66,9 +70,8 @@
     private final AtomicInteger forwardedInFlight = new AtomicInteger();
     private DisposableServer server;
     private DisposableServer forwardingServer;
-    private volatile boolean draining;
+    private final OpenExchanges openExchanges = new OpenExchanges();
     private volatile long noticeEndAt;
-    private volatile long endAt;
 
     /**
      * Creates a server that is not listening yet; see {@link #open}.
@@ -145,34 +148,42 @@
 
     /** Closes client connections after each response from now on. */
     public void beginDrain() {
-        draining = true;
+        context.shutdown().begin();
     }
 
     /** Rejects new requests from now on, since they could not complete before the process exits. */
     public void rejectNewRequests() {
-        receiver.rejectNewRequests();
+        context.shutdown().rejectNewRequests();
     }
 
     /**
-     * Begins the shutdown: client connections are closed after each response, and new requests are rejected after a notice period.
+     * Begins the shutdown: client connections are closed after each response, requests that cannot complete are rejected, and after a
+     * notice period all new ones.
      *
      * @param noticeMillis how long new requests are accepted, in milliseconds
      * @param timeoutMillis how long requests in flight may take, in milliseconds
      */
     public void beginShutdown(long noticeMillis, long timeoutMillis) {
         long now = context.now();
-        endAt = now + timeoutMillis;
-        noticeEndAt = now + noticeMillis;
-        beginDrain();
+        noticeEndAt = now + Math.min(noticeMillis, timeoutMillis);
+        context.shutdown().begin(now + timeoutMillis);
     }
 
-    /** Waits until the shutdown is complete: the notice period is over, and no request is in flight or the timeout has expired. */
+    /** Waits until the notice period is over and no request is in flight; aborts those that are when the timeout expires. */
     public void completeShutdown() {
         while (context.now() < noticeEndAt) {
             sleep();
         }
         rejectNewRequests();
-        while (context.now() < endAt && inFlight() > 0) {
+        awaitIdle(context.shutdown().endAt());
+        if (inFlight() > 0) {
+            openExchanges.abortAll();
+            awaitIdle(context.now() + ABORT_TIMEOUT_MILLIS);
+        }
+    }
+
+    private void awaitIdle(long until) {
+        while (context.now() < until && inFlight() > 0) {
             sleep();
         }
     }
@@ -199,9 +210,6 @@
         inFlight.incrementAndGet();
         int forwardedCount = forwarded ? 1 : 0;
         forwardedInFlight.addAndGet(forwardedCount);
-        if (draining) {
-            res.keepAlive(false);
-        }
         Mono<Void> response;
         try {
             response = relay(
@@ -220,14 +228,33 @@
     private Mono<Void> relay(HttpServerRequest req, HttpServerResponse res, Function<byte[], RelayRequest> toRequest) {
         int maxBodyBytes = context.state().routes().configuration().limits().maxBodyBytes();
         BodyMemory.Reservation memory = bodyMemory.open();
-        return RequestBody.read(req, maxBodyBytes, memory)
-                .flatMap(guarded(body -> rejectIfHeldBack(withFeatures(toRequest.apply(body)))))
+        return readBody(req, maxBodyBytes, memory)
+                .flatMap(guarded(body -> rejectIfShuttingDown(toRequest.apply(body))))
+                .flatMap(guarded(r -> rejectIfHeldBack(withFeatures(r))))
                 .flatMap(guarded(r ->
                         r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r)))
                 .onErrorResume(e -> writer.writeError(req, res, e, channel(req)))
                 .doFinally(s -> memory.release());
     }
 
+    private Mono<byte[]> readBody(HttpServerRequest req, int maxBodyBytes, BodyMemory.Reservation memory) {
+        Sinks.Empty<Void> aborted = Sinks.empty();
+        EventLoop loop = channel(req).eventLoop();
+        return openExchanges.track(
+                RequestBody.read(req, maxBodyBytes, memory).takeUntilOther(aborted.asMono()),
+                () -> loop.execute(() -> aborted.tryEmitError(Shutdown.refusal())));
+    }
+
+    /** Rejects a request whose body has arrived too late for it to complete. */
+    private Mono<RelayRequest> rejectIfShuttingDown(RelayRequest r) {
+        try {
+            context.shutdown().check(r.route(), r.deadlineAt());
+            return Mono.just(r);
+        } catch (RelayRefusal e) {
+            return Mono.error(e);
+        }
+    }
+
     /** Turns each error of a step into an error signal; Reactor itself rethrows errors of the virtual machine. */
     private static <A, B> Function<A, Mono<B>> guarded(Function<A, Mono<B>> step) {
         return a -> {
@@ -264,12 +291,13 @@
         if (!isForwardedAtOnce(r)) {
             context.candidates().recordArrival(r);
         }
-        return new BufferedRun(context, r, channel(req).eventLoop())
-                .start()
-                .takeUntilOther(whenClosed(req))
+        BufferedRun run = new BufferedRun(context, r, channel(req).eventLoop());
+        return openExchanges
+                .track(run.start().takeUntilOther(whenClosed(req)), run::shutDown)
                 .flatMap(guarded(a -> {
                     context.metrics().countResponse(a.status());
                     context.metrics().recordFirstByte(context.now() - r.receivedAt());
+                    context.shutdown().recordDuration(r);
                     return writer.writeBuffered(res, a);
                 }));
     }
@@ -290,13 +318,15 @@
                 r.headers().get(context.headerNames().lastEventId()));
         GenericFutureListener<Future<Void>> onClose = f -> run.cancel();
         channel.closeFuture().addListener(onClose);
-        return run.start()
-                .flatMap(guarded(h -> {
-                    if (h.body() != null) {
-                        return writer.writeBuffered(res, new BufferedResponse(h.status(), h.headers(), h.body()));
-                    }
-                    return writer.writeStream(req, res, h, run.events(), channel);
-                }))
+        Mono<Void> exchange = run.start().flatMap(guarded(h -> {
+            if (h.body() != null) {
+                return writer.writeBuffered(res, new BufferedResponse(h.status(), h.headers(), h.body()));
+            }
+            return writer.writeStream(req, res, h, run.events(), channel)
+                    .doOnSuccess(v -> context.shutdown().recordDuration(r));
+        }));
+        return openExchanges
+                .track(exchange, run::shutDown)
                 .doOnCancel(run::cancel)
                 .doFinally(s -> {
                     context.admission().release(window, r);
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestReceiver.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestReceiver.java
@@ -35,15 +35,12 @@
 final class RequestReceiver {
 
     private static final Logger LOG = Logger.getLogger(RelayServer.class);
-    /** Retry-After of requests that another entry can serve immediately, in milliseconds. */
-    private static final long OTHER_ENTRY_RETRY_MILLIS = 20;
     /** Maximum number of requests from other entries in progress; protects the clients of this one. */
     private static final int MAX_FORWARDED = 200;
 
     private final RelayContext context;
     private final StartupRetryDelay startupRetryDelay;
     private final RetryDetector retryDetector = new RetryDetector();
-    private volatile boolean rejecting;
 
     /**
      * Creates a receiver.
@@ -56,14 +53,9 @@
                 context.ticker(), () -> ThreadLocalRandom.current().nextDouble());
     }
 
-    /** Rejects new requests from now on, since they could not complete before the process exits. */
-    void rejectNewRequests() {
-        rejecting = true;
-    }
-
     private RouteTable activeRoutes() throws RelayRefusal {
-        if (rejecting) {
-            throw RelayRefusal.notRun("this entry is shutting down", OTHER_ENTRY_RETRY_MILLIS);
+        if (context.shutdown().isRejecting()) {
+            throw Shutdown.refusal();
         }
         RouteTable routes = context.state().routes();
         if (routes.configuration().version() == 0) {
@@ -102,6 +94,7 @@
         long timeoutMillis = callerTimeoutMillis(headers, route);
         boolean likelyRetry = retryDetector.isRetry(route, timeoutMillis);
         long deadlineAt = now + Math.min(route.timeoutMillis(), timeoutMillis);
+        context.shutdown().check(route, deadlineAt);
         String service = route.selectService(ThreadLocalRandom.current().nextDouble());
         context.retryBudget().recordRequest(service);
         context.metrics().countRequest(service);
@@ -136,22 +129,24 @@
         HttpHeaders headers = req.requestHeaders();
         ForwardHeaders.Forwarded forward = ForwardHeaders.read(headers);
         if (routes.configuration().version() < forward.configurationVersion()) {
-            throw RelayRefusal.notRun("this entry has an earlier configuration", OTHER_ENTRY_RETRY_MILLIS);
+            throw RelayRefusal.notRun("this entry has an earlier configuration", Shutdown.OTHER_ENTRY_RETRY_MILLIS);
         }
         if (context.forwarder().isPartitioned()) {
-            throw RelayRefusal.notRun("this entry has lost its links to the targets", OTHER_ENTRY_RETRY_MILLIS);
+            throw RelayRefusal.notRun(
+                    "this entry has lost its links to the targets", Shutdown.OTHER_ENTRY_RETRY_MILLIS);
         }
         if (inProgress > MAX_FORWARDED) {
             throw RelayRefusal.notRun("too many requests from other entries", RelayContext.OVERLOAD_RETRY_AFTER_MILLIS);
         }
         Route route = findRoute(routes, req);
         String attemptId = attemptId(headers);
+        long now = context.now();
+        long deadlineAt = now + Math.min(route.timeoutMillis(), callerTimeoutMillis(headers, route));
+        context.shutdown().check(route, deadlineAt);
         context.metrics().countForward(false);
         LOG.infof(
                 "request %s: received from entry %s, %d runs before",
                 attemptId, forward.sender(), forward.history().runs());
-        long now = context.now();
-        long deadlineAt = now + Math.min(route.timeoutMillis(), callerTimeoutMillis(headers, route));
         return body -> new RelayRequest(
                 attemptId,
                 req.method(),
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -48,6 +48,7 @@
 
     /** Writes a complete response. */
     Mono<Void> writeBuffered(HttpServerResponse res, BufferedResponse a) {
+        closeIfDraining(res);
         res.status(a.status());
         copyHeaders(res, a.headers());
         return writeBody(res, a.body());
@@ -56,6 +57,7 @@
     /** Writes a stream event by event; closes the connection if it cannot be completed. */
     Mono<Void> writeStream(
             HttpServerRequest req, HttpServerResponse res, StreamRun.Head head, Flux<ByteBuf> events, Channel channel) {
+        closeIfDraining(res);
         res.status(head.status());
         copyHeaders(res, head.headers());
         boolean chunked = !HttpVersion.HTTP_1_0.equals(req.version());
@@ -67,6 +69,13 @@
                 .then();
     }
 
+    /** Lets the client send its next request to another entry. */
+    private void closeIfDraining(HttpServerResponse res) {
+        if (context.shutdown().hasBegun()) {
+            res.keepAlive(false);
+        }
+    }
+
     /** Without chunks, only a reset distinguishes an incomplete response from a complete one. */
     private static void closeIncomplete(Channel channel, boolean chunked) {
         if (!chunked) {
@@ -96,6 +105,7 @@
                 ForwardHeaders.writeHistory(res.responseHeaders(), after);
             }
         }
+        closeIfDraining(res);
         res.status(e.status());
         res.header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
         return writeBody(res, (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
--- a/serving/src/main/java/org/hallwall/serving/relay/RetryDecision.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RetryDecision.java
@@ -35,7 +35,9 @@
     /** The request has run here, and the entry that forwarded it decides whether it runs again. */
     RETURNED(false, "returned to the forwarding entry"),
     /** The request has crashed targets and would likely crash another one. */
-    HELD_BACK(false, "not retried, the request has crashed targets");
+    HELD_BACK(false, "not retried, the request has crashed targets"),
+    /** Another attempt could not complete before this entry exits. */
+    SHUTTING_DOWN(false, "not retried, this entry is shutting down");
 
     private final boolean retry;
     private final String text;
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -112,6 +112,17 @@
         finish();
     }
 
+    /** Ends the request because the entry is shutting down. */
+    void shutDown() {
+        loop.execute(() -> runGuarded(() -> {
+            if (!done) {
+                abandonAll();
+                attempts.logShutdown();
+                abort(Shutdown.REASON);
+            }
+        }));
+    }
+
     private void startAttempt() {
         if (context.now() >= request.deadlineAt()) {
             abort("the deadline has passed");
--- a/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RelayFixture.java
@@ -149,6 +149,7 @@
                                 () -> List.copyOf(availableEntries),
                                 balancer,
                                 new EntryClient(loops, NAMES, new InstanceId("entry"), state, Ticker.SYSTEM)),
+                        new Shutdown(Ticker.SYSTEM),
                         this::readClock),
                 bodyMemory);
         server.open(new NetAddress("127.0.0.1", 0), loops);
--- a/serving/src/test/java/org/hallwall/serving/relay/SimulatedForwards.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/SimulatedForwards.java
@@ -363,6 +363,7 @@
                             forwards ? this::helpers : List::of,
                             balancer(),
                             null),
+                    new Shutdown(SimulatedForwards.this::now),
                     SimulatedForwards.this::now);
         }
 
