A refusal during the shutdown is not lost with the connection

What callers saw: 11 of 125 requests that a stopping entry refused got a closed connection in place of the 503 (PlannedStopProcessTest, 5 s routes), though the log said that they were refused; a caller may not repeat a request that is not idempotent then.

Cause: the refusal was sent on the head alone. The body that arrived behind it was unread when the connection was closed, and the reset overtook the response.

The check now follows the whole body, which also covers bodies that are late.

--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -245,7 +245,7 @@
                 () -> loop.execute(() -> aborted.tryEmitError(Shutdown.refusal())));
     }
 
-    /** Rejects a request whose body has arrived too late for it to complete. */
+    /** Rejects a request that cannot complete. Its body has been read: a connection that is closed with unread bytes is reset. */
     private Mono<RelayRequest> rejectIfShuttingDown(RelayRequest r) {
         try {
             context.shutdown().check(r.route(), r.deadlineAt());
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestReceiver.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestReceiver.java
@@ -54,9 +54,6 @@
     }
 
     private RouteTable activeRoutes() throws RelayRefusal {
-        if (context.shutdown().isRejecting()) {
-            throw Shutdown.refusal();
-        }
         RouteTable routes = context.state().routes();
         if (routes.configuration().version() == 0) {
             throw RelayRefusal.notRun("no configuration has been received yet", startupRetryDelay.retryAfterMillis());
@@ -94,7 +91,6 @@
         long timeoutMillis = callerTimeoutMillis(headers, route);
         boolean likelyRetry = retryDetector.isRetry(route, timeoutMillis);
         long deadlineAt = now + Math.min(route.timeoutMillis(), timeoutMillis);
-        context.shutdown().check(route, deadlineAt);
         String service = route.selectService(ThreadLocalRandom.current().nextDouble());
         context.retryBudget().recordRequest(service);
         context.metrics().countRequest(service);
@@ -142,7 +138,6 @@
         String attemptId = attemptId(headers);
         long now = context.now();
         long deadlineAt = now + Math.min(route.timeoutMillis(), callerTimeoutMillis(headers, route));
-        context.shutdown().check(route, deadlineAt);
         context.metrics().countForward(false);
         LOG.infof(
                 "request %s: received from entry %s, %d runs before",
--- a/serving/src/main/java/org/hallwall/serving/relay/Shutdown.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Shutdown.java
@@ -86,11 +86,6 @@
         rejecting = true;
     }
 
-    /** Returns whether new requests are rejected. */
-    boolean isRejecting() {
-        return rejecting;
-    }
-
     /** Returns the time at which requests in progress are aborted, in milliseconds. */
     long endAt() {
         return endAt;
--- a/serving/src/test/java/org/hallwall/serving/relay/StoppingEntryTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/StoppingEntryTest.java
@@ -142,6 +142,11 @@
         return client.sendAsync(r, HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Begins a shutdown whose end is all that matters. */
+    private static void beginShortShutdown(RelayFixture entry) {
+        entry.server().beginShutdown(0, SHORT_MILLIS);
+    }
+
     private static void beginShutdown(RelayFixture entry) {
         entry.server().beginShutdown(NOTICE_MILLIS, STOP_MILLIS);
     }
@@ -195,7 +200,7 @@
         ScriptedTarget t = addTarget(stopping, StoppingEntryTest::hang);
         CompletableFuture<HttpResponse<String>> early = send(stopping, kind, ROUTE_TIMEOUT_MILLIS);
         Awaitility.await().until(() -> !t.requests().isEmpty());
-        beginShutdown(stopping);
+        beginShortShutdown(stopping);
         completeShutdown(stopping);
         HttpResponse<String> got = early.get(5, TimeUnit.SECONDS);
         Assertions.assertEquals(502, got.statusCode(), got.body());
@@ -219,7 +224,7 @@
             }
         });
         Assertions.assertTrue(sent.await(5, TimeUnit.SECONDS));
-        beginShutdown(stopping);
+        beginShortShutdown(stopping);
         completeShutdown(stopping);
         RawResponse got = early.get(5, TimeUnit.SECONDS);
         Assertions.assertEquals(200, got.status());
@@ -286,7 +291,7 @@
         addTarget(stopping, StoppingEntryTest::hang);
         CompletableFuture<HttpResponse<String>> early = send(stopping, RequestKind.IDEMPOTENT, ROUTE_TIMEOUT_MILLIS);
         Awaitility.await().until(() -> runCount() == 1);
-        beginShutdown(stopping);
+        beginShortShutdown(stopping);
         completeShutdown(stopping);
         Assertions.assertEquals(502, early.get(5, TimeUnit.SECONDS).statusCode());
         Assertions.assertEquals(1, runCount());
@@ -320,7 +325,7 @@
         RelayFixture partitioned = addPartitioned(stopping);
         CompletableFuture<HttpResponse<String>> early = send(partitioned, kind, ROUTE_TIMEOUT_MILLIS);
         Awaitility.await().until(() -> !hanging.requests().isEmpty());
-        beginShutdown(stopping);
+        beginShortShutdown(stopping);
         RelayFixture other = addEntry();
         ScriptedTarget serving = addTarget(other, StoppingEntryTest::serve);
         partitioned.addEntry("other", other);
