--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNode.java
@@ -328,7 +328,7 @@
         server.beginShutdown(settings.drainNoticeMillis(), settings.stopTimeoutMillis());
         io.execute(statusExchange::report);
         server.completeShutdown();
-        LOG.infof("entry: %s terminates, %d requests aborted", settings.instance(), server.inFlight());
+        LOG.infof("entry: %s terminates, %d requests without a response", settings.instance(), server.inFlight());
         followers.values().forEach(FeedFollower::close);
         loadExchange.close();
         statusExchange.close();
--- a/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EntryNodeSettings.java
@@ -37,8 +37,8 @@
  * @param retryRatio retries allowed per request
  * @param retryExtra additional retries allowed per window, shared by all entries
  * @param retryWindowMillis the window of the retry budget, in milliseconds
- * @param drainNoticeMillis how long new requests are accepted after shutdown has begun, in milliseconds
- * @param stopTimeoutMillis the timeout of the shutdown, in milliseconds
+ * @param drainNoticeMillis how long new requests that can complete are accepted after shutdown has begun, in milliseconds
+ * @param stopTimeoutMillis the time after which requests in progress are aborted at shutdown, in milliseconds
  * @param mechanisms the enabled decision mechanisms
  */
 public record EntryNodeSettings(
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -151,7 +151,7 @@
         }
     }
 
-    /** Logs that the client, or the shutdown of this entry, has closed the connection before the head of the response. */
+    /** Logs that the client has closed the connection before the head of the response. */
     void logCancelled(HttpServerRequest req, HttpServerResponse res) {
         // a response to a request whose body is not read also cancels the exchange once it has been written
         if (!res.hasSentHeaders()) {
