Bodies of responses share the account for the memory of request bodies

What callers saw: a target that responds without end, or some ten large responses at once, filled the heap of an entry (64 MB); from then on the small requests of other callers got no response at all.

Cause: each response was bounded (4 MiB), all together were not; a large body was handed to the connection in one piece, which copies it to direct memory (24 MB) while its client does not read.

Now a response's bytes are reserved as they are read, before their buffer grows, until the response is written or its attempt fails; an incomplete event too. A response that does not fit fails with "ran" (502), and the log line of the attempt has the bytes read, the bytes in use and the bound. Bodies up to 64 KiB keep a part of their own, as requests did. Larger responses may use 5/6, larger requests 2/3: refusing a request costs no run, refusing a response does. A large body is written in pieces as the connection takes them.

Weighed: pausing the reading until there is room. Responses that are each read in part then wait for each other until their deadlines; refusing one at once frees its part. Reserving a Content-Length in advance lets a target that sends nothing hold the memory.

--- a/serving/src/main/java/org/hallwall/serving/relay/BodyMemory.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BodyMemory.java
@@ -18,9 +18,11 @@
  */
 package org.hallwall.serving.relay;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Limits the memory that the bodies of all requests in flight hold together. */
+/** Limits the memory that the bodies of all requests in flight and of their responses hold together. */
 public final class BodyMemory {
 
     /** Maximum size of a body that may use the part kept free of larger ones, in bytes. */
@@ -29,11 +31,12 @@
     /** Part of the heap for bodies; the rest is for the process and a configuration that is being parsed. */
     private static final double HEAP_FRACTION = 0.375;
 
-    /** Part of the memory for bodies that larger ones may use. */
-    private static final double LARGE_FRACTION = 2.0 / 3;
+    /** Part of the memory for bodies that larger ones of requests may use. */
+    private static final double LARGE_REQUEST_FRACTION = 2.0 / 3;
+    /** Part of the memory for bodies that larger ones of responses may use too; a request has run then, and new ones can be refused. */
+    private static final double LARGE_RESPONSE_FRACTION = 5.0 / 6;
 
     private final long maxBytes;
-    private final long maxLargeBytes;
     private final AtomicLong reservedBytes = new AtomicLong();
 
     /**
@@ -43,7 +46,6 @@
      */
     BodyMemory(long maxBytes) {
         this.maxBytes = maxBytes;
-        this.maxLargeBytes = (long) (maxBytes * LARGE_FRACTION);
     }
 
     /**
@@ -57,7 +59,7 @@
 
     /** Returns a reservation for the body of one request; empty at first. */
     Reservation open() {
-        return new Reservation();
+        return new Reservation(LARGE_REQUEST_FRACTION);
     }
 
     /** Returns what all requests have reserved, in bytes. */
@@ -76,10 +78,22 @@
     /** The memory of one body, until its request ends. */
     final class Reservation {
 
+        private final long maxLargeBytes;
+        private final List<Reservation> responses = new ArrayList<>();
         private long heldBytes;
         private boolean released;
 
-        private Reservation() {}
+        private Reservation(double largeFraction) {
+            this.maxLargeBytes = (long) (maxBytes * largeFraction);
+        }
+
+        /** Returns a reservation for a response to the request, which is released with this one at the latest; empty at first. */
+        synchronized Reservation openResponse() {
+            Reservation response = new Reservation(LARGE_RESPONSE_FRACTION);
+            response.released = released;
+            responses.add(response);
+            return response;
+        }
 
         /**
          * Extends the reservation.
@@ -88,13 +102,22 @@
          * @return false if there is not enough memory, or the request has ended
          */
         synchronized boolean tryExtend(long bytes) {
+            return !released && (bytes <= heldBytes || tryResize(bytes));
+        }
+
+        /**
+         * Changes the size of the reservation.
+         *
+         * @param bytes the size, in bytes
+         * @return false if there is not enough memory, or the request has ended
+         */
+        synchronized boolean tryResize(long bytes) {
             if (released) {
                 return false;
             }
             if (bytes <= heldBytes) {
-                return true;
-            }
-            if (!tryReserve(bytes - heldBytes, bytes <= SMALL_BODY_BYTES ? maxBytes : maxLargeBytes)) {
+                reservedBytes.addAndGet(bytes - heldBytes);
+            } else if (!tryReserve(bytes - heldBytes, bytes <= SMALL_BODY_BYTES ? maxBytes : maxLargeBytes)) {
                 return false;
             }
             heldBytes = bytes;
@@ -106,7 +129,13 @@
             if (!released) {
                 released = true;
                 reservedBytes.addAndGet(-heldBytes);
+                responses.forEach(Reservation::release);
             }
         }
+
+        /** Describes the memory in use for logs. */
+        String describe() {
+            return reservedBytes.get() + " of " + maxBytes + " bytes for bodies are in use";
+        }
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedAttempt.java
@@ -20,7 +20,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
-import org.hallwall.program.BoundedBody;
 import org.hallwall.serving.crash.ResponseProgress;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -33,6 +32,7 @@
     private final NextHop hop;
     private final Listener listener;
     private final long startedAt;
+    private final BodyMemory.Reservation memory;
     private ResponseProgress progress = ResponseProgress.NONE;
     private Disposable subscription;
     private boolean ended;
@@ -43,11 +43,13 @@
      * @param hop the recipient
      * @param listener is notified of the response
      * @param startedAt the current time, in milliseconds
+     * @param memory the memory for the response; released if the attempt fails
      */
-    BufferedAttempt(NextHop hop, Listener listener, long startedAt) {
+    BufferedAttempt(NextHop hop, Listener listener, long startedAt, BodyMemory.Reservation memory) {
         this.hop = hop;
         this.listener = listener;
         this.startedAt = startedAt;
+        this.memory = memory;
     }
 
     /** Is notified of the response; not after the attempt was cancelled. */
@@ -100,7 +102,7 @@
     private Mono<BufferedResponse> readResponse(HttpClientResponse head, ByteBufFlux body) {
         progress = ResponseProgress.BEGUN;
         HttpHeaders headers = listener.onHead(this, head);
-        return BoundedBody.read(body, BufferedResponse.MAX_BODY_BYTES)
+        return ResponseBody.read(body, memory)
                 .map(bytes -> new BufferedResponse(head.status().code(), headers, bytes));
     }
 
@@ -112,6 +114,7 @@
 
     private void onError(Throwable e) {
         if (end()) {
+            memory.release();
             listener.onFailure(
                     this, e instanceof AttemptFailure f ? f : new AttemptFailure(Verdict.MAY_HAVE_RUN, e.toString()));
         }
@@ -119,8 +122,11 @@
 
     /** Cancels the attempt without a report. */
     void cancel() {
-        if (end() && subscription != null) {
-            subscription.dispose();
+        if (end()) {
+            if (subscription != null) {
+                subscription.dispose();
+            }
+            memory.release();
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -48,6 +48,7 @@
     private final RelayContext context;
     private final RelayRequest request;
     private final EventLoop loop;
+    private final BodyMemory.Reservation memory;
     private final Attempts attempts;
     private final Sinks.One<BufferedResponse> result = Sinks.one();
     private BufferedAttempt primary;
@@ -58,10 +59,11 @@
     private ScheduledFuture<?> deadlineTimer;
     private boolean done;
 
-    BufferedRun(RelayContext context, RelayRequest request, EventLoop loop) {
+    BufferedRun(RelayContext context, RelayRequest request, EventLoop loop, BodyMemory.Reservation memory) {
         this.context = context;
         this.request = request;
         this.loop = loop;
+        this.memory = memory;
         this.attempts = new Attempts(context, request);
     }
 
@@ -116,7 +118,7 @@
             fail(attempts.describeNoHop());
             return;
         }
-        primary = new BufferedAttempt(hop, this, context.now());
+        primary = new BufferedAttempt(hop, this, context.now(), memory.openResponse());
         primary.start(request, attempts.historyBefore(hop));
         if (!done && primary.hop() == hop) {
             scheduleHedge(hedgeDelayMillis(hop));
@@ -150,7 +152,7 @@
                 hop.target().instance());
         // new requests avoid the late target meanwhile
         primary.hop().state().recordStall(context.now());
-        hedge = new BufferedAttempt(hop, this, context.now());
+        hedge = new BufferedAttempt(hop, this, context.now(), memory.openResponse());
         hedge.start(request, attempts.historyBefore(hop));
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
@@ -77,6 +77,11 @@
         return pending.size() > 0;
     }
 
+    /** Returns the memory of the incomplete event, in bytes; its buffer is at most twice as large. */
+    int bufferedBytes() {
+        return 2 * pending.size();
+    }
+
     private static Event toEvent(byte[] bytes) {
         long id = Event.NO_ID;
         for (String line : new String(bytes, StandardCharsets.ISO_8859_1).split("\r?\n")) {
--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -69,7 +69,7 @@
      * Creates a server that is not listening yet; see {@link #open}.
      *
      * @param context the shared components
-     * @param bodyMemory limits the memory of request bodies
+     * @param bodyMemory limits the memory of bodies
      */
     public RelayServer(RelayContext context, BodyMemory bodyMemory) {
         this.context = context;
@@ -185,8 +185,9 @@
         BodyMemory.Reservation memory = bodyMemory.open();
         return RequestBody.read(req, maxBodyBytes, memory)
                 .flatMap(guarded(body -> rejectIfHeldBack(withFeatures(toRequest.apply(body)))))
-                .flatMap(guarded(r ->
-                        r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r)))
+                .flatMap(guarded(r -> r.route().kind() == RequestKind.STREAM
+                        ? relayStream(req, res, r, memory)
+                        : relayBuffered(req, res, r, memory)))
                 .onErrorResume(e -> writer.writeError(req, res, e, channel(req)))
                 .doFinally(s -> memory.release());
     }
@@ -223,11 +224,12 @@
                 .defaultIfEmpty(r);
     }
 
-    private Mono<Void> relayBuffered(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
+    private Mono<Void> relayBuffered(
+            HttpServerRequest req, HttpServerResponse res, RelayRequest r, BodyMemory.Reservation memory) {
         if (!isForwardedAtOnce(r)) {
             context.candidates().recordArrival(r);
         }
-        return new BufferedRun(context, r, channel(req).eventLoop())
+        return new BufferedRun(context, r, channel(req).eventLoop(), memory)
                 .start()
                 .takeUntilOther(whenClosed(req))
                 .flatMap(guarded(a -> {
@@ -237,7 +239,8 @@
                 }));
     }
 
-    private Mono<Void> relayStream(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
+    private Mono<Void> relayStream(
+            HttpServerRequest req, HttpServerResponse res, RelayRequest r, BodyMemory.Reservation memory) {
         Channel channel = channel(req);
         AdmissionWindow window;
         try {
@@ -249,7 +252,8 @@
                 context,
                 r,
                 window,
-                channel.eventLoop(),
+                channel,
+                memory,
                 r.headers().get(context.headerNames().lastEventId()));
         GenericFutureListener<Future<Void>> onClose = f -> run.cancel();
         channel.closeFuture().addListener(onClose);
--- a/serving/src/main/java/org/hallwall/serving/relay/RequestBody.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RequestBody.java
@@ -18,8 +18,6 @@
  */
 package org.hallwall.serving.relay;
 
-import java.util.Arrays;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.hallwall.core.verdict.Verdict;
@@ -33,18 +31,15 @@
     /** Maximum length of a Content-Length value; longer ones exceed every limit. */
     private static final int MAX_LENGTH_DIGITS = 9;
 
-    private static final int INITIAL_BYTES = 1_024;
     /** Retry-After if the bodies in flight hold all memory, in milliseconds; about the time to serve some of them. */
     private static final long MEMORY_RETRY_AFTER_MILLIS = 500;
 
     private final int maxBytes;
-    private final BodyMemory.Reservation memory;
-    private byte[] bytes = new byte[0];
-    private int size;
+    private final ReservedBuffer buffer;
 
     private RequestBody(int maxBytes, BodyMemory.Reservation memory) {
         this.maxBytes = maxBytes;
-        this.memory = memory;
+        this.buffer = new ReservedBuffer(maxBytes, memory);
     }
 
     /**
@@ -67,38 +62,30 @@
         }
         return req.receive()
                 .doOnNext(body::append)
-                .then(Mono.fromSupplier(body::toByteArray))
+                .then(Mono.fromSupplier(body.buffer::toByteArray))
                 .onErrorMap(Exceptions::unwrap);
     }
 
     private void append(ByteBuf chunk) {
-        int length = chunk.readableBytes();
-        try {
-            if (length > maxBytes - size) {
-                throw tooLarge();
-            }
-            if (size + length > bytes.length) {
-                allocate(Math.min(maxBytes, Math.max(size + length, Math.max(INITIAL_BYTES, 2 * bytes.length))));
-            }
-        } catch (RelayRefusal e) {
-            throw Exceptions.propagate(e);
+        if (!buffer.fits(chunk.readableBytes())) {
+            throw Exceptions.propagate(tooLarge());
+        }
+        if (!buffer.tryAppend(chunk)) {
+            throw Exceptions.propagate(noMemory());
         }
-        chunk.getBytes(chunk.readerIndex(), bytes, size, length);
-        size += length;
     }
 
     private void allocate(long capacity) throws RelayRefusal {
         if (capacity > maxBytes) {
             throw tooLarge();
         }
-        if (!memory.tryExtend(capacity)) {
-            throw RelayRefusal.notRun("the bodies of other requests hold all memory", MEMORY_RETRY_AFTER_MILLIS);
+        if (!buffer.tryAllocate((int) capacity)) {
+            throw noMemory();
         }
-        bytes = Arrays.copyOf(bytes, (int) capacity);
     }
 
-    private byte[] toByteArray() {
-        return size == bytes.length ? bytes : Arrays.copyOf(bytes, size);
+    private static RelayRefusal noMemory() {
+        return RelayRefusal.notRun("the bodies of other requests hold all memory", MEMORY_RETRY_AFTER_MILLIS);
     }
 
     private static RelayRefusal tooLarge() {
--- a/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/ResponseWriter.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -39,6 +40,8 @@
 
     private static final Logger LOG = Logger.getLogger(RelayServer.class);
     private static final double MILLIS_PER_SECOND = 1_000.0;
+    /** Size of the pieces in which a body is written, in bytes. */
+    private static final int PIECE_BYTES = 8_192;
 
     private final RelayContext context;
 
@@ -152,6 +155,10 @@
         }
     }
 
+    private static ByteBuf piece(byte[] body, int from) {
+        return Unpooled.wrappedBuffer(body, from, Math.min(PIECE_BYTES, body.length - from));
+    }
+
     private static void copyHeaders(HttpServerResponse res, HttpHeaders from) {
         HttpHeaders out = res.responseHeaders();
         from.forEach(h -> out.add(h.getKey(), h.getValue()));
@@ -159,6 +166,12 @@
 
     private static Mono<Void> writeBody(HttpServerResponse res, byte[] body) {
         res.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
-        return res.sendByteArray(Mono.just(body)).then();
+        int pieces = (body.length + PIECE_BYTES - 1) / PIECE_BYTES;
+        if (pieces <= 1) {
+            return res.sendByteArray(Mono.just(body)).then();
+        }
+        // the connection copies what is written to direct memory
+        Flux<ByteBuf> written = Flux.range(0, pieces).map(i -> piece(body, i * PIECE_BYTES));
+        return res.send(written, b -> true).then();
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
-import org.hallwall.program.BoundedBody;
 import org.hallwall.serving.crash.ResponseProgress;
 import org.reactivestreams.Publisher;
 import reactor.core.Disposable;
@@ -37,6 +36,7 @@
     private final NextHop hop;
     private final Listener listener;
     private final long startedAt;
+    private final BodyMemory.Reservation memory;
     private final EventStreamDecoder decoder = new EventStreamDecoder();
     private Disposable subscription;
     private int status;
@@ -51,12 +51,14 @@
      * @param context the shared components
      * @param hop the recipient
      * @param listener is notified of the response
+     * @param memory the memory for a whole response or a partial event; released if the attempt fails
      */
-    StreamAttempt(RelayContext context, NextHop hop, Listener listener) {
+    StreamAttempt(RelayContext context, NextHop hop, Listener listener, BodyMemory.Reservation memory) {
         this.context = context;
         this.hop = hop;
         this.listener = listener;
         this.startedAt = context.now();
+        this.memory = memory;
     }
 
     /** Is notified of the response; not after the attempt has ended. */
@@ -138,7 +140,7 @@
                 && BufferedResponse.isSuccess(status)) {
             return body.asByteArray().map(b -> new Chunk(b, false));
         }
-        return BoundedBody.read(body, BufferedResponse.MAX_BODY_BYTES).map(b -> new Chunk(b, true));
+        return ResponseBody.read(body, memory).map(b -> new Chunk(b, true));
     }
 
     private void onChunk(Chunk chunk) {
@@ -159,6 +161,9 @@
                     listener.onEvent(this, e);
                 }
             }
+            if (!ended && !memory.tryExtend(decoder.bufferedBytes())) {
+                fail(ResponseBody.noMemory(memory, decoder.bufferedBytes()));
+            }
         } catch (IllegalArgumentException e) {
             fail(new AttemptFailure(Verdict.RAN, e.getMessage()));
         }
@@ -200,6 +205,7 @@
             if (subscription != null) {
                 subscription.dispose();
             }
+            memory.release();
         }
     }
 
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -20,6 +20,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
@@ -44,6 +45,7 @@
     private final RelayRequest request;
     private final AdmissionWindow window;
     private final EventLoop loop;
+    private final BodyMemory.Reservation memory;
     private final Sinks.One<Head> head = Sinks.one();
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
     private final Attempts attempts;
@@ -58,13 +60,20 @@
     private boolean done;
     private int resumptions;
 
-    StreamRun(RelayContext context, RelayRequest request, AdmissionWindow window, EventLoop loop, String lastEventId) {
+    StreamRun(
+            RelayContext context,
+            RelayRequest request,
+            AdmissionWindow window,
+            Channel client,
+            BodyMemory.Reservation memory,
+            String lastEventId) {
         this.window = window;
         this.context = context;
         this.request = request;
         this.attempts = new Attempts(context, request);
         this.stallPolicy = new StallPolicy(context.forwarder().detector(), context.stalledHeads());
-        this.loop = loop;
+        this.loop = client.eventLoop();
+        this.memory = memory;
         this.progress = new StreamProgress(lastEventId);
     }
 
@@ -122,7 +131,7 @@
             abort(attempts.describeNoHop());
             return;
         }
-        primary = new StreamAttempt(context, hop, this);
+        primary = new StreamAttempt(context, hop, this, memory.openResponse());
         primary.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
 
@@ -211,7 +220,7 @@
         } else {
             primary.hop().state().recordStall(now);
         }
-        hedge = new StreamAttempt(context, hop, this);
+        hedge = new StreamAttempt(context, hop, this, memory.openResponse());
         hedge.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
 
--- a/serving/src/test/java/org/hallwall/serving/relay/BodyMemoryTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/BodyMemoryTest.java
@@ -49,4 +49,32 @@
         Assertions.assertEquals(0, memory.reservedBytes());
         Assertions.assertFalse(r.tryExtend(1_000));
     }
+
+    @Test
+    void responsesMayUseMoreThanRequests() {
+        BodyMemory.Reservation request = memory.open();
+        Assertions.assertTrue(request.tryExtend(200_000));
+        BodyMemory.Reservation response = request.openResponse();
+        Assertions.assertFalse(response.tryExtend(50_001 + BodyMemory.SMALL_BODY_BYTES));
+        BodyMemory.Reservation other = memory.open().openResponse();
+        Assertions.assertTrue(other.tryExtend(BodyMemory.SMALL_BODY_BYTES));
+        Assertions.assertFalse(memory.open().tryExtend(BodyMemory.SMALL_BODY_BYTES));
+    }
+
+    @Test
+    void responseIsReleasedAloneOrWithItsRequest() {
+        BodyMemory.Reservation request = memory.open();
+        BodyMemory.Reservation failed = request.openResponse();
+        BodyMemory.Reservation response = request.openResponse();
+        Assertions.assertTrue(failed.tryExtend(1_000));
+        Assertions.assertTrue(response.tryExtend(2_000));
+        failed.release();
+        Assertions.assertEquals(2_000, memory.reservedBytes());
+        Assertions.assertTrue(response.tryResize(500));
+        Assertions.assertEquals(500, memory.reservedBytes());
+        request.release();
+        Assertions.assertEquals(0, memory.reservedBytes());
+        Assertions.assertFalse(response.tryExtend(1));
+        Assertions.assertFalse(request.openResponse().tryExtend(1));
+    }
 }
