Streams whose client does not read are broken off

What callers saw: events for a client that does not read were queued without a bound, so that one such stream could fill the heap of its entry.

Failing test: UnreadStreamTest. Before the fix the entry read 134 MB (direct) and 87 MB (forwarded) of a target that sends without end while the client read nothing; now reading ends, and both connections are closed, within 1 MiB and the buffers of the connections. ResponseMemoryTest.streamThatItsClientDoesNotReadIsBrokenOff (40 such streams, small heap) passed before too: within the route's timeout of 4 s the entry didn't relay enough to fill the heap.

The events in the queue and in the buffer of the client's connection are limited to 1 MiB for each stream, and count in the memory for bodies. Beyond, the stream ends: the client's connection is reset, since an error signal would wait behind the events, attempts are abandoned, and a warning has the request id, the bytes and the bounds.

Weighed: backpressure to the target. It keeps a slot of the target and the memory until the deadline, for a client that does not read, and a paused target would have to be told apart from a stalled one in all decisions about hedges.

--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -46,6 +46,7 @@
     private final AdmissionWindow window;
     private final EventLoop loop;
     private final BodyMemory.Reservation memory;
+    private final UnreadEvents unread;
     private final Sinks.One<Head> head = Sinks.one();
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
     private final Attempts attempts;
@@ -74,6 +75,7 @@
         this.stallPolicy = new StallPolicy(context.forwarder().detector(), context.stalledHeads());
         this.loop = client.eventLoop();
         this.memory = memory;
+        this.unread = new UnreadEvents(client, memory.openResponse());
         this.progress = new StreamProgress(lastEventId);
     }
 
@@ -106,7 +108,7 @@
 
     /** Returns the events; terminates with an error if the stream cannot be completed. */
     Flux<ByteBuf> events() {
-        return events.asFlux();
+        return unread.track(events.asFlux());
     }
 
     /** Cancels the request because the client has disconnected. */
@@ -263,6 +265,10 @@
     }
 
     private void deliver(StreamAttempt a, EventStreamDecoder.Event e) {
+        if (!unread.tryAdd(e.bytes().length)) {
+            disconnectClient();
+            return;
+        }
         long now = context.now();
         TargetState state = a.hop().state();
         if (progress.events() > 0) {
@@ -384,6 +390,17 @@
         }
     }
 
+    /** Ends a stream that its client does not read. */
+    private void disconnectClient() {
+        LOG.warnf(
+                "request %s: stream broken off after %d events: %s",
+                request.attemptId(), progress.events(), unread.describe());
+        context.metrics().countRefusal(0);
+        abandonAll();
+        finish();
+        unread.disconnect();
+    }
+
     private void abandonAll() {
         abandon(primary);
         abandon(hedge);
