--- a/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/RelayServer.java
@@ -77,7 +77,7 @@
      * Creates a server that is not listening yet; see {@link #open}.
      *
      * @param context the shared components
-     * @param bodyMemory limits the memory of request bodies
+     * @param bodyMemory limits the memory of bodies
      */
     public RelayServer(RelayContext context, BodyMemory bodyMemory) {
         this.context = context;
@@ -231,8 +231,9 @@
         return readBody(req, maxBodyBytes, memory)
                 .flatMap(guarded(body -> rejectIfShuttingDown(toRequest.apply(body))))
                 .flatMap(guarded(r -> rejectIfHeldBack(withFeatures(r))))
-                .flatMap(guarded(r ->
-                        r.route().kind() == RequestKind.STREAM ? relayStream(req, res, r) : relayBuffered(req, res, r)))
+                .flatMap(guarded(r -> r.route().kind() == RequestKind.STREAM
+                        ? relayStream(req, res, r, memory)
+                        : relayBuffered(req, res, r, memory)))
                 .onErrorResume(e -> writer.writeError(req, res, e, channel(req)))
                 .doFinally(s -> memory.release());
     }
@@ -287,11 +288,12 @@
                 .defaultIfEmpty(r);
     }
 
-    private Mono<Void> relayBuffered(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
+    private Mono<Void> relayBuffered(
+            HttpServerRequest req, HttpServerResponse res, RelayRequest r, BodyMemory.Reservation memory) {
         if (!isForwardedAtOnce(r)) {
             context.candidates().recordArrival(r);
         }
-        BufferedRun run = new BufferedRun(context, r, channel(req).eventLoop());
+        BufferedRun run = new BufferedRun(context, r, channel(req).eventLoop(), memory);
         return openExchanges
                 .track(run.start().takeUntilOther(whenClosed(req)), run::shutDown)
                 .flatMap(guarded(a -> {
@@ -302,7 +304,8 @@
                 }));
     }
 
-    private Mono<Void> relayStream(HttpServerRequest req, HttpServerResponse res, RelayRequest r) {
+    private Mono<Void> relayStream(
+            HttpServerRequest req, HttpServerResponse res, RelayRequest r, BodyMemory.Reservation memory) {
         Channel channel = channel(req);
         AdmissionWindow window;
         try {
@@ -314,7 +317,8 @@
                 context,
                 r,
                 window,
-                channel.eventLoop(),
+                channel,
+                memory,
                 r.headers().get(context.headerNames().lastEventId()));
         GenericFutureListener<Future<Void>> onClose = f -> run.cancel();
         channel.closeFuture().addListener(onClose);
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -20,6 +20,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hallwall.core.verdict.Verdict;
@@ -44,6 +45,8 @@
     private final RelayRequest request;
     private final AdmissionWindow window;
     private final EventLoop loop;
+    private final BodyMemory.Reservation memory;
+    private final UnreadEvents unread;
     private final Sinks.One<Head> head = Sinks.one();
     private final Sinks.Many<ByteBuf> events = Sinks.many().unicast().onBackpressureBuffer();
     private final Attempts attempts;
@@ -58,13 +61,21 @@
     private boolean done;
     private int resumptions;
 
-    StreamRun(RelayContext context, RelayRequest request, AdmissionWindow window, EventLoop loop, String lastEventId) {
+    StreamRun(
+            RelayContext context,
+            RelayRequest request,
+            AdmissionWindow window,
+            Channel client,
+            BodyMemory.Reservation memory,
+            String lastEventId) {
         this.window = window;
         this.context = context;
         this.request = request;
         this.attempts = new Attempts(context, request);
         this.stallPolicy = new StallPolicy(context.forwarder().detector(), context.stalledHeads());
-        this.loop = loop;
+        this.loop = client.eventLoop();
+        this.memory = memory;
+        this.unread = new UnreadEvents(client, memory.openResponse());
         this.progress = new StreamProgress(lastEventId);
     }
 
@@ -97,7 +108,7 @@
 
     /** Returns the events; terminates with an error if the stream cannot be completed. */
     Flux<ByteBuf> events() {
-        return events.asFlux();
+        return unread.track(events.asFlux());
     }
 
     /** Cancels the request because the client has disconnected. */
@@ -133,7 +144,7 @@
             abort(attempts.describeNoHop());
             return;
         }
-        primary = new StreamAttempt(context, hop, this);
+        primary = new StreamAttempt(context, hop, this, memory.openResponse());
         primary.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
 
@@ -222,7 +233,7 @@
         } else {
             primary.hop().state().recordStall(now);
         }
-        hedge = new StreamAttempt(context, hop, this);
+        hedge = new StreamAttempt(context, hop, this, memory.openResponse());
         hedge.start(request, progress.lastEventId(), attempts.historyBefore(hop));
     }
 
@@ -265,6 +276,10 @@
     }
 
     private void deliver(StreamAttempt a, EventStreamDecoder.Event e) {
+        if (!unread.tryAdd(e.bytes().length)) {
+            disconnectClient();
+            return;
+        }
         long now = context.now();
         TargetState state = a.hop().state();
         if (progress.events() > 0) {
@@ -386,6 +401,17 @@
         }
     }
 
+    /** Ends a stream that its client does not read. */
+    private void disconnectClient() {
+        LOG.warnf(
+                "request %s: stream broken off after %d events: %s",
+                request.attemptId(), progress.events(), unread.describe());
+        context.metrics().countRefusal(0);
+        abandonAll();
+        finish();
+        unread.disconnect();
+    }
+
     private void abandonAll() {
         abandon(primary);
         abandon(hedge);
