A resumed stream is not complete before an event that a target had begun

Callers saw a stream as whole that ended before its last event: a target broke off within an event, or skipped one, and the target that was asked to continue responded with no event, or ended before the last event that the caller had. StreamRun.onComplete asked only whether the request had any event.

StreamProgress now keeps what was received of a later event and the run that ends is compared with it; if they contradict, the attempt fails and the stream breaks off visibly. After whole events alone, an empty continuation stays the end of the stream: the target may have broken off between its last event and the end mark, and the wire shows no difference.

--- a/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
@@ -77,6 +77,11 @@
         return pending.size() > 0;
     }
 
+    /** Returns the bytes of the incomplete event; empty if there is none. */
+    byte[] partialEvent() {
+        return pending.toByteArray();
+    }
+
     private static Event toEvent(byte[] bytes) {
         long id = Event.NO_ID;
         for (String line : new String(bytes, StandardCharsets.ISO_8859_1).split("\r?\n")) {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
@@ -43,6 +43,7 @@
     private HttpHeaders headers;
     private boolean framed;
     private int events;
+    private long lastId = EventStreamDecoder.Event.NO_ID;
     private boolean ended;
 
     /**
@@ -90,6 +91,7 @@
      */
     void start(RelayRequest request, String lastEventId, RequestHistory history) {
         hop.state().requestStarted();
+        lastId = StreamProgress.parseEventId(lastEventId);
         Disposable sent = hop.send(request, lastEventId, history, this::readResponse)
                 .subscribe(
                         c -> listener.runGuarded(() -> onChunk(c)),
@@ -118,6 +120,16 @@
         return headers;
     }
 
+    /** Returns the last event of the target, or the one after which it was asked to continue. */
+    long lastId() {
+        return lastId;
+    }
+
+    /** Returns the event that the target has begun and not finished; empty if there is none. */
+    byte[] partialEvent() {
+        return decoder.partialEvent();
+    }
+
     ResponseProgress progress() {
         return ResponseProgress.ofStream(headers != null, events);
     }
@@ -156,6 +168,7 @@
             for (EventStreamDecoder.Event e : decoder.decode(chunk.bytes())) {
                 if (!ended) {
                     events++;
+                    lastId = e.id() == EventStreamDecoder.Event.NO_ID ? lastId : e.id();
                     listener.onEvent(this, e);
                 }
             }
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamProgress.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamProgress.java
@@ -21,8 +21,11 @@
 /** The events of a stream that have been delivered to the client. Confined to one I/O thread. */
 final class StreamProgress {
 
+    private static final byte[] NONE = {};
+
     private String lastEventId;
     private long lastId = EventStreamDecoder.Event.NO_ID;
+    private byte[] interruptedEvent = NONE;
     private long deliveredAt;
     private long events;
     private long longestPauseMillis;
@@ -35,9 +38,7 @@
      */
     StreamProgress(String lastEventId) {
         this.lastEventId = lastEventId;
-        if (lastEventId != null) {
-            lastId = parseEventId(lastEventId);
-        }
+        this.lastId = parseEventId(lastEventId);
     }
 
     /** Returns whether an event follows the last one. */
@@ -66,6 +67,7 @@
             longestPauseMillis = Math.max(longestPauseMillis, now - deliveredAt);
         }
         deliveredAt = now;
+        interruptedEvent = NONE;
         events++;
         if (e.id() != EventStreamDecoder.Event.NO_ID) {
             lastId = e.id();
@@ -73,6 +75,28 @@
         }
     }
 
+    /**
+     * Records that a target has sent something of a later event, so that the stream does not end with the last one.
+     *
+     * @param lastIdBefore the event before it
+     * @param bytes what has been received of the event; empty for nothing
+     */
+    void recordInterruptedEvent(long lastIdBefore, byte[] bytes) {
+        if (bytes.length > 0 && lastIdBefore >= lastId) {
+            interruptedEvent = bytes;
+        }
+    }
+
+    /** Returns what has been received of an event after the last one; empty for nothing. */
+    byte[] interruptedEvent() {
+        return interruptedEvent;
+    }
+
+    /** Returns whether a run that ends after an event can have ended the stream. */
+    boolean mayEndAfter(long id) {
+        return interruptedEvent.length == 0 && id >= lastId;
+    }
+
     long events() {
         return events;
     }
@@ -99,7 +123,11 @@
         return firstEventMillis;
     }
 
-    private static long parseEventId(String text) {
+    /** Parses the id of an event; returns {@link EventStreamDecoder.Event#NO_ID} if it is null or no number. */
+    static long parseEventId(String text) {
+        if (text == null) {
+            return EventStreamDecoder.Event.NO_ID;
+        }
         try {
             return Long.parseLong(text);
         } catch (NumberFormatException e) {
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -249,6 +249,7 @@
             select(a);
             deliver(a, e);
         } else if (progress.isAfterGap(e)) {
+            progress.recordInterruptedEvent(progress.lastId(), e.bytes());
             a.fail(new AttemptFailure(Verdict.RAN, "event " + e.id() + " received after " + progress.lastId()));
         }
     }
@@ -307,6 +308,11 @@
             a.fail(AttemptFailure.truncated("the stream ended before its first event"));
             return;
         }
+        recordInterruptedEvent(other(a));
+        if (!progress.mayEndAfter(a.lastId())) {
+            a.fail(new AttemptFailure(Verdict.RAN, "the stream ended before an event that another target has begun"));
+            return;
+        }
         select(a);
         a.end();
         a.hop().state().recordSuccess();
@@ -330,11 +336,18 @@
         events.tryEmitComplete();
     }
 
+    private void recordInterruptedEvent(StreamAttempt a) {
+        if (a != null) {
+            progress.recordInterruptedEvent(a.lastId(), a.partialEvent());
+        }
+    }
+
     @Override
     public void onFailure(StreamAttempt a, AttemptFailure f) {
         if (f.isUnreachable() && !a.hop().isEntry()) {
             stallPolicy.reportUnreachable(a.hop().target());
         }
+        recordInterruptedEvent(a);
         primary = other(a);
         hedge = null;
         if (primary != null && !headSent && isKnownLost(primary)) {
--- a/serving/src/test/java/org/hallwall/serving/relay/RawResponse.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/RawResponse.java
@@ -33,9 +33,14 @@
 
     /** Sends a request without a body on a connection of its own. */
     static RawResponse request(int port, String version, RequestKind kind) throws IOException {
+        return request(port, version, kind, "");
+    }
+
+    /** Sends a request without a body and with more header fields, each ended by CR LF. */
+    static RawResponse request(int port, String version, RequestKind kind, String fields) throws IOException {
         try (Socket s = new Socket("127.0.0.1", port)) {
             s.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
-            write(s, version, kind);
+            write(s, version, kind, fields);
             StringBuilder out = new StringBuilder();
             boolean reset = false;
             try {
@@ -54,8 +59,13 @@
 
     /** Writes a request without a body. */
     static void write(Socket to, String version, RequestKind kind) throws IOException {
+        write(to, version, kind, "");
+    }
+
+    private static void write(Socket to, String version, RequestKind kind, String fields) throws IOException {
         String text = "POST /" + kind.name().toLowerCase(Locale.ROOT) + "/x " + version + "\r\nHost: 127.0.0.1\r\n"
-                + "X-Attempt: attempt-1\r\nX-Model: m\r\nX-Key: secret\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                + "X-Attempt: attempt-1\r\nX-Model: m\r\nX-Key: secret\r\nContent-Length: 0\r\n" + fields
+                + "Connection: close\r\n\r\n";
         to.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
 
