A 205 with a body is not passed on without it

Callers got 205, a success with the target's stamp, and no body where the target had sent one: the server library drops the body of a 205, for plain responses and event streams. The protocol has no content there, so the response is invalid and can't be returned whole: the attempt fails as one that has run and is retried where the route allows it. A 205 without a body, 204 and 304, also with bytes behind their head, are passed on as before; the table holds all of them.

--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedResponse.java
@@ -40,6 +40,14 @@
     /** The lowest status that is not a success. */
     private static final int MIN_NON_SUCCESS = 300;
 
+    /** Status of a response that has no content. */
+    private static final int RESET_CONTENT = 205;
+
+    /** Returns whether a response can be returned with its body; some statuses have none. */
+    static boolean mayHaveBody(int status) {
+        return status != RESET_CONTENT;
+    }
+
     static boolean isSuccess(int status) {
         return status < MIN_NON_SUCCESS;
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -183,6 +183,10 @@
     public void onResponse(BufferedAttempt a, BufferedResponse response) {
         attempts.recordResponse(a.hop());
         attempts.markAnswered();
+        if (response.body().length > 0 && !BufferedResponse.mayHaveBody(response.status())) {
+            onFailure(a, new AttemptFailure(Verdict.RAN, "the response has a body, status " + response.status()));
+            return;
+        }
         if (response.isFailure() || other(a) != null && !response.isSuccess()) {
             failedResponse = response;
             failedHop = a.hop();
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamAttempt.java
@@ -147,7 +147,8 @@
         framed = received.contains(HttpHeaderNames.CONTENT_LENGTH)
                 || received.contains(HttpHeaderNames.TRANSFER_ENCODING);
         if (received.get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM)
-                && BufferedResponse.isSuccess(status)) {
+                && BufferedResponse.isSuccess(status)
+                && BufferedResponse.mayHaveBody(status)) {
             return body.asByteArray().map(b -> new Chunk(b, false));
         }
         return BoundedBody.read(body, BufferedResponse.MAX_BODY_BYTES).map(b -> new Chunk(b, true));
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -284,6 +284,10 @@
     @Override
     public void onWholeResponse(StreamAttempt a, byte[] body) {
         attempts.recordResponse(a.hop());
+        if (body.length > 0 && !BufferedResponse.mayHaveBody(a.status())) {
+            a.fail(new AttemptFailure(Verdict.RAN, "the response has a body, status " + a.status()));
+            return;
+        }
         boolean retryable = BufferedResponse.isFailure(a.status()) && attempts.mayRetry();
         if (retryable || other(a) != null && !BufferedResponse.isSuccess(a.status())) {
             a.fail(new AttemptFailure(Verdict.RAN, "the target responded with status " + a.status()));
--- a/serving/src/test/java/org/hallwall/serving/relay/ScriptedRun.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedRun.java
@@ -54,6 +54,10 @@
     OK(200),
     NO_CONTENT(204, (c, head, run) -> c.send(head + "\r\n")),
     EMPTY_RESET_CONTENT(205, (c, head, run) -> c.send(head + "Content-Length: 0\r\n\r\n")),
+    /** No response in the protocol: the status has no content. */
+    RESET_CONTENT(205),
+    RESET_CONTENT_WITH_EVENTS(
+            205, (c, head, run) -> c.send(eventHead(head)).chunk(events(run)).send("0\r\n\r\n")),
     PARTIAL_CONTENT(206),
     NO_CONTENT_WITH_BYTES(204, (c, head, run) -> c.send(head + "Content-Length: 5\r\n\r\nhello")),
     NOT_MODIFIED(304, (c, head, run) -> c.send(head + "\r\n")),
@@ -137,6 +141,8 @@
                     HEAD_THEN_RESET,
                     RESET,
                     SILENCE,
+                    RESET_CONTENT,
+                    RESET_CONTENT_WITH_EVENTS,
                     REJECTED -> false;
             default -> true;
         };
