--- a/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/hallwall/cli/ExplainCommandTest.java
@@ -141,6 +141,26 @@
         Assertions.assertTrue(trace.get(2).contains("i-5/mx names a rate limit"));
     }
 
+    /** The target of a whole response is found, so that its own lines around that time are included. */
+    @Test
+    void explainsWholeResponse() throws IOException {
+        Path file = folder.resolve("all.log");
+        Files.writeString(
+                file,
+                String.join(
+                        "\n",
+                        jsonLine("00:00:00", "targets: i-2/mx is draining, nothing more is sent to it"),
+                        jsonLine("00:00:00", "targets: i-3/mx is draining, nothing more is sent to it"),
+                        jsonLine(
+                                "00:00:01",
+                                "request x on r-1: status 500 with 7 bytes in 31 ms from i-2 on connection 9828ca7b, 1 rejected")));
+        Assertions.assertEquals(ExitCode.SUCCESS, run("explain", "x", file.toString()));
+        List<String> trace = out.toString(StandardCharsets.UTF_8).lines().toList();
+        Assertions.assertEquals(2, trace.size(), trace::toString);
+        Assertions.assertTrue(trace.get(0).contains("i-2/mx is draining"));
+        Assertions.assertTrue(trace.get(1).contains("status 500 with 7 bytes"));
+    }
+
     private static String jsonLine(String time, String message) {
         return "{\"at\":\"2026-01-01T" + time + "Z\",\"level\":\"INFO\",\"part\":\"P\",\"message\":\"" + message
                 + "\"}";
