A stream whose last event has no id is not continued by another run

Callers could get the events of two runs in one stream, whole: if events have no id (or one that is no number), nothing says where a second run has to continue, so it started again and all its events were passed on behind those of the first. streamWithoutIdsIsNotResumed failed on the code before: "run-1, run-2, run-2", complete. StreamProgress knows now whether the last event has an id; without one, Attempts starts no further attempt, hedged ones included, and the stream breaks off visibly. Comments don't count, they carry no data.

--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -59,6 +59,7 @@
     private long retryAfterMillis;
     private RequestFeatures features;
     private SendKind nextSend;
+    private boolean repeatable = true;
 
     Attempts(RelayContext context, RelayRequest request) {
         this.context = context;
@@ -197,9 +198,15 @@
         return retryAfterMillis > 0 ? retryAfterMillis : context.candidates().retryAfterMillis(request);
     }
 
+    /** Sets whether another attempt could continue the response that the client has received so far. */
+    void setRepeatable(boolean value) {
+        repeatable = value;
+    }
+
     /** Returns whether the request may run once more besides the attempts in progress. */
     boolean mayRetry() {
-        return request.route().isRetryable()
+        return repeatable
+                && request.route().isRetryable()
                 && history.runs() + open.size() < request.route().maxAttempts();
     }
 
@@ -440,7 +447,7 @@
                 ? rejections() <= MAX_REJECTIONS
                 : request.route().isRetryable()
                         && history.runs() < request.route().maxAttempts();
-        if (!allowed) {
+        if (!allowed || !repeatable) {
             return RetryDecision.NOT_ALLOWED;
         }
         if (request.isForwarded() && f.verdict() != Verdict.NOT_RUN) {
--- a/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/EventStreamDecoder.java
@@ -110,5 +110,12 @@
 
         /** The id of events without a numeric id. */
         public static final long NO_ID = Long.MIN_VALUE;
+
+        /** Returns whether the event has no fields, as those that keep a connection alive. */
+        boolean isComment() {
+            return new String(bytes, StandardCharsets.ISO_8859_1)
+                    .lines()
+                    .allMatch(l -> l.isEmpty() || l.startsWith(":"));
+        }
     }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamProgress.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamProgress.java
@@ -27,6 +27,7 @@
     private long lastId = EventStreamDecoder.Event.NO_ID;
     private byte[] interruptedEvent = NONE;
     private long deliveredAt;
+    private boolean resumable = true;
     private long events;
     private long longestPauseMillis;
     private long firstEventMillis;
@@ -69,6 +70,9 @@
         deliveredAt = now;
         interruptedEvent = NONE;
         events++;
+        if (!e.isComment()) {
+            resumable = e.id() != EventStreamDecoder.Event.NO_ID;
+        }
         if (e.id() != EventStreamDecoder.Event.NO_ID) {
             lastId = e.id();
             lastEventId = Long.toString(e.id());
@@ -92,6 +96,11 @@
         return interruptedEvent;
     }
 
+    /** Returns whether the id of the last event says where another run has to continue. */
+    boolean isResumable() {
+        return resumable;
+    }
+
     /** Returns whether a run that ends after an event can have ended the stream. */
     boolean mayEndAfter(long id) {
         return interruptedEvent.length == 0 && id >= lastId;
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -261,6 +261,7 @@
             state.recordGap(now - Math.max(progress.deliveredAt(), a.startedAt()));
         }
         progress.record(e, now, request.receivedAt());
+        attempts.setRepeatable(progress.isResumable());
         if (progress.events() == 1) {
             context.metrics().recordFirstByte(progress.firstEventMillis());
             if (attempts.history().runs() == 0) {
--- a/serving/src/test/java/org/hallwall/serving/relay/ResponseOrderTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ResponseOrderTest.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -177,6 +178,30 @@
         Assertions.assertEquals(1, runs.size());
     }
 
+    /** Guards against events of two runs in one stream, where no id says with which event to go on. */
+    @Test
+    void streamWithoutIdsIsNotResumed() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\nContent-Type: text/event-stream\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n";
+        AtomicInteger started = new AtomicInteger();
+        for (int i = 0; i < 2; i++) {
+            ScriptedTarget t = new ScriptedTarget((r, c) -> {
+                int run = started.incrementAndGet();
+                c.send(head).chunk("data: run-" + run + "\n\n");
+                if (run == 1) {
+                    c.reset();
+                } else {
+                    c.chunk("data: run-" + run + "\n\n").send("0\r\n\r\n");
+                }
+            });
+            targets.add(t);
+            entry.add("llm", "i-llm" + i, t.port());
+        }
+        RawResponse r = RawResponse.request(entry.port(), "HTTP/1.1", RequestKind.STREAM);
+        Assertions.assertEquals("data: run-1\n\n", r.content());
+        Assertions.assertFalse(r.isComplete(), r::toString);
+    }
+
     /** Guards against a run that ignores Last-Event-Id and ends before the last event that the caller has. */
     @Test
     void shorterRunDoesNotCompleteAStream() throws Exception {
