--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -287,6 +287,7 @@
             state.recordGap(now - Math.max(progress.deliveredAt(), a.startedAt()));
         }
         progress.record(e, now, request.receivedAt());
+        attempts.setRepeatable(progress.isResumable());
         if (progress.events() == 1) {
             context.metrics().recordFirstByte(progress.firstEventMillis());
             if (attempts.history().runs() == 0) {
@@ -295,17 +296,25 @@
             }
         }
         state.recordProgress(now);
+        sendHead(a);
+        events.tryEmitNext(Unpooled.wrappedBuffer(e.bytes()));
+    }
+
+    private void sendHead(StreamAttempt a) {
         if (!headSent) {
             headSent = true;
             context.metrics().countResponse(a.status());
             head.tryEmitValue(new Head(a.status(), a.headers(), null));
         }
-        events.tryEmitNext(Unpooled.wrappedBuffer(e.bytes()));
     }
 
     @Override
     public void onWholeResponse(StreamAttempt a, byte[] body) {
         attempts.recordResponse(a.hop());
+        if (body.length > 0 && !BufferedResponse.mayHaveBody(a.status())) {
+            a.fail(new AttemptFailure(Verdict.RAN, "the response has a body, status " + a.status()));
+            return;
+        }
         boolean retryable = BufferedResponse.isFailure(a.status()) && attempts.mayRetry();
         if (retryable || other(a) != null && !BufferedResponse.isSuccess(a.status())) {
             a.fail(new AttemptFailure(Verdict.RAN, "the target responded with status " + a.status()));
@@ -330,13 +339,17 @@
 
     @Override
     public void onComplete(StreamAttempt a) {
-        if (progress.events() == 0) {
+        attempts.recordResponse(a.hop());
+        if (progress.events() == 0 && progress.lastEventId() == null) {
             a.fail(AttemptFailure.truncated("the stream ended before its first event"));
             return;
         }
         recordInterruptedEvent(other(a));
-        if (!progress.mayEndAfter(a.lastId())) {
-            a.fail(new AttemptFailure(Verdict.RAN, "the stream ended before an event that another target has begun"));
+        // another entry that has stalled may hold a part of the next event
+        boolean unknown = other(a) != null && other(a).hop().isEntry();
+        if (unknown || !progress.mayEndAfter(a.lastId())) {
+            a.fail(new AttemptFailure(
+                    Verdict.RAN, "the stream ended although another target may have begun a later event"));
             return;
         }
         select(a);
@@ -359,6 +372,7 @@
                 attempts.rejections(),
                 a.status(),
                 a.hop().connection().describe());
+        sendHead(a);
         events.tryEmitComplete();
     }
 
@@ -408,6 +422,10 @@
                     context.now() - request.receivedAt(),
                     reason);
             context.metrics().countRefusal(0);
+            if (request.isForwarded()) {
+                // the other entry must not take the last complete event for the end of the stream
+                events.tryEmitNext(Unpooled.wrappedBuffer(progress.interruptedEvent()));
+            }
             events.tryEmitError(new RelayRefusal(502, Verdict.RAN, reason, 0));
         } else {
             head.tryEmitError(attempts.toRefusal(reason));
