Engines: responses that are not a run are read up to a limit

What callers saw, beside an engine that sends a refusal without end: the entry kept all of it, until its memory was used up and the requests of other callers ended with it. Cause: EngineClient collected the text of refusals, and the responses to orders and cancellations, whole; runs were bounded by frame. Now 64 KiB are read; beyond, the connection is closed and the outcome is MAY_HAVE_RUN, since such a response can't be trusted to say that nothing ran.

--- a/engine/src/main/java/org/hallwall/engine/EngineClient.java
+++ b/engine/src/main/java/org/hallwall/engine/EngineClient.java
@@ -18,6 +18,7 @@
  */
 package org.hallwall.engine;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
@@ -35,6 +36,7 @@
 import org.hallwall.core.settings.Json;
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.core.verdict.Verdict;
+import reactor.core.Exceptions;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -49,6 +51,8 @@
     private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAX_CONNECTIONS = 4_096;
+    /** Maximum size of a response that is not a run, in bytes. */
+    private static final int MAX_TEXT_BYTES = 65_536;
 
     private final HttpClient http;
 
@@ -88,9 +92,9 @@
         return http.post()
                 .uri(uri(address, EnginePaths.ORDERS))
                 .send(body(order))
-                .responseSingle((res, bytes) -> bytes.asString()
-                        .defaultIfEmpty("")
+                .response((res, bytes) -> readText(bytes)
                         .flatMap(text -> isOk(res) ? Mono.<Void>empty() : Mono.error(refusal(res, text))))
+                .then()
                 .timeout(ORDER_TIMEOUT)
                 .onErrorMap(EngineClient::toEngineException);
     }
@@ -136,7 +140,8 @@
     public Mono<RunCancelled> cancelRun(NetAddress address, AttemptId attempt) {
         return http.delete()
                 .uri(uri(address, EnginePaths.RUNS + "/" + attempt))
-                .responseSingle((res, bytes) -> bytes.asString().flatMap(EngineClient::parseCancelled))
+                .response((res, bytes) -> readText(bytes).flatMap(EngineClient::parseCancelled))
+                .next()
                 .timeout(CANCEL_TIMEOUT)
                 .onErrorMap(EngineClient::toEngineException);
     }
@@ -152,7 +157,7 @@
 
     private static Flux<List<RunFrame>> decodeFrames(HttpClientResponse res, ByteBufFlux bytes) {
         if (!isOk(res)) {
-            return bytes.aggregate().asString().defaultIfEmpty("").flux().flatMap(t -> Flux.error(refusal(res, t)));
+            return readText(bytes).flux().flatMap(t -> Flux.error(refusal(res, t)));
         }
         RunFrameDecoder decoder = new RunFrameDecoder();
         return bytes.handle((b, sink) -> {
@@ -167,6 +172,22 @@
         });
     }
 
+    /** Reads a response that is not a run. If it is too large, reading is cancelled, which closes the connection. */
+    private static Mono<String> readText(ByteBufFlux bytes) {
+        return bytes.asByteArray()
+                .collect(ByteArrayOutputStream::new, EngineClient::append)
+                .map(out -> out.toString(StandardCharsets.UTF_8))
+                .onErrorMap(Exceptions::unwrap);
+    }
+
+    private static void append(ByteArrayOutputStream out, byte[] chunk) {
+        if (chunk.length > MAX_TEXT_BYTES - out.size()) {
+            throw Exceptions.propagate(new EngineException(
+                    Verdict.MAY_HAVE_RUN, "the engine sent a response of more than " + MAX_TEXT_BYTES + " bytes"));
+        }
+        out.writeBytes(chunk);
+    }
+
     private static boolean isOk(HttpClientResponse res) {
         return res.status().codeClass() == HttpStatusClass.SUCCESS;
     }
