--- a/program/src/main/java/org/hallwall/program/CorrelationHandler.java
+++ b/program/src/main/java/org/hallwall/program/CorrelationHandler.java
@@ -19,6 +19,7 @@
 package org.hallwall.program;
 
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.List;
 
 import io.netty.buffer.ByteBufHolder;
@@ -34,6 +35,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jboss.logging.Logger;
@@ -59,10 +61,10 @@
     private boolean closed;
     private boolean discarded;
     private String awaitedId;
-    private HttpMethod method;
     private int staleResponses;
     private long staleBytes;
     private int[] sentIds = new int[INITIAL_IDS];
+    private final BitSet headRequests = new BitSet();
     private int requests;
 
     /** The message whose parts are being read. */
@@ -81,13 +83,27 @@
 
     /** Returns whether a request with this id was sent; ids of the same hash code are not told apart. */
     boolean hasSent(String id) {
+        return indexOf(id) >= 0;
+    }
+
+    private int indexOf(String id) {
         int hash = id.hashCode();
         for (int i = 0; i < requests; i++) {
             if (sentIds[i] == hash) {
-                return true;
+                return i;
             }
         }
-        return false;
+        return -1;
+    }
+
+    /** Returns whether a request was sent before the latest one. */
+    boolean isReused() {
+        return requests > 1;
+    }
+
+    /** Returns whether a request was sent and its response has not begun. */
+    boolean isUnanswered() {
+        return awaiting && part != Part.AWAITED_RESPONSE;
     }
 
     /** Returns whether a response is awaited. */
@@ -95,28 +111,29 @@
         return awaiting;
     }
 
-    /** Returns whether a message is the awaited response to a HEAD request, which has no content. */
+    /** Returns whether a message is the response to a HEAD request, which has no content. */
     boolean isResponseToHead(HttpMessage response) {
-        return HttpMethod.HEAD.equals(method) && !isForOtherRequest(response);
+        int index = isForOtherRequest(response) ? indexOf(response.headers().get(idHeader)) : requests - 1;
+        return index >= 0 && headRequests.get(index);
     }
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         if (message instanceof HttpRequest r) {
             awaitedId = idHeader == null ? null : r.headers().get(idHeader);
-            method = r.method();
             awaiting = true;
             staleResponses = 0;
             staleBytes = 0;
-            recordRequest();
+            recordRequest(r.method());
         }
         super.write(context, message, promise);
     }
 
-    private void recordRequest() {
+    private void recordRequest(HttpMethod method) {
         if (requests == sentIds.length) {
             sentIds = Arrays.copyOf(sentIds, 2 * requests);
         }
+        headRequests.set(requests, HttpMethod.HEAD.equals(method));
         sentIds[requests++] = awaitedId == null ? 0 : awaitedId.hashCode();
     }
 
@@ -197,6 +214,12 @@
             fail(context, "the response belongs to a request that was not sent on the connection");
             return false;
         }
+        if (!decoder.isContentAlwaysEmpty(r)
+                && !HttpUtil.isContentLengthSet(r)
+                && !HttpUtil.isTransferEncodingChunked(r)) {
+            fail(context, "a response to an earlier request ends with the connection");
+            return false;
+        }
         if (staleResponses > MAX_STALE_RESPONSES) {
             fail(context, "more than " + MAX_STALE_RESPONSES + " responses belong to earlier requests");
             return false;
@@ -224,6 +247,7 @@
     }
 
     private void discard(ChannelHandlerContext context, Object message) {
+        boolean malformed = ((HttpObject) message).decoderResult().isFailure();
         if (message instanceof ByteBufHolder h) {
             staleBytes += h.content().readableBytes();
         }
@@ -232,7 +256,9 @@
         }
         ReferenceCountUtil.release(message);
         discarded = true;
-        if (staleBytes > MAX_STALE_BYTES) {
+        if (malformed) {
+            fail(context, "a response to an earlier request is malformed");
+        } else if (staleBytes > MAX_STALE_BYTES) {
             fail(context, "responses of more than " + MAX_STALE_BYTES + " bytes belong to earlier requests");
         }
     }
--- a/program/src/main/java/org/hallwall/program/LingeringClose.java
+++ b/program/src/main/java/org/hallwall/program/LingeringClose.java
@@ -100,13 +100,18 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-            if (lingering) {
+            CorrelationHandler correlation = context.pipeline().get(CorrelationHandler.class);
+            if (correlation == null && lingering) {
                 ReferenceCountUtil.release(message);
                 context.close();
                 return;
             }
-            awaitingResponse = false;
             super.channelRead(context, message);
+            // bytes of a stale response do not show that the peer has read the request
+            awaitingResponse = correlation != null && correlation.isUnanswered();
+            if (lingering && !awaitingResponse) {
+                context.close();
+            }
         }
 
         @Override
--- a/program/src/main/java/org/hallwall/program/ResponseCorrelation.java
+++ b/program/src/main/java/org/hallwall/program/ResponseCorrelation.java
@@ -94,6 +94,16 @@
         return Optional.ofNullable(reason.get()).map(ConnectionNotReusableException::new);
     }
 
+    /**
+     * Returns whether other requests were sent on a connection before the latest one, so that a response may belong to any of them.
+     *
+     * @param channel the connection
+     * @return true if the connection was used before
+     */
+    public static boolean isReused(Channel channel) {
+        return channel.pipeline().get(CorrelationHandler.class).isReused();
+    }
+
     private static String findConflict(Channel channel, String id) {
         if (!channel.isActive()) {
             return "the connection is closed";
--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
@@ -22,6 +22,7 @@
 
 import io.netty.channel.Channel;
 import org.hallwall.program.LingeringClose;
+import org.hallwall.program.ResponseCorrelation;
 
 /** The connection on which one attempt is sent. Confined to the I/O thread. */
 final class AttemptConnection {
@@ -43,6 +44,11 @@
         return channel == null ? "-" : channel.id().asShortText();
     }
 
+    /** Returns whether other requests were sent on the connection before. */
+    boolean isReused() {
+        return ResponseCorrelation.isReused(channel);
+    }
+
     /** Returns the address of the recipient. */
     SocketAddress peer() {
         return channel.remoteAddress();
--- a/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/TargetClient.java
@@ -172,7 +172,7 @@
                     r.header(names.deadlineMillis(), Long.toString(request.remainingMillis(now)));
                     return out.send(Mono.just(Unpooled.wrappedBuffer(request.body())));
                 })
-                .response((head, body) -> readResponse(target, request, sentAt.get(), head, body, reader));
+                .response((head, body) -> readResponse(hop, request, sentAt.get(), head, body, reader));
         return ResponseCorrelation.retryOnOtherConnections(
                         response, () -> sentAt.get() != NOT_SENT, MAX_CONNECTIONS_PER_TARGET)
                 .onErrorMap(
@@ -192,12 +192,13 @@
     }
 
     private <T> Publisher<T> readResponse(
-            ServingTarget target,
+            TargetHop hop,
             RelayRequest request,
             long sentAt,
             HttpClientResponse head,
             ByteBufFlux body,
             ResponseReader<T> reader) {
+        ServingTarget target = hop.target();
         int status = head.status().code();
         links.reachability().recordContact(target.instance(), sentAt);
         links.detector().recordReceived();
@@ -212,6 +213,9 @@
         if (echoed != null && !echoed.equals(request.attemptId())) {
             return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response belongs to another request"));
         }
+        if (echoed == null && hop.connection().isReused()) {
+            return Flux.error(new AttemptFailure(Verdict.MAY_HAVE_RUN, "the response has no attempt id"));
+        }
         if (status == MISDIRECTED) {
             return Flux.error(AttemptFailure.misdirected("another target responded, status " + status));
         }
