ControlNodeTest: a port that is free at the addresses of all members

The test asked for a free port at 127.0.0.1 alone and used it at six addresses, of which the process tests use the same at that moment; who held the port wasn't recorded. The port is now checked at all of them.

--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -19,6 +19,7 @@
 package org.hallwall.serving.control;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -76,6 +77,10 @@
 
     private static final Duration UNKNOWN_COUNT = Duration.ofSeconds(4);
 
+    /** The largest number of members in a test. */
+    private static final int MAX_MEMBERS = 6;
+
+    private static final int MAX_PORT_ATTEMPTS = 100;
     private static final TargetGateway NO_TARGETS = new TargetGateway() {
         @Override
         public Mono<OrderOutcome> sendOrder(TargetRecord t, TargetOrder o, long token, Duration timeout) {
@@ -110,10 +115,31 @@
         nodes.values().forEach(ControlNode::close);
     }
 
+    /** Returns a port that is free at the addresses of all members. */
     private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
+        for (int attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+            try (ServerSocket s = new ServerSocket(0, 1, address(1))) {
+                if (isFreeAtOtherMembers(s.getLocalPort())) {
+                    return s.getLocalPort();
+                }
+            }
         }
+        throw new IOException("no port is free at all addresses");
+    }
+
+    private static boolean isFreeAtOtherMembers(int port) throws IOException {
+        for (int n = 2; n <= MAX_MEMBERS; n++) {
+            try (ServerSocket s = new ServerSocket(port, 1, address(n))) {
+                Assertions.assertEquals(port, s.getLocalPort());
+            } catch (BindException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static InetAddress address(int n) throws IOException {
+        return InetAddress.getByName("127.0.0." + n);
     }
 
     private ControlMember member(int n) {
