--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -150,7 +150,19 @@
                 other.begun().stream().filter(t -> likelier || !s.isCloseTo(t)).forEach(attributed::add);
             }
         }
-        return s.targets().stream().filter(t -> !attributed.contains(t)).count() >= HOLD_THRESHOLD;
+        List<InstanceId> own =
+                s.targets().stream().filter(t -> !attributed.contains(t)).toList();
+        boolean hold = own.size() >= HOLD_THRESHOLD;
+        if (!hold) {
+            LOG.infof(
+                    "crashes: %s %s is not held back: of %d crashes %s are not attributed to others%s",
+                    s.digest().kind().label(),
+                    s.digest(),
+                    s.targets().size(),
+                    own,
+                    s.proven() ? ", it was answered before" : "");
+        }
+        return hold;
     }
 
     /** Returns whether a prompt part that no target has answered yet is suspected rather than one that targets answered earlier. */
@@ -175,7 +187,11 @@
             return;
         }
         remove(d);
-        if (s.held()) {
+        if (!s.held()) {
+            LOG.infof(
+                    "crashes: %s %s is no longer suspected after %d crashes: a target has survived it",
+                    d.kind().label(), d, s.targets().size());
+        } else {
             LOG.warnf(
                     "crashes: %s %s is no longer held back: a target has survived it",
                     d.kind().label(), d);
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -109,7 +109,7 @@
         update.changed().stream()
                 .map(Suspect::digest)
                 .filter(d -> answers.isRecent(d, now))
-                .forEach(d -> recordAnswered(List.of(d)));
+                .forEach(d -> recordAnswered(List.of(d), "answered here before the report"));
         update.changed().stream().filter(s -> !s.proven()).forEach(this::reportIfProven);
     }
 
@@ -275,8 +275,17 @@
      */
     public void recordCrash(InstanceId target) {
         long now = ticker.millis();
-        CrashedTarget crash = withoutAnswered(failures.removeTarget(target, now), now);
+        CrashedTarget whole = failures.removeTarget(target, now);
+        CrashedTarget crash = withoutAnswered(whole, now);
         List<Fingerprint> running = crash.running();
+        if (running.size() < whole.running().size()) {
+            LOG.infof(
+                    "crashes: target %s has ended, not counted against what was answered recently: %s",
+                    target,
+                    firstOf(whole.running().stream()
+                            .filter(f -> !running.contains(f))
+                            .toList()));
+        }
         if (running.isEmpty()) {
             return;
         }
@@ -315,36 +324,37 @@
     /**
      * Records that a target has established a response, which shows that it does not crash on the prompt.
      *
+     * @param target the target's start
      * @param features the request, or null if it was not digested
      */
-    public void recordEstablished(RequestFeatures features) {
+    public void recordEstablished(InstanceId target, RequestFeatures features) {
         if (features != null) {
-            recordAnswered(features.promptParts());
+            recordAnswered(features.promptParts(), "survived by target " + target);
         }
     }
 
     /**
      * Records that a target has answered a request.
      *
+     * @param target the target's start
      * @param features the request, or null if it was not digested
      */
-    public void recordAnswer(RequestFeatures features) {
+    public void recordAnswer(InstanceId target, RequestFeatures features) {
         if (features != null) {
-            recordAnswered(List.of(features.request()));
+            recordAnswered(List.of(features.request()), "answered by target " + target);
         }
     }
 
-    private void recordAnswered(List<Fingerprint> answered) {
+    private void recordAnswered(List<Fingerprint> answered, String reason) {
         long now = ticker.millis();
         answered.forEach(f -> answers.add(f, now));
         failures.removeAnswered(answered);
-        boolean survived = false;
-        for (Fingerprint f : answered) {
-            survived |= suspectView.removeSuspect(f)
-                    && unreportedSurvivors.size() < MAX_UNREPORTED_SURVIVORS
-                    && unreportedSurvivors.add(f);
-        }
-        if (survived) {
+        List<Fingerprint> survived = answered.stream()
+                .filter(suspectView::removeSuspect)
+                .filter(f -> unreportedSurvivors.size() < MAX_UNREPORTED_SURVIVORS && unreportedSurvivors.add(f))
+                .toList();
+        if (!survived.isEmpty()) {
+            LOG.infof("crashes: no longer suspected, %s: %s", reason, firstOf(survived));
             report();
         }
     }
@@ -352,7 +362,10 @@
     /** Checks unresolved failures for confirmed crashes and retries reports; called several times a second. */
     public void tick() {
         long now = ticker.millis();
-        failures.removeExpired(now);
+        for (InstanceId target : failures.removeExpired(now)) {
+            LOG.infof(
+                    "crashes: no end of target %s was confirmed, its failed requests are no longer suspected", target);
+        }
         Set<InstanceId> unresolved = failures.targets();
         nextProbeAt.keySet().retainAll(unresolved);
         for (InstanceId target : unresolved) {
--- a/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
@@ -114,8 +114,14 @@
         }
     }
 
-    void removeExpired(long now) {
+    /** Removes failures that no check has confirmed in time; returns their targets. */
+    Set<InstanceId> removeExpired(long now) {
+        Set<InstanceId> expired = byTarget.entrySet().stream()
+                .filter(t -> t.getValue().stream().anyMatch(f -> now > f.expiresAt()))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
         removeIf(f -> now > f.expiresAt());
+        return expired;
     }
 
     private void removeIf(Predicate<Failure> filter) {
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -356,13 +356,13 @@
     }
 
     /** Records that the target of the current attempt has written enough of the response to have survived the prompt. */
-    void markEstablished() {
-        context.crashWatch().recordEstablished(features());
+    void markEstablished(NextHop hop) {
+        context.crashWatch().recordEstablished(hop.target().instance(), features());
     }
 
     /** Records that the target of the current attempt has responded. */
-    void markAnswered() {
-        context.crashWatch().recordAnswer(features());
+    void markAnswered(NextHop hop) {
+        context.crashWatch().recordAnswer(hop.target().instance(), features());
     }
 
     /** Determines the features on first use; null until the key is known. */
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -195,7 +195,7 @@
     @Override
     public void onResponse(BufferedAttempt a, BufferedResponse response) {
         attempts.recordResponse(a.hop());
-        attempts.markAnswered();
+        attempts.markAnswered(a.hop());
         if (response.body().length > 0 && !BufferedResponse.mayHaveBody(response.status())) {
             onFailure(a, new AttemptFailure(Verdict.RAN, "the response has a body, status " + response.status()));
             return;
@@ -207,7 +207,7 @@
             return;
         }
         if (response.isSuccess()) {
-            attempts.markEstablished();
+            attempts.markEstablished(a.hop());
         }
         a.hop().state().recordSuccess();
         context.metrics().countAttempt("answered");
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -265,7 +265,7 @@
     public void onEvent(StreamAttempt a, EventStreamDecoder.Event e) {
         attempts.recordResponse(a.hop());
         if (a.hasJustEstablished()) {
-            attempts.markEstablished();
+            attempts.markEstablished(a.hop());
         }
         if (progress.isNext(e)) {
             select(a);
@@ -326,9 +326,9 @@
         }
         select(a);
         a.end();
-        attempts.markAnswered();
+        attempts.markAnswered(a.hop());
         if (BufferedResponse.isSuccess(a.status())) {
-            attempts.markEstablished();
+            attempts.markEstablished(a.hop());
         }
         finish();
         attempts.logResponse(a.hop(), a.status(), body.length);
@@ -355,8 +355,8 @@
         select(a);
         a.end();
         a.hop().state().recordSuccess();
-        attempts.markAnswered();
-        attempts.markEstablished();
+        attempts.markAnswered(a.hop());
+        attempts.markEstablished(a.hop());
         context.metrics().countAttempt("answered");
         finish();
         LOG.infof(
--- a/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
@@ -337,6 +337,7 @@
         private final Set<InstanceId> brokenOffBy = new HashSet<>();
         private final Set<InstanceId> brokenOffAtStart = new HashSet<>();
         private ResponseProgress progress = ResponseProgress.NONE;
+        private InstanceId target;
         private int attempts;
 
         Call(Request request, int tries, Entry entry) {
@@ -356,6 +357,7 @@
             progress = ResponseProgress.NONE;
             recordSend();
             Target t = running.get(random.nextInt(running.size()));
+            target = t.start();
             at(NETWORK_DELAY_MILLIS, () -> t.receive(this));
         }
 
@@ -375,12 +377,12 @@
         void established() {
             if (progress == ResponseProgress.BEGUN) {
                 progress = ResponseProgress.ESTABLISHED;
-                entry.watch.recordEstablished(features);
+                entry.watch.recordEstablished(target, features);
             }
         }
 
         void answered() {
-            entry.watch.recordAnswer(features);
+            entry.watch.recordAnswer(target, features);
         }
 
         void refused() {
