Crash evidence: an answer counts once its target has outlived it, and only against the crashes before it

What callers saw: requests with a part that crashes targets went on to targets without end where the part had been answered before, or where targets wrote two events or more, or the whole response, before they ended; 20 to 25 in 100 sound requests failed beside it.

Cause: accusation and exoneration had no common measure. One response of two events, or a short whole one, cleared a part with all its crashes, whenever it had begun and though its target ended milliseconds later; such an end accused nobody; and a part that was answered earlier lost its crashes to each held request that had it.

An exoneration names the version of the suspects at which the answer began; later crashes stay. Names are only added to the messages and to stored data.

--- a/integration/src/test/java/org/hallwall/integration/StoredDataTest.java
+++ b/integration/src/test/java/org/hallwall/integration/StoredDataTest.java
@@ -118,7 +118,8 @@
         byte[] bytes = Files.readAllBytes(STORED.resolve("suspects-command"));
         CrashCommand command = CrashCommand.read(bytes);
         CrashedTarget crashed = new CrashedTarget(new InstanceId("target-5"), List.of(new Fingerprint("digest-2")));
-        assertEquals(CrashCommand.report(2000, List.of(crashed), List.of(new Fingerprint("digest-1"))), command);
+        assertEquals(
+                CrashCommand.report(2000, List.of(crashed), List.of(new Fingerprint("digest-1")), List.of()), command);
         assertArrayEquals(bytes, command.bytes());
     }
 
--- a/serving/src/main/java/org/hallwall/serving/control/CrashService.java
+++ b/serving/src/main/java/org/hallwall/serving/control/CrashService.java
@@ -85,7 +85,8 @@
         if (!voter.holdsLease()) {
             return Mono.just(new CrashReportResult(false, 0));
         }
-        return propose(CrashCommand.report(wallClock.getAsLong(), report.ended(), report.survived()))
+        return propose(CrashCommand.report(
+                        wallClock.getAsLong(), report.ended(), report.survived(), report.exonerations()))
                 .map(done -> new CrashReportResult(true, ledger.version()))
                 .onErrorResume(e -> {
                     LOG.warnf("crashes: a report on crashed targets was not committed, %s", e.getMessage());
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashCommand.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashCommand.java
@@ -22,6 +22,7 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -31,14 +32,25 @@
  * @param at the leader's wall clock in milliseconds since the epoch; all voters apply this time
  * @param key the digest key, set once
  * @param ended crashed targets and the requests that they were running
- * @param survived suspects that a target has answered since
+ * @param survived suspects that a target has answered, in reports of earlier versions; all their crashes are dropped
  * @param trial a held request that a caller has sent again
+ * @param exonerations answers to suspects
  */
 public record CrashCommand(
-        long at, byte[] key, List<CrashedTarget> ended, List<Fingerprint> survived, Fingerprint trial) {
+        long at,
+        byte[] key,
+        List<CrashedTarget> ended,
+        List<Fingerprint> survived,
+        Fingerprint trial,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Exoneration> exonerations) {
 
     private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
 
+    /** Reads commands of earlier versions. */
+    public CrashCommand {
+        exonerations = exonerations == null ? List.of() : exonerations;
+    }
+
     /**
      * Creates a command that sets the digest key.
      *
@@ -47,7 +59,7 @@
      * @return the command
      */
     public static CrashCommand key(long at, byte[] key) {
-        return new CrashCommand(at, key, List.of(), List.of(), null);
+        return new CrashCommand(at, key, List.of(), List.of(), null, List.of());
     }
 
     /**
@@ -55,11 +67,13 @@
      *
      * @param at the wall clock in milliseconds
      * @param ended crashed targets
-     * @param survived suspects that a target has answered
+     * @param survived suspects that a target has answered, in reports of earlier versions
+     * @param exonerations answers to suspects
      * @return the command
      */
-    public static CrashCommand report(long at, List<CrashedTarget> ended, List<Fingerprint> survived) {
-        return new CrashCommand(at, null, ended, survived, null);
+    public static CrashCommand report(
+            long at, List<CrashedTarget> ended, List<Fingerprint> survived, List<Exoneration> exonerations) {
+        return new CrashCommand(at, null, ended, survived, null, exonerations);
     }
 
     /**
@@ -70,7 +84,7 @@
      * @return the command
      */
     public static CrashCommand trial(long at, Fingerprint digest) {
-        return new CrashCommand(at, null, List.of(), List.of(), digest);
+        return new CrashCommand(at, null, List.of(), List.of(), digest, List.of());
     }
 
     /**
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashLedger.java
@@ -24,10 +24,8 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.hallwall.core.id.InstanceId;
 import org.jboss.logging.Logger;
@@ -54,10 +52,10 @@
     static final int UNCONDITIONAL_HOLD_THRESHOLD = 4;
 
     /**
-     * Crashes from which a prompt part that targets answered earlier is held although other parts may account for them.
-     * Several crashing parts, each with fewer crashes than the hold threshold, may share a sound one until then.
+     * Crashes that hold a prompt part if the targets had written a part of the response to each. When many targets crash at once, a few
+     * of them have always just answered the same part.
      */
-    static final int PROVEN_HOLD_THRESHOLD = 9;
+    static final int ESTABLISHED_HOLD_THRESHOLD = 5;
 
     /** A suspect not seen for a day is dropped; jobs scheduled daily are still recognised. */
     private static final long EXPIRY_MILLIS = 86_400_000;
@@ -97,7 +95,8 @@
         }
         removeExpired(c.at());
         c.ended().forEach(e -> applyCrash(e, c.at()));
-        c.survived().forEach(d -> applySurvival(d, c.at()));
+        c.survived().forEach(d -> applyExoneration(new Exoneration(d, Long.MAX_VALUE), c.at()));
+        c.exonerations().forEach(e -> applyExoneration(e, c.at()));
         return c.trial() != null && applyTrial(c.trial(), c.at());
     }
 
@@ -125,6 +124,7 @@
         for (ReplicatedSuspect s : candidates) {
             if (!s.held() && shouldHold(s)) {
                 suspects.put(s.digest(), s.withHold(at, ++version));
+                releaseExplained(s);
                 LOG.warnf(
                         "crashes: %s %s is held back: %s ended under it, none survived it",
                         s.digest().kind().label(), s.digest(), s.targets());
@@ -132,6 +132,25 @@
         }
     }
 
+    /** Releases prompt parts that were held before, if the crashes of a part with more of them account for theirs. */
+    private void releaseExplained(ReplicatedSuspect newlyHeld) {
+        List<ReplicatedSuspect> explained = suspects.values().stream()
+                .filter(s -> s.held() && s.digest().kind() == Fingerprint.Kind.PROMPT_PART)
+                .filter(s -> !s.digest().equals(newlyHeld.digest()))
+                .filter(s -> new CrashAttribution(suspects.values())
+                                .crashesBesideLargerHeldParts(s)
+                                .size()
+                        < HOLD_THRESHOLD)
+                .sorted(Comparator.comparing(ReplicatedSuspect::digest))
+                .toList();
+        for (ReplicatedSuspect s : explained) {
+            suspects.put(s.digest(), s.withoutHold(++version));
+            LOG.warnf(
+                    "crashes: prompt part %s is no longer held back: %s accounts for its crashes",
+                    s.digest(), newlyHeld.digest());
+        }
+    }
+
     private boolean shouldHold(ReplicatedSuspect s) {
         if (s.targets().size() < HOLD_THRESHOLD) {
             return false;
@@ -140,19 +159,9 @@
         if (request && s.targets().size() >= UNCONDITIONAL_HOLD_THRESHOLD) {
             return true;
         }
-        Set<InstanceId> attributed = new HashSet<>();
-        for (ReplicatedSuspect other : suspects.values()) {
-            if (other.held() && !accountsForMoreThan(s, other)) {
-                attributed.addAll(other.targets());
-            }
-            if (!other.digest().equals(s.digest())) {
-                boolean likelier = isLikelierThan(other, s);
-                other.begun().stream().filter(t -> likelier || !s.isCloseTo(t)).forEach(attributed::add);
-            }
-        }
-        List<InstanceId> own =
-                s.targets().stream().filter(t -> !attributed.contains(t)).toList();
-        boolean hold = own.size() >= HOLD_THRESHOLD;
+        List<InstanceId> own = new CrashAttribution(suspects.values()).ownCrashes(s);
+        boolean weak = !request && s.established().containsAll(own);
+        boolean hold = own.size() >= (weak ? ESTABLISHED_HOLD_THRESHOLD : HOLD_THRESHOLD);
         if (!hold) {
             LOG.infof(
                     "crashes: %s %s is not held back: of %d crashes %s are not attributed to others%s",
@@ -165,33 +174,27 @@
         return hold;
     }
 
-    /** Returns whether a prompt part that no target has answered yet is suspected rather than one that targets answered earlier. */
-    private static boolean isLikelierThan(ReplicatedSuspect other, ReplicatedSuspect s) {
-        return s.proven()
-                && s.targets().size() < PROVEN_HOLD_THRESHOLD
-                && !other.proven()
-                && other.digest().kind() == Fingerprint.Kind.PROMPT_PART;
-    }
-
-    /** Returns whether a prompt part ran on all targets of another suspect that crashed, and on a further one. */
-    private static boolean accountsForMoreThan(ReplicatedSuspect s, ReplicatedSuspect other) {
-        return s.digest().kind() == Fingerprint.Kind.PROMPT_PART
-                && !s.proven()
-                && s.targets().size() > other.targets().size()
-                && s.targets().containsAll(other.targets());
-    }
-
-    private void applySurvival(Fingerprint d, long at) {
-        ReplicatedSuspect s = suspects.get(d);
-        if (s == null) {
+    private void applyExoneration(Exoneration e, long at) {
+        Fingerprint d = e.digest();
+        ReplicatedSuspect before = suspects.get(d);
+        if (before == null || !before.hasCrashUntil(e.version())) {
             return;
         }
-        remove(d);
-        if (!s.held()) {
-            LOG.infof(
-                    "crashes: %s %s is no longer suspected after %d crashes: a target has survived it",
-                    d.kind().label(), d, s.targets().size());
+        ReplicatedSuspect after = before.withoutCrashesUntil(e.version(), HOLD_THRESHOLD, version + 1);
+        if (after.targets().isEmpty()) {
+            remove(d);
         } else {
+            version++;
+            suspects.put(d, after);
+        }
+        LOG.infof(
+                "crashes: %s %s was answered at version %d: %d of %d crashes still count",
+                d.kind().label(),
+                d,
+                e.version(),
+                after.targets().size(),
+                before.targets().size());
+        if (before.held() && !after.held()) {
             LOG.warnf(
                     "crashes: %s %s is no longer held back: a target has survived it",
                     d.kind().label(), d);
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashPeers.java
@@ -62,10 +62,10 @@
      * Reports crashes and answered suspects to the log.
      *
      * @param ended crashed targets and the requests that they were running
-     * @param survived suspects that a target has answered
+     * @param exonerations answers to suspects
      * @return the version of the suspects that includes the report; empty if it was not committed, never an error
      */
-    Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived);
+    Mono<Long> report(List<CrashedTarget> ended, List<Exoneration> exonerations);
 
     /**
      * Requests a trial of a held request.
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashWatch.java
@@ -22,11 +22,12 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.stream.Collectors;
 
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.core.time.Ticker;
@@ -53,7 +54,7 @@
 
     private static final int MAX_LOGGED_DIGESTS = 8;
 
-    private static final int MAX_UNREPORTED_SURVIVORS = 1_024;
+    private static final int MAX_UNREPORTED_EXONERATIONS = 1_024;
 
     /** Maximum number of fingerprints in the report on one target; known suspects are reported first. */
     private static final int MAX_FINGERPRINTS_PER_CRASH = 1_024;
@@ -64,9 +65,10 @@
     private final SuspectView suspectView = new SuspectView();
     private final UnresolvedFailures failures = new UnresolvedFailures();
     private final AnswerHistory answers = new AnswerHistory();
+    private final UnconfirmedAnswers unconfirmed = new UnconfirmedAnswers();
     private final HoldBack holdBack;
     private final List<CrashedTarget> unreportedCrashes = new ArrayList<>();
-    private final Set<Fingerprint> unreportedSurvivors = new LinkedHashSet<>();
+    private final Map<Fingerprint, Long> unreportedExonerations = new LinkedHashMap<>();
     private final Set<InstanceId> probing = new HashSet<>();
     private final Set<InstanceId> confirming = new HashSet<>();
     private final Map<InstanceId, Long> nextProbeAt = new HashMap<>();
@@ -105,11 +107,14 @@
         heldCount = suspectView.heldCount();
         long now = ticker.millis();
         holdBack.forgetReleased();
-        // a suspect reported by another entry may have been answered here recently
-        update.changed().stream()
+        // a suspect reported by another entry may have been answered here just before
+        Set<Fingerprint> tentative = unconfirmed.answeredTentatively(now);
+        List<Fingerprint> recent = update.changed().stream()
+                .filter(s -> !isHeldPart(s.digest()))
                 .map(Suspect::digest)
-                .filter(d -> answers.isRecent(d, now))
-                .forEach(d -> recordAnswered(List.of(d), "answered here before the report"));
+                .filter(d -> answers.isRecent(d, now) || tentative.contains(d))
+                .toList();
+        exonerate(recent, new ResponseStart(null, version, now), "answered here just before the report");
         update.changed().stream().filter(s -> !s.proven()).forEach(this::reportIfProven);
     }
 
@@ -215,7 +220,9 @@
         if (features == null) {
             return;
         }
-        failures.add(target, features, progress, ticker.millis());
+        long now = ticker.millis();
+        failures.add(target, features, progress, now);
+        unconfirmed.doubt(target, now);
         if (probing.add(target)) {
             peers.isResponding(target)
                     .subscribe(responding -> io.execute(() -> {
@@ -227,6 +234,22 @@
         }
     }
 
+    /**
+     * Records that a target has closed a connection just after a response on it, and probes whether it has crashed.
+     *
+     * @param target the target's start
+     */
+    public void recordCloseAfterResponse(InstanceId target) {
+        long now = ticker.millis();
+        if (!unconfirmed.contains(target)) {
+            return;
+        }
+        unconfirmed.doubt(target, now);
+        if (now >= nextProbeAt.getOrDefault(target, 0L)) {
+            probe(target, now);
+        }
+    }
+
     /**
      * Records that this entry has abandoned a request, for example after a timeout, while the target may still run it.
      *
@@ -254,7 +277,8 @@
      * be lost, and the target may be running.
      */
     private void confirmCrash(InstanceId target) {
-        if (!failures.targets().contains(target) || !confirming.add(target)) {
+        boolean suspected = failures.targets().contains(target) || unconfirmed.contains(target);
+        if (!suspected || !confirming.add(target)) {
             return;
         }
         peers.reachesNeighbours(target)
@@ -275,7 +299,8 @@
      */
     public void recordCrash(InstanceId target) {
         long now = ticker.millis();
-        CrashedTarget whole = failures.removeTarget(target, now);
+        acceptConfirmed(now);
+        CrashedTarget whole = failures.removeTarget(target, now).withAnswers(unconfirmed.removeTarget(target, now));
         CrashedTarget crash = withoutAnswered(whole, now);
         List<Fingerprint> running = crash.running();
         if (running.size() < whole.running().size()) {
@@ -292,7 +317,7 @@
         LOG.infof(
                 "crashes: target %s has ended under %d requests and prompt parts: %s, just begun: %s",
                 target, running.size(), firstOf(running), firstOf(crash.begun()));
-        suspectView.addCrash(crash);
+        suspectView.addCrash(crash, now);
         if (unreportedCrashes.stream().mapToInt(e -> e.running().size()).sum() < SuspectView.MAX_UNLOGGED) {
             unreportedCrashes.add(crash);
         }
@@ -305,10 +330,11 @@
         return all.stream().limit(MAX_LOGGED_DIGESTS).toList();
     }
 
-    /** Returns a crash without what targets have answered recently. */
+    /** Returns a crash without what other targets have answered recently. */
     private CrashedTarget withoutAnswered(CrashedTarget crash, long now) {
+        Set<Fingerprint> answeredElsewhere = unconfirmed.answeredElsewhere(crash.target());
         List<Fingerprint> running = crash.running().stream()
-                .filter(f -> !answers.isRecent(f, now))
+                .filter(f -> !answers.isRecent(f, now) && !answeredElsewhere.contains(f))
                 .sorted(Comparator.comparing(f -> !suspectView.isSuspect(f)))
                 .limit(MAX_FINGERPRINTS_PER_CRASH)
                 .toList();
@@ -322,41 +348,105 @@
     }
 
     /**
-     * Records that a target has established a response, which shows that it does not crash on the prompt.
+     * Returns the start of a response that a target begins to write now.
      *
      * @param target the target's start
+     * @return the start of the response
+     */
+    public ResponseStart startResponse(InstanceId target) {
+        return new ResponseStart(target, version, ticker.millis());
+    }
+
+    /**
+     * Records that a target has established a response, which shows that it does not crash on the prompt if it goes on running.
+     *
+     * @param start when the target began to write the response
      * @param features the request, or null if it was not digested
      */
-    public void recordEstablished(InstanceId target, RequestFeatures features) {
+    public void recordEstablished(ResponseStart start, RequestFeatures features) {
         if (features != null) {
-            recordAnswered(features.promptParts(), "survived by target " + target);
+            recordAnswered(start, features.promptParts());
         }
     }
 
     /**
      * Records that a target has answered a request.
      *
-     * @param target the target's start
+     * @param start when the target began to write the response
      * @param features the request, or null if it was not digested
      */
-    public void recordAnswer(InstanceId target, RequestFeatures features) {
+    public void recordAnswer(ResponseStart start, RequestFeatures features) {
         if (features != null) {
-            recordAnswered(List.of(features.request()), "answered by target " + target);
+            long now = ticker.millis();
+            List<Fingerprint> request = List.of(features.request());
+            answers.add(features.request(), now);
+            failures.removeAnswered(request, start.at());
+            exonerate(request, new ResponseStart(start.target(), version, now), "answered by target " + start.target());
+        }
+    }
+
+    private void recordAnswered(ResponseStart start, List<Fingerprint> answered) {
+        long now = ticker.millis();
+        unconfirmed.add(new UnconfirmedAnswers.Answer(start, answered, now));
+        acceptConfirmed(now);
+    }
+
+    private void acceptConfirmed(long now) {
+        unconfirmed.removeConfirmed(now).forEach(this::accept);
+    }
+
+    /** Accepts an answer that its target has outlived; one to a suspect only if the target still responds. */
+    private void accept(UnconfirmedAnswers.Answer a) {
+        a.answered().forEach(f -> answers.add(f, a.at()));
+        failures.removeAnswered(a.answered(), a.start().at());
+        InstanceId target = a.target();
+        if (a.answered().stream().noneMatch(suspectView::isSuspect)
+                || probing.size() >= MAX_CONCURRENT_PROBES
+                || !probing.add(target)) {
+            return;
         }
+        peers.isResponding(target)
+                .subscribe(responding -> io.execute(() -> {
+                    probing.remove(target);
+                    if (responding && !peers.hasRestarted(target)) {
+                        exonerate(a);
+                    }
+                }));
     }
 
-    private void recordAnswered(List<Fingerprint> answered, String reason) {
+    private boolean isHeldPart(Fingerprint f) {
+        return f.kind() == Fingerprint.Kind.PROMPT_PART && suspectView.isHeldByLog(f);
+    }
+
+    /** An answer counts against the crashes before it; unless the prompt part is held, against those just after it as well. */
+    private void exonerate(UnconfirmedAnswers.Answer a) {
         long now = ticker.millis();
-        answered.forEach(f -> answers.add(f, now));
-        failures.removeAnswered(answered);
-        List<Fingerprint> survived = answered.stream()
-                .filter(suspectView::removeSuspect)
-                .filter(f -> unreportedSurvivors.size() < MAX_UNREPORTED_SURVIVORS && unreportedSurvivors.add(f))
+        ResponseStart covered = new ResponseStart(a.target(), version, now);
+        Map<Boolean, List<Fingerprint>> byRecency = a.answered().stream()
+                .collect(Collectors.partitioningBy(f -> answers.isRecent(f, now) && !isHeldPart(f)));
+        exonerate(byRecency.get(true), covered, "answered recently by target " + a.target());
+        List<Fingerprint> earlier = byRecency.get(false).stream()
+                .filter(f -> suspectView.isSuspectedBefore(f, a.start().at()))
                 .toList();
-        if (!survived.isEmpty()) {
-            LOG.infof("crashes: no longer suspected, %s: %s", reason, firstOf(survived));
-            report();
+        exonerate(earlier, a.start(), "answered by target " + a.target());
+    }
+
+    /** Reports that suspects have been answered, so that their crashes before the answer no longer count. */
+    private void exonerate(List<Fingerprint> answered, ResponseStart start, String reason) {
+        List<Fingerprint> exonerated = answered.stream()
+                .filter(suspectView::isSuspect)
+                .filter(f -> unreportedExonerations.containsKey(f)
+                        || unreportedExonerations.size() < MAX_UNREPORTED_EXONERATIONS)
+                .toList();
+        if (exonerated.isEmpty()) {
+            return;
+        }
+        LOG.infof("crashes: not suspected for the ends before, %s: %s", reason, firstOf(exonerated));
+        for (Fingerprint f : exonerated) {
+            suspectView.removeAnswered(f, start);
+            unreportedExonerations.merge(f, start.version(), Math::max);
         }
+        report();
     }
 
     /** Checks unresolved failures for confirmed crashes and retries reports; called several times a second. */
@@ -366,8 +456,10 @@
             LOG.infof(
                     "crashes: no end of target %s was confirmed, its failed requests are no longer suspected", target);
         }
+        acceptConfirmed(now);
+        unconfirmed.targets().stream().filter(peers::hasRestarted).forEach(this::recordCrash);
         Set<InstanceId> unresolved = failures.targets();
-        nextProbeAt.keySet().retainAll(unresolved);
+        nextProbeAt.entrySet().removeIf(e -> !unresolved.contains(e.getKey()) && now >= e.getValue());
         for (InstanceId target : unresolved) {
             if (peers.hasRestarted(target)) {
                 recordCrash(target);
@@ -393,24 +485,26 @@
     }
 
     private void report() {
-        if (reporting || unreportedCrashes.isEmpty() && unreportedSurvivors.isEmpty()) {
+        if (reporting || unreportedCrashes.isEmpty() && unreportedExonerations.isEmpty()) {
             return;
         }
         reporting = true;
         List<CrashedTarget> ended = List.copyOf(unreportedCrashes);
-        List<Fingerprint> survivors = List.copyOf(unreportedSurvivors);
-        peers.report(ended, survivors)
+        List<Exoneration> exonerations = unreportedExonerations.entrySet().stream()
+                .map(e -> new Exoneration(e.getKey(), e.getValue()))
+                .toList();
+        peers.report(ended, exonerations)
                 .defaultIfEmpty(0L)
-                .subscribe(at -> io.execute(() -> reportCompleted(ended, survivors, at)));
+                .subscribe(at -> io.execute(() -> reportCompleted(ended, exonerations, at)));
     }
 
-    private void reportCompleted(List<CrashedTarget> ended, List<Fingerprint> survivors, long at) {
+    private void reportCompleted(List<CrashedTarget> ended, List<Exoneration> exonerations, long at) {
         reporting = false;
         if (at == 0) {
             return;
         }
         unreportedCrashes.removeAll(ended);
-        unreportedSurvivors.removeAll(survivors);
+        exonerations.forEach(e -> unreportedExonerations.remove(e.digest(), e.version()));
         ended.forEach(suspectView::markLogged);
         report();
     }
--- a/serving/src/main/java/org/hallwall/serving/crash/CrashedTarget.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/CrashedTarget.java
@@ -18,7 +18,9 @@
  */
 package org.hallwall.serving.crash;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import org.hallwall.core.id.InstanceId;
@@ -28,9 +30,9 @@
  *
  * @param target the target's start
  * @param running the requests in progress on the target when it crashed or shortly before, and the prompt parts on which it had not
- *     written a response yet
+ *     written a response yet or had just written one
  * @param begun those of {@code running} for which the target had just begun to write the response
- * @param established the requests in {@code running} of which the target had written a part of the response
+ * @param established those of {@code running} for which the target had written a part of the response, or all of it
  * @param proven the prompt parts in {@code running} that targets have answered earlier, though not just before
  */
 public record CrashedTarget(
@@ -47,6 +49,23 @@
         proven = proven == null ? List.of() : proven;
     }
 
+    /**
+     * Adds the prompt parts that the target answered and did not outlive.
+     *
+     * @param answers the answers
+     * @return the crash with all of it
+     */
+    CrashedTarget withAnswers(List<UnconfirmedAnswers.Answer> answers) {
+        Set<Fingerprint> allRunning = new LinkedHashSet<>(running);
+        Set<Fingerprint> allEstablished = new LinkedHashSet<>(established);
+        for (UnconfirmedAnswers.Answer a : answers) {
+            allRunning.addAll(a.answered());
+            allEstablished.addAll(a.answered());
+        }
+        allEstablished.removeAll(begun);
+        return new CrashedTarget(target, List.copyOf(allRunning), begun, List.copyOf(allEstablished), proven);
+    }
+
     /**
      * Creates a report without the progress of responses.
      *
--- /dev/null
+++ b/serving/src/main/java/org/hallwall/serving/crash/ResponseStart.java
@@ -0,0 +1,31 @@
+/*
+ * Licensed to the hallwall project under one or more contributor
+ * license agreements.  See the NOTICE file distributed with
+ * this work for additional information regarding copyright
+ * ownership.  The hallwall project licenses this file to You
+ * under the Apache License, Version 2.0 (the "License"); you may
+ * not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *   https://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing,
+ * software distributed under the License is distributed on an
+ * "AS IS" BASIS, WITHOUT WARRANTIES OR CONDITIONS OF ANY
+ * KIND, either express or implied.  See the License for the
+ * specific language governing permissions and limitations
+ * under the License.
+ */
+package org.hallwall.serving.crash;
+
+import org.hallwall.core.id.InstanceId;
+
+/**
+ * The moment at which a target began to write a response, in the order of what this entry knew of crashes. The response is evidence
+ * about earlier crashes only.
+ *
+ * @param target the target's start
+ * @param version the version of the replicated suspects that this entry had applied
+ * @param at the ticker time in milliseconds
+ */
+public record ResponseStart(InstanceId target, long version, long at) {}
--- a/serving/src/main/java/org/hallwall/serving/crash/SuspectView.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/SuspectView.java
@@ -25,6 +25,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.hallwall.core.id.InstanceId;
 
@@ -39,7 +41,8 @@
 
     private final Map<Fingerprint, Suspect> logged = new HashMap<>();
     private final Map<Fingerprint, Long> updatedAt = new HashMap<>();
-    private final Map<Fingerprint, Set<InstanceId>> unlogged = new LinkedHashMap<>();
+    private final Map<Fingerprint, Long> knownSince = new HashMap<>();
+    private final Map<Fingerprint, Map<InstanceId, Long>> unlogged = new LinkedHashMap<>();
     private final Set<InstanceId> attributed = new HashSet<>();
     private long version;
 
@@ -51,20 +54,25 @@
         if (update.whole()) {
             logged.clear();
             updatedAt.clear();
+            knownSince
+                    .keySet()
+                    .retainAll(update.changed().stream().map(Suspect::digest).collect(Collectors.toSet()));
         }
         update.removed().forEach(this::removeLogged);
         update.changed().forEach(s -> {
             logged.put(s.digest(), s);
             updatedAt.put(s.digest(), now);
+            knownSince.putIfAbsent(s.digest(), now);
         });
         version = update.version();
         attributed.clear();
         logged.values().stream().filter(Suspect::held).forEach(s -> attributed.addAll(s.targets()));
     }
 
-    private Suspect removeLogged(Fingerprint digest) {
+    private void removeLogged(Fingerprint digest) {
         updatedAt.remove(digest);
-        return logged.remove(digest);
+        knownSince.remove(digest);
+        logged.remove(digest);
     }
 
     /** Returns the ticker time of a suspect's last update; zero if the suspect is not replicated. */
@@ -82,16 +90,16 @@
 
     /**
      * Adds a crash that is not yet known to be in the log. Requests with established responses are left out if the target had just begun
-     * to write others, as the log does not count such a crash against them either.
+     * to write others, as the log does not count such a crash against them either; prompt parts with established responses always, since
+     * only the log knows what the target had begun to write for other entries.
      */
-    void addCrash(CrashedTarget crash) {
+    void addCrash(CrashedTarget crash, long now) {
         List<Fingerprint> suspected = new ArrayList<>(crash.running());
-        if (!crash.begun().isEmpty()) {
-            suspected.removeAll(crash.established());
-        }
+        suspected.removeIf(d -> crash.established().contains(d)
+                && (!isRequest(d) || !crash.begun().isEmpty()));
         for (Fingerprint d : suspected) {
             if (unlogged.containsKey(d) || unlogged.size() < MAX_UNLOGGED) {
-                unlogged.computeIfAbsent(d, x -> new HashSet<>()).add(crash.target());
+                unlogged.computeIfAbsent(d, x -> new HashMap<>()).put(crash.target(), now);
             }
         }
     }
@@ -99,24 +107,32 @@
     /** Drops the local copy of a crash that the log has committed. */
     void markLogged(CrashedTarget e) {
         for (Fingerprint d : e.running()) {
-            Set<InstanceId> targets = unlogged.get(d);
-            if (targets != null) {
-                targets.remove(e.target());
-                if (targets.isEmpty()) {
-                    unlogged.remove(d);
-                }
+            removeUnlogged(d, t -> t.getKey().equals(e.target()));
+        }
+    }
+
+    private void removeUnlogged(Fingerprint digest, Predicate<Map.Entry<InstanceId, Long>> filter) {
+        Map<InstanceId, Long> crashes = unlogged.get(digest);
+        if (crashes != null) {
+            crashes.entrySet().removeIf(filter);
+            if (crashes.isEmpty()) {
+                unlogged.remove(digest);
             }
         }
     }
 
-    /**
-     * Removes a request that a target has answered.
-     *
-     * @return whether it was a suspect
-     */
-    boolean removeSuspect(Fingerprint digest) {
-        boolean wasUnlogged = unlogged.remove(digest) != null;
-        return removeLogged(digest) != null || wasUnlogged;
+    /** Removes the crashes before an answer; those in the log only if all of them were known then. */
+    void removeAnswered(Fingerprint digest, ResponseStart answer) {
+        removeUnlogged(digest, c -> c.getValue() <= answer.at());
+        if (answer.version() >= version) {
+            removeLogged(digest);
+        }
+    }
+
+    /** Returns whether some crash of a suspect was known here before a time. */
+    boolean isSuspectedBefore(Fingerprint digest, long time) {
+        boolean here = unlogged.getOrDefault(digest, Map.of()).values().stream().anyMatch(at -> at < time);
+        return here || knownSince.getOrDefault(digest, Long.MAX_VALUE) < time;
     }
 
     boolean isSuspect(Fingerprint digest) {
@@ -161,7 +177,7 @@
         if (s != null) {
             all.addAll(s.targets());
         }
-        all.addAll(unlogged.getOrDefault(digest, Set.of()));
+        all.addAll(unlogged.getOrDefault(digest, Map.of()).keySet());
         return all;
     }
 
--- a/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
+++ b/serving/src/main/java/org/hallwall/serving/crash/UnresolvedFailures.java
@@ -55,8 +55,7 @@
     void add(InstanceId target, RequestFeatures features, ResponseProgress progress, long now) {
         if (count < MAX_FINGERPRINTS) {
             Set<Fingerprint> suspects = suspects(features, progress);
-            byTarget.computeIfAbsent(target, t -> new ArrayList<>())
-                    .add(new Failure(suspects, progress, now + CONFIRMATION_MILLIS));
+            byTarget.computeIfAbsent(target, t -> new ArrayList<>()).add(new Failure(suspects, progress, now));
             count += suspects.size();
         }
     }
@@ -103,10 +102,13 @@
         return new CrashedTarget(target, List.copyOf(running), List.copyOf(begun), List.copyOf(established), List.of());
     }
 
-    /** Removes fingerprints that a target has answered. */
-    void removeAnswered(Collection<Fingerprint> answered) {
+    /** Removes fingerprints that a target has answered from the failures before the answer. */
+    void removeAnswered(Collection<Fingerprint> answered, long startedAt) {
         if (count > 0) {
-            byTarget.values().forEach(list -> list.forEach(f -> f.suspects().removeAll(answered)));
+            byTarget.values().stream()
+                    .flatMap(List::stream)
+                    .filter(f -> f.at() <= startedAt)
+                    .forEach(f -> f.suspects().removeAll(answered));
             removeIf(f -> f.suspects().isEmpty());
             count = byTarget.values().stream()
                     .mapToInt(UnresolvedFailures::size)
@@ -157,5 +159,10 @@
         return count == 0;
     }
 
-    private record Failure(Set<Fingerprint> suspects, ResponseProgress progress, long expiresAt) {}
+    private record Failure(Set<Fingerprint> suspects, ResponseProgress progress, long at) {
+
+        long expiresAt() {
+            return at + CONFIRMATION_MILLIS;
+        }
+    }
 }
--- a/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/AttemptConnection.java
@@ -21,17 +21,30 @@
 import java.net.SocketAddress;
 
 import io.netty.channel.Channel;
+import io.netty.util.AttributeKey;
 import org.hallwall.program.LingeringClose;
 import org.hallwall.program.ResponseCorrelation;
 
 /** The connection on which one attempt is sent. Confined to the I/O thread. */
 final class AttemptConnection {
 
+    private static final AttributeKey<Runnable> CLOSE_HANDLER =
+            AttributeKey.valueOf(AttemptConnection.class, "closeHandler");
+    private static final AttributeKey<Boolean> CLOSE_WATCHED =
+            AttributeKey.valueOf(AttemptConnection.class, "closeWatched");
+
     private Channel channel;
+    private boolean keptAlive;
 
     /** Records that the attempt is sent. */
     void recordSend(Channel connection) {
         channel = connection;
+        channel.attr(CLOSE_HANDLER).set(null);
+    }
+
+    /** Records whether the recipient keeps the connection open after its response. */
+    void recordKeepAlive(boolean value) {
+        keptAlive = value;
     }
 
     /** Returns whether the attempt was sent. */
@@ -59,6 +72,24 @@
         channel.closeFuture().addListener(f -> step.run());
     }
 
+    /** Runs a step if the recipient has kept the connection and closes it before another attempt is sent on it. */
+    void whenClosedAfterResponse(Runnable step) {
+        if (channel == null || !channel.isActive() || !keptAlive) {
+            return;
+        }
+        boolean first = !channel.hasAttr(CLOSE_WATCHED);
+        channel.attr(CLOSE_HANDLER).set(step);
+        if (first) {
+            channel.attr(CLOSE_WATCHED).set(true);
+            channel.closeFuture().addListener(f -> {
+                Runnable handler = channel.attr(CLOSE_HANDLER).get();
+                if (handler != null) {
+                    handler.run();
+                }
+            });
+        }
+    }
+
     /** Closes the connection at once, and discards what the recipient has not received. */
     void abort() {
         LingeringClose.abort(channel);
--- a/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/Attempts.java
@@ -20,7 +20,9 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -28,6 +30,7 @@
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.serving.crash.RequestFeatures;
 import org.hallwall.serving.crash.ResponseProgress;
+import org.hallwall.serving.crash.ResponseStart;
 import org.jboss.logging.Logger;
 
 /** Tracks the attempts of one request and decides whether it is retried. */
@@ -51,6 +54,7 @@
     private Verdict verdict = Verdict.NOT_RUN;
     private RequestHistory history;
     private final List<NextHop> open = new ArrayList<>();
+    private final Map<NextHop, ResponseStart> responseStarts = new IdentityHashMap<>();
     private final RequestCharges charges;
     private int unsentCount;
     private int sendCount;
@@ -355,14 +359,30 @@
         }
     }
 
-    /** Records that the target of the current attempt has written enough of the response to have survived the prompt. */
+    /** Records that the recipient of an attempt has begun to respond. */
+    void markStarted(NextHop hop) {
+        if (!hop.isEntry()) {
+            responseStarts.put(
+                    hop, context.crashWatch().startResponse(hop.target().instance()));
+        }
+    }
+
+    /** Records that the target of an attempt has written enough of the response to have survived the prompt. */
     void markEstablished(NextHop hop) {
-        context.crashWatch().recordEstablished(hop.target().instance(), features());
+        // another entry records the answers of the targets that it has sent a request to
+        if (responseStarts.containsKey(hop)) {
+            context.crashWatch().recordEstablished(responseStarts.get(hop), features());
+        }
     }
 
-    /** Records that the target of the current attempt has responded. */
+    /** Records that the target of an attempt has responded. */
     void markAnswered(NextHop hop) {
-        context.crashWatch().recordAnswer(hop.target().instance(), features());
+        ResponseStart start = responseStarts.get(hop);
+        if (start != null) {
+            context.crashWatch().recordAnswer(start, features());
+            hop.connection()
+                    .whenClosedAfterResponse(() -> context.crashWatch().recordCloseAfterResponse(start.target()));
+        }
     }
 
     /** Determines the features on first use; null until the key is known. */
--- a/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/BufferedRun.java
@@ -188,6 +188,8 @@
     @Override
     public HttpHeaders onHead(BufferedAttempt a, HttpClientResponse response) {
         HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
+        a.hop().connection().recordKeepAlive(response.isKeepAlive());
+        attempts.markStarted(a.hop());
         attempts.writeHistory(out, a.hop(), response.status().code());
         return out;
     }
--- a/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/CrashExchange.java
@@ -29,6 +29,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.crash.CrashPeers;
 import org.hallwall.serving.crash.CrashedTarget;
+import org.hallwall.serving.crash.Exoneration;
 import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.target.FeedMessage.CrashReport;
 import org.hallwall.serving.target.FeedMessage.CrashReportResult;
@@ -110,8 +111,8 @@
     }
 
     @Override
-    public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
-        return callControllers(new CrashReport(ended, survived), REPORT_TIMEOUT)
+    public Mono<Long> report(List<CrashedTarget> ended, List<Exoneration> exonerations) {
+        return callControllers(new CrashReport(ended, List.of(), exonerations), REPORT_TIMEOUT)
                 .ofType(CrashReportResult.class)
                 .filter(CrashReportResult::taken)
                 .next()
--- a/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
+++ b/serving/src/main/java/org/hallwall/serving/relay/StreamRun.java
@@ -257,6 +257,8 @@
     @Override
     public HttpHeaders onHead(StreamAttempt a, HttpClientResponse response) {
         HttpHeaders out = context.forwardedHeaders().forResponse(response.responseHeaders());
+        a.hop().connection().recordKeepAlive(response.isKeepAlive());
+        attempts.markStarted(a.hop());
         attempts.writeHistory(out, a.hop(), response.status().code());
         return out;
     }
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -25,6 +25,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.config.ConfigurationDelta;
 import org.hallwall.serving.crash.CrashedTarget;
+import org.hallwall.serving.crash.Exoneration;
 import org.hallwall.serving.crash.Fingerprint;
 import org.hallwall.serving.crash.SuspectUpdate;
 import org.hallwall.serving.permit.LimitReport;
@@ -351,9 +352,17 @@
      * Reports crashed targets with the requests they were running, and suspects that a target has answered.
      *
      * @param ended the crashed targets
-     * @param survived the answered suspects
+     * @param survived the answered suspects; only entries of earlier versions send them
+     * @param exonerations answers to suspects
      */
-    record CrashReport(List<CrashedTarget> ended, List<Fingerprint> survived) implements FeedMessage {}
+    record CrashReport(List<CrashedTarget> ended, List<Fingerprint> survived, List<Exoneration> exonerations)
+            implements FeedMessage {
+
+        /** Reads reports of earlier versions. */
+        public CrashReport {
+            exonerations = exonerations == null ? List.of() : exonerations;
+        }
+    }
 
     /**
      * Answers a crash report.
--- a/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
@@ -54,7 +54,7 @@
     private void holdBackRequest() {
         for (int i = 0; i < 3; i++) {
             CrashedTarget e = new CrashedTarget(new InstanceId("t-" + i), List.of(new Fingerprint("d")));
-            machine.apply(i + 1, ControlStateMachine.command(CrashCommand.report(1, List.of(e), List.of())));
+            machine.apply(i + 1, ControlStateMachine.command(CrashCommand.report(1, List.of(e), List.of(), List.of())));
         }
     }
 
@@ -138,7 +138,7 @@
         int before = notifications.get();
         machine.apply(4, ConfigurationStateMachine.command(7, COMPRESSED));
         CrashedTarget known = new CrashedTarget(new InstanceId("t-1"), List.of(new Fingerprint("d")));
-        machine.apply(5, ControlStateMachine.command(CrashCommand.report(1, List.of(known), List.of())));
+        machine.apply(5, ControlStateMachine.command(CrashCommand.report(1, List.of(known), List.of(), List.of())));
         Assertions.assertEquals(before, notifications.get());
     }
 }
--- a/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/CrashLedgerTest.java
@@ -50,7 +50,7 @@
 
     private void crash(String target, long at, Fingerprint... running) {
         CrashedTarget e = new CrashedTarget(new InstanceId(target), Arrays.asList(running));
-        ledger.apply(CrashCommand.report(at, List.of(e), List.of()));
+        ledger.apply(CrashCommand.report(at, List.of(e), List.of(), List.of()));
     }
 
     /** Crashes a target that had just begun to write a response. */
@@ -62,7 +62,7 @@
         List<Fingerprint> running = new ArrayList<>(begun);
         running.addAll(established);
         CrashedTarget e = new CrashedTarget(new InstanceId(target), running, begun, established, List.of());
-        ledger.apply(CrashCommand.report(START, List.of(e), List.of()));
+        ledger.apply(CrashCommand.report(START, List.of(e), List.of(), List.of()));
     }
 
     /** Crashes a target that had just begun to write a response on prompt parts, of which one was answered earlier. */
@@ -71,7 +71,7 @@
         running.add(proven);
         CrashedTarget e =
                 new CrashedTarget(new InstanceId("t-" + ++targets), running, running, List.of(), List.of(proven));
-        ledger.apply(CrashCommand.report(START, List.of(e), List.of()));
+        ledger.apply(CrashCommand.report(START, List.of(e), List.of(), List.of()));
     }
 
     private Fingerprint request(int n) {
@@ -79,7 +79,8 @@
     }
 
     private void survived(Fingerprint digest) {
-        ledger.apply(CrashCommand.report(START, List.of(), List.of(digest)));
+        ledger.apply(
+                CrashCommand.report(START, List.of(), List.of(), List.of(new Exoneration(digest, ledger.version()))));
     }
 
     private boolean isHeld(Fingerprint digest) {
@@ -261,7 +262,7 @@
         survived(PART);
         CrashedTarget late =
                 new CrashedTarget(new InstanceId("t-1"), List.of(PART), List.of(), List.of(), List.of(PART));
-        ledger.apply(CrashCommand.report(START, List.of(late), List.of()));
+        ledger.apply(CrashCommand.report(START, List.of(late), List.of(), List.of()));
         Assertions.assertTrue(ledger.changesSince(0).changed().stream()
                 .noneMatch(s -> s.digest().equals(PART)));
     }
@@ -278,7 +279,7 @@
     /** Parts that occur in one request each cannot account for the crashes of all. */
     @Test
     void provenPartIsHeldAfterManyCrashesBesideDifferentParts() {
-        for (int i = 0; i < CrashLedger.PROVEN_HOLD_THRESHOLD; i++) {
+        for (int i = 0; i < CrashAttribution.MAX_SHARING_PARTS + CrashLedger.HOLD_THRESHOLD; i++) {
             Assertions.assertFalse(isHeld(PART));
             crashWithProven(PART, Fingerprint.ofPromptPart("b" + i));
         }
@@ -393,7 +394,10 @@
     @Test
     void commandsAreDecodedAsEncoded() {
         CrashCommand c = CrashCommand.report(
-                START, List.of(new CrashedTarget(new InstanceId("t/1"), List.of(CRASHING, OTHER))), List.of(OTHER));
+                START,
+                List.of(new CrashedTarget(new InstanceId("t/1"), List.of(CRASHING, OTHER))),
+                List.of(OTHER),
+                List.of(new Exoneration(OTHER, 7)));
         Assertions.assertEquals(c, CrashCommand.read(c.bytes()));
     }
 
--- a/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/SimulatedCrashes.java
@@ -337,7 +337,7 @@
         private final Set<InstanceId> brokenOffBy = new HashSet<>();
         private final Set<InstanceId> brokenOffAtStart = new HashSet<>();
         private ResponseProgress progress = ResponseProgress.NONE;
-        private InstanceId target;
+        private ResponseStart start;
         private int attempts;
 
         Call(Request request, int tries, Entry entry) {
@@ -357,7 +357,6 @@
             progress = ResponseProgress.NONE;
             recordSend();
             Target t = running.get(random.nextInt(running.size()));
-            target = t.start();
             at(NETWORK_DELAY_MILLIS, () -> t.receive(this));
         }
 
@@ -374,15 +373,20 @@
             }
         }
 
+        void begin(InstanceId target) {
+            progress = ResponseProgress.BEGUN;
+            start = entry.watch.startResponse(target);
+        }
+
         void established() {
             if (progress == ResponseProgress.BEGUN) {
                 progress = ResponseProgress.ESTABLISHED;
-                entry.watch.recordEstablished(target, features);
+                entry.watch.recordEstablished(start, features);
             }
         }
 
         void answered() {
-            entry.watch.recordAnswer(target, features);
+            entry.watch.recordAnswer(start, features);
         }
 
         void refused() {
@@ -465,7 +469,7 @@
         private void begin(Call c, int start, int waitMillis) {
             at(waitMillis, () -> {
                 if (start == starts && up && running.contains(c)) {
-                    c.progress = ResponseProgress.BEGUN;
+                    c.begin(start());
                     at(BEGIN_MILLIS, () -> {
                         if (start != starts || !up || !running.contains(c)) {
                             return;
@@ -545,12 +549,12 @@
         }
 
         @Override
-        public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
+        public Mono<Long> report(List<CrashedTarget> ended, List<Exoneration> exonerations) {
             return later(NETWORK_DELAY_MILLIS + COMMIT_MILLIS, () -> {
                 if (!hasLeader || cutOff) {
                     return null;
                 }
-                ledger.apply(CrashCommand.report(now, ended, survived));
+                ledger.apply(CrashCommand.report(now, ended, List.of(), exonerations));
                 ledger.held().forEach(h -> partHeldAt.putIfAbsent(h.digest().value(), now));
                 publish();
                 return ledger.version();
--- a/serving/src/test/java/org/hallwall/serving/crash/UnconfirmedCrashTest.java
+++ b/serving/src/test/java/org/hallwall/serving/crash/UnconfirmedCrashTest.java
@@ -91,7 +91,7 @@
         }
 
         @Override
-        public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
+        public Mono<Long> report(List<CrashedTarget> ended, List<Exoneration> exonerations) {
             reported.addAll(ended);
             return Mono.just(1L);
         }
--- a/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/ScriptedCrashPeers.java
@@ -26,6 +26,7 @@
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.crash.CrashPeers;
 import org.hallwall.serving.crash.CrashedTarget;
+import org.hallwall.serving.crash.Exoneration;
 import org.hallwall.serving.crash.Fingerprint;
 import reactor.core.publisher.Mono;
 
@@ -69,7 +70,7 @@
     }
 
     @Override
-    public Mono<Long> report(List<CrashedTarget> ended, List<Fingerprint> survived) {
+    public Mono<Long> report(List<CrashedTarget> ended, List<Exoneration> exonerations) {
         reported.addAll(ended);
         return Mono.empty();
     }
