Response heads whose field names are no tokens are refused

What callers got: a blank or tab in or behind a field's name was read over, so X-Odd : z was passed on, Content-Length : 2 cut a body to two bytes, and a blank in Transfer-Encoding passed on the frames of chunks.

Cause: the decoder of the HTTP library is lenient with blanks in the names of responses, and what the strict rest of the product gets no longer has them. The names are now checked before that decoder reads them, behind interim heads too, on all connections with matched responses: targets, other entries, orders and probes.

--- a/program/src/main/java/org/hallwall/program/CorrelatedResponseDecoder.java
+++ b/program/src/main/java/org/hallwall/program/CorrelatedResponseDecoder.java
@@ -18,15 +18,21 @@
  */
 package org.hallwall.program;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
 /** Decodes the responses on a client connection and rejects bytes that arrive while no response is awaited. */
 final class CorrelatedResponseDecoder extends HttpResponseDecoder {
 
+    private final HeaderNameCheck names = new HeaderNameCheck();
     private CorrelationHandler handler;
 
     CorrelatedResponseDecoder(int maxHeadBytes) {
@@ -47,6 +53,24 @@
         }
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        int before = out.size();
+        if (!names.check(buffer)) {
+            buffer.skipBytes(buffer.readableBytes());
+            handler.fail(context, "the response has a field name with a blank or an invalid byte");
+            return;
+        }
+        super.decode(context, buffer, out);
+        for (Object message : out.subList(before, out.size())) {
+            if (message instanceof LastHttpContent) {
+                names.startMessage();
+            } else if (message instanceof HttpResponse) {
+                names.endHead();
+            }
+        }
+    }
+
     /** Returns whether bytes behind the last decoded message have been received. */
     boolean hasUnreadBytes() {
         return actualReadableBytes() > 0;
--- a/program/src/main/java/org/hallwall/program/CorrelationHandler.java
+++ b/program/src/main/java/org/hallwall/program/CorrelationHandler.java
@@ -274,7 +274,8 @@
         context.close();
     }
 
-    private void fail(ChannelHandlerContext context, String reason) {
+    /** Fails the request and closes the connection because of a response that cannot be read. */
+    void fail(ChannelHandlerContext context, String reason) {
         closed = true;
         awaiting = false;
         context.fireExceptionCaught(new InvalidResponseException(reason));
--- a/serving/src/test/java/org/hallwall/serving/relay/InvalidResponseHeadTest.java
+++ b/serving/src/test/java/org/hallwall/serving/relay/InvalidResponseHeadTest.java
@@ -60,10 +60,24 @@
         TWO_IDS_OTHER_FIRST("HTTP/1.1 200 OK\r\nX-Attempt: other\r\n" + ID + REST),
         HEAD_WITHIN_HEAD("HTTP/1.1 500 Failed\r\nX-Attempt: other\r\nX-Stamp: t\r\nHTTP/1.1 200 OK\r\n" + ID + REST),
         NO_ID("HTTP/1.1 200 OK\r\n" + REST),
+        BLANK_IN_NAME(withField("X Y: z")),
+        BLANK_BEHIND_NAME(withField("X-Odd : z")),
+        TAB_IN_NAME(withField("X\tY: z")),
+        TAB_BEHIND_NAME(withField("X-Odd\t: z")),
+        CONTROL_BYTE_IN_NAME(withField("X\u0001Y: z")),
+        BLANK_BEHIND_LENGTH("HTTP/1.1 200 OK\r\n" + ID + "Content-Length : 2\r\n\r\nhello"),
+        WORD_BEHIND_LENGTH("HTTP/1.1 200 OK\r\n" + ID + "Content-Length x: 2\r\n\r\nhello"),
+        BLANK_BEHIND_ENCODING("HTTP/1.1 200 OK\r\n" + ID + "Transfer-Encoding : chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n"),
+        BLANK_IN_ENCODING("HTTP/1.1 200 OK\r\n" + ID + "Transfer Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n"),
+        BLANK_IN_NAME_BEHIND_INTERIM_HEAD("HTTP/1.1 103 Early Hints\r\n" + ID + "\r\n" + withField("X-Odd : z")),
         OTHER_REQUESTS_ONLY(WHOLE.replace("ATTEMPT", "other").repeat(20));
 
         private final String text;
 
+        private static String withField(String field) {
+            return "HTTP/1.1 200 OK\r\n" + ID + field + "\r\n" + REST;
+        }
+
         Invalid(String text) {
             this.text = text;
         }
