Responses that end with their connection are refused where the request may not have been read

What callers got: a target that answers an upload at once with a 200 without length or chunks, sends a part and closes: 200 with the part as the whole body.

Cause: the end of a connection ends such a response, and nothing asked whether the request had been written. Now it has to have been written, and its body may not be larger than what the systems of both ends take from a client without the server reading it (64 KiB): beyond that nobody can know that the target has read it. So a target that responds to a larger request has to send a length or chunks, or its attempt fails; the status of such an early refusal isn't passed on either. What remains: a smaller request whose target closes without having read it.

--- a/program/src/main/java/org/hallwall/program/CorrelationHandler.java
+++ b/program/src/main/java/org/hallwall/program/CorrelationHandler.java
@@ -22,6 +22,7 @@
 import java.util.BitSet;
 import java.util.List;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufHolder;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -51,6 +52,12 @@
     /** Maximum size of stale responses that are read before the awaited one, in bytes; that of one large response. */
     private static final long MAX_STALE_BYTES = 4L * 1024 * 1024;
 
+    /**
+     * Maximum size of a request body that counts as read when the server closes the connection, in bytes. The systems of both ends take
+     * about as much from the client without its server reading it.
+     */
+    private static final long MAX_UNREAD_BODY_BYTES = 65_536;
+
     private static final int MIN_STATUS = 100;
     private static final int INITIAL_IDS = 8;
 
@@ -66,6 +73,9 @@
     private int[] sentIds = new int[INITIAL_IDS];
     private final BitSet headRequests = new BitSet();
     private int requests;
+    private long bodyBytes;
+    private boolean written;
+    private boolean endsWithConnection;
 
     /** The message whose parts are being read. */
     private enum Part {
@@ -124,9 +134,22 @@
             awaiting = true;
             staleResponses = 0;
             staleBytes = 0;
+            bodyBytes = 0;
+            written = false;
             recordRequest(r.method());
         }
-        super.write(context, message, promise);
+        if (message instanceof ByteBufHolder h) {
+            bodyBytes += h.content().readableBytes();
+        } else if (message instanceof ByteBuf b) {
+            bodyBytes += b.readableBytes();
+        }
+        if (message instanceof LastHttpContent) {
+            ChannelPromise observed = promise.unvoid();
+            observed.addListener(f -> written = f.isSuccess());
+            super.write(context, message, observed);
+        } else {
+            super.write(context, message, promise);
+        }
     }
 
     private void recordRequest(HttpMethod method) {
@@ -185,6 +208,7 @@
             return true;
         }
         part = Part.AWAITED_RESPONSE;
+        endsWithConnection = endsWithConnection(r);
         if (staleResponses > 0 || requests >= MAX_REQUESTS) {
             // the client does not return the connection to its pool
             r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -214,9 +238,7 @@
             fail(context, "the response belongs to a request that was not sent on the connection");
             return false;
         }
-        if (!decoder.isContentAlwaysEmpty(r)
-                && !HttpUtil.isContentLengthSet(r)
-                && !HttpUtil.isTransferEncodingChunked(r)) {
+        if (endsWithConnection(r)) {
             fail(context, "a response to an earlier request ends with the connection");
             return false;
         }
@@ -227,7 +249,23 @@
         return true;
     }
 
+    private boolean endsWithConnection(HttpResponse r) {
+        return !decoder.isContentAlwaysEmpty(r)
+                && !HttpUtil.isContentLengthSet(r)
+                && !HttpUtil.isTransferEncodingChunked(r);
+    }
+
+    /** Returns whether the server may have closed the connection before it had read the request; the response may then be a part. */
+    private boolean mayBeUnread() {
+        return !written || bodyBytes > MAX_UNREAD_BODY_BYTES;
+    }
+
     private void readAwaited(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof LastHttpContent && endsWithConnection && mayBeUnread()) {
+            ReferenceCountUtil.release(message);
+            fail(context, "the connection ended, which ends the response, maybe before the request had been read");
+            return;
+        }
         if (message instanceof LastHttpContent) {
             part = Part.NONE;
             awaiting = false;
