The product's own path and the operators' client check the names of header fields too

The same cause as in the heads of targets: services, engines, other entries and control instances were read by the library's decoder, which reads over blanks in names, and a response that ends with its connection counted as whole although the request may not have been read. Their clients now decode responses like those of the platform's path.

--- a/cli/src/main/java/org/hallwall/cli/ApiClient.java
+++ b/cli/src/main/java/org/hallwall/cli/ApiClient.java
@@ -31,6 +31,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.program.ExitCode;
 import org.hallwall.program.ProgramException;
+import org.hallwall.program.ResponseCorrelation;
 import org.hallwall.program.SingleUseConnections;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -49,7 +50,8 @@
 
     ApiClient(List<NetAddress> servers, String key) {
         this.servers = servers;
-        this.http = HttpClient.create(SingleUseConnections.builder("voters").build())
+        this.http = ResponseCorrelation.withoutIds()
+                .enable(HttpClient.create(SingleUseConnections.builder("voters").build()))
                 .keepAlive(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .headers(h -> {
--- a/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/hallwall/entry/EntryDaemon.java
@@ -79,6 +79,7 @@
 import org.hallwall.program.ExitCode;
 import org.hallwall.program.InterimResponses;
 import org.hallwall.program.ProgramException;
+import org.hallwall.program.ResponseCorrelation;
 import org.hallwall.resource.DeclarationCache;
 import org.hallwall.resource.Declarations;
 import org.hallwall.resource.ResourceMessage;
@@ -140,7 +141,8 @@
                 Math.floorMod(settings.instance().hashCode(), settings.voters().size());
         follower = new DeclarationFollower(declarations, peers.voterLinks(), peers.entryLinks(), first, ticker);
         relay = new AnnouncementRelay(directory, peers, ticker);
-        EngineClient engines = new EngineClient(InterimResponses.skip(HttpClient.create(EngineClient.createPool())));
+        EngineClient engines = new EngineClient(ResponseCorrelation.withoutIds()
+                .enable(InterimResponses.skip(HttpClient.create(EngineClient.createPool()))));
         controller = new DomainController(
                 new DomainControllerConfig(settings.instance(), settings.failureDomain(), timing, settings.maxLoads()),
                 directory,
--- a/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
+++ b/entry/src/main/java/org/hallwall/entry/forward/RemoteRunClient.java
@@ -41,6 +41,7 @@
 import org.hallwall.entry.exchange.Exchange;
 import org.hallwall.entry.relay.CrossDomainRunner;
 import org.hallwall.program.InterimResponses;
+import org.hallwall.program.ResponseCorrelation;
 import org.hallwall.program.SingleUseConnections;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -67,9 +68,10 @@
      */
     public RemoteRunClient(List<EntrySettings.OtherDomain> domains) {
         this.domains = domains;
-        this.http = InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("remote runs")
+        this.http = ResponseCorrelation.withoutIds()
+                .enable(InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("remote runs")
                         .maxConnections(MAX_CONNECTIONS)
-                        .build()))
+                        .build())))
                 .keepAlive(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
--- a/entry/src/main/java/org/hallwall/entry/forward/RequestForwarder.java
+++ b/entry/src/main/java/org/hallwall/entry/forward/RequestForwarder.java
@@ -36,6 +36,7 @@
 import org.hallwall.core.verdict.Verdict;
 import org.hallwall.entry.exchange.RequestHeaders;
 import org.hallwall.program.InterimResponses;
+import org.hallwall.program.ResponseCorrelation;
 import org.hallwall.program.SingleUseConnections;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -67,9 +68,10 @@
 
     /** Creates the forwarder. */
     public RequestForwarder() {
-        this.http = InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("forwarded requests")
+        this.http = ResponseCorrelation.withoutIds()
+                .enable(InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("forwarded requests")
                         .maxConnections(MAX_CONNECTIONS)
-                        .build()))
+                        .build())))
                 .keepAlive(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
--- a/entry/src/main/java/org/hallwall/entry/relay/ServiceRunner.java
+++ b/entry/src/main/java/org/hallwall/entry/relay/ServiceRunner.java
@@ -45,6 +45,7 @@
 import org.hallwall.entry.exchange.RequestHeaders;
 import org.hallwall.entry.limit.RetryBudget;
 import org.hallwall.program.InterimResponses;
+import org.hallwall.program.ResponseCorrelation;
 import org.hallwall.program.SingleUseConnections;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -85,9 +86,10 @@
         this.ticker = ticker;
         // A service may close an idle connection during a send, which leaves it unknown whether the call ran; and since
         // replies carry no id, a surplus one on a reused connection would count as the next reply.
-        this.http = InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("services")
+        this.http = ResponseCorrelation.withoutIds()
+                .enable(InterimResponses.skip(HttpClient.create(SingleUseConnections.builder("services")
                         .maxConnections(MAX_CONNECTIONS)
-                        .build()))
+                        .build())))
                 .keepAlive(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .disableRetry(true);
--- a/entry/src/test/java/org/hallwall/entry/relay/TruncatedReplyTest.java
+++ b/entry/src/test/java/org/hallwall/entry/relay/TruncatedReplyTest.java
@@ -141,6 +141,23 @@
         Assertions.assertArrayEquals("hello".getBytes(), reply.body());
     }
 
+    /** A blank in or behind a field name must not be read over, since the length of the reply may depend on it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length : 2",
+                "Content-Length x: 2",
+                "Content-Length\t: 2",
+                "Transfer-Encoding : chunked",
+                "Content-Length: 5\r\nX Y: z",
+                "Content-Length: 5\r\nX-Odd : z"
+            })
+    void serviceReplyWithAnInvalidFieldNameIsAnError(String fields) {
+        server.respond(HEAD + fields + "\r\n\r\nhello", false);
+        RuntimeException e = Assertions.assertThrows(RuntimeException.class, this::callService);
+        Assertions.assertInstanceOf(RefusalException.class, e.getCause());
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void interimReplyAloneIsAnError(boolean reset) {
--- a/program/src/main/java/org/hallwall/program/ResponseCorrelation.java
+++ b/program/src/main/java/org/hallwall/program/ResponseCorrelation.java
@@ -42,6 +42,7 @@
 public final class ResponseCorrelation {
 
     private static final String HANDLER = "responseCorrelation";
+    private static final int DEFAULT_MAX_HEAD_BYTES = 65_536;
 
     private final String idHeader;
     private final int maxHeadBytes;
@@ -57,6 +58,15 @@
         this.maxHeadBytes = maxHeadBytes;
     }
 
+    /**
+     * Creates the behaviour of a client whose requests have no id and whose connections serve one request each.
+     *
+     * @return the behaviour
+     */
+    public static ResponseCorrelation withoutIds() {
+        return new ResponseCorrelation(null, DEFAULT_MAX_HEAD_BYTES);
+    }
+
     /**
      * Configures a client to match responses this way. Replaces its HTTP codec, whose unread bytes are not accessible.
      *
