--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -212,16 +212,14 @@
     }
 
     /** Kills several processes at the same moment. */
-    void killAtOnce(String... names) throws IOException, InterruptedException {
-        List<String> command = new ArrayList<>(List.of("kill", "-KILL"));
+    void killAtOnce(String... names) throws InterruptedException {
         for (String n : names) {
-            command.add(Long.toString(processes.get(n).pid()));
+            processes.get(n).destroyForcibly();
         }
         log("KILL to %s", String.join(", ", names));
-        new ProcessBuilder(command).start().waitFor();
         for (String n : names) {
-            changedAt.put(n, millis());
             processes.get(n).waitFor();
+            changedAt.put(n, millis());
         }
     }
 
