--- a/review/rig-2/Engine.java
+++ b/review/rig-2/Engine.java
@@ -33,6 +33,8 @@
     volatile boolean leaving;
     volatile boolean checkingIn = true;
     volatile int control;
+    /** How late each try of a check-in arrives; there is no ack within a second then, and the next node is called. */
+    volatile long checkInDelayMillis;
     volatile boolean ended;
     private final int controls;
     private final long born = System.currentTimeMillis();
@@ -87,6 +89,19 @@
     }
 
     boolean send(String method, String body, InetSocketAddress to) {
+        long delay = checkInDelayMillis;
+        if (delay == 0 || method.equals("DELETE")) {
+            return sendNow(method, body, to);
+        }
+        daemon(() -> {
+            Rig.sleep(delay);
+            sendNow(method, body, to);
+        });
+        Rig.sleep(1_000);
+        return false;
+    }
+
+    private boolean sendNow(String method, String body, InetSocketAddress to) {
         try {
             Rig.Response r = Rig.call(
                     to,
@@ -102,7 +117,7 @@
     }
 
     /** Sends DELETE without having reported draining before, and serves on; returns the instance that has acknowledged it. */
-    synchronized int leave() {
+    int leave() {
         leaving = true;
         checkingIn = false;
         for (int i = 0; i < controls; i++) {
--- a/review/rig-2/GangEngine.java
+++ b/review/rig-2/GangEngine.java
@@ -30,7 +30,6 @@
     volatile int rank;
     volatile String state;
     volatile List<String> members = List.of();
-    volatile long checkInDelayMillis;
     /** Whether one check-in, the first with a model on the host and without a group, arrives later than all others. */
     volatile boolean holdsOne;
     volatile String heldCheckIn;
@@ -61,7 +60,6 @@
                 + "],\"domain\":\"d0\",\"staged\":[" + (staged ? "\"" + MODEL + "\"" : "") + "],\"group\":" + g + "}";
     }
 
-    /** Each try of a check-in arrives late while the delay is set: there is no ack within a second, and the next node is called. */
     @Override
     boolean send(String method, String body, java.net.InetSocketAddress to) {
         if (holdsOne && heldCheckIn == null && body.contains("\"staged\":[\"" + MODEL + "\"],\"group\":null")) {
@@ -70,16 +68,7 @@
             Rig.sleep(1_000);
             return false;
         }
-        long delay = checkInDelayMillis;
-        if (delay == 0) {
-            return super.send(method, body, to);
-        }
-        daemon(() -> {
-            Rig.sleep(delay);
-            super.send(method, body, to);
-        });
-        Rig.sleep(1_000);
-        return false;
+        return super.send(method, body, to);
     }
 
     private void changed() {
