Review rig: signals through the shell, whose kill is always there

Cause: the rig started the program kill, which a small system may lack; the scripts would then end with an error and exit 2.

Done: signals are sent by the shell's own kill.

--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -224,7 +224,7 @@
         log("%s to %s", signal, name);
         changedAt.put(name, millis());
         Process p = processes.get(name);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(p.pid())).start().waitFor();
+        new ProcessBuilder("sh", "-c", "kill -" + signal + " " + p.pid()).start().waitFor();
         changedAt.put(name, millis());
     }
 
