--- a/review/4/Case4.java
+++ b/review/4/Case4.java
@@ -19,23 +19,12 @@
         System.exit(code);
     }
 
-    private static String manifest(int version) {
-        return "{\"version\":" + version + """
-                ,"routes":[
-                  {"name":"n","host":"models.example","pathPrefix":"/label/","kind":"non_idempotent","timeoutMs":2000,"goalMs":386,
-                   "priority":1,"service":"kitchen","attempts":1,"anonymous":false}],
-                 "services":[{"name":"kitchen","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}],
-                 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerMs":3000,"idleMs":15000},
-                 "tenants":[{"name":"t1","apiKeys":["key-1"],"priority":1}]}
-                """;
-    }
-
     private static int play(Rig rig, boolean trouble) throws Exception {
         for (int n = 1; n <= 3; n++) {
             rig.startControl(n, true);
         }
         rig.startEntry(1, true);
-        int leader = rig.configure(manifest(1), 20_000);
+        int leader = rig.configure(Wire.manifest("plain.json", 1), 20_000);
         if (leader == 0) {
             return 2;
         }
@@ -60,7 +49,7 @@
             }
             rig.log("control%d knows two voters", leader);
             int[] to = {leader};
-            Rig.Response ack = rig.callControl(to, "PUT", "/config", manifest(2));
+            Rig.Response ack = rig.callControl(to, "PUT", "/config", Wire.manifest("plain.json", 2));
             int by = to[0];
             if (ack == null || ack.status != 200) {
                 rig.log("no ack of manifest 2: %s", ack);
@@ -76,7 +65,7 @@
             rig.startControl(by, false);
         } else {
             Rig.sleep(FREEZE_MILLIS);
-            acked = rig.configure(manifest(2), 5_000) == 0 ? 1 : 2;
+            acked = rig.configure(Wire.manifest("plain.json", 2), 5_000) == 0 ? 1 : 2;
         }
         rig.controls(4);
         long backAt = rig.millis();
@@ -98,7 +87,7 @@
             int[] node = {n};
             rig.log("control%d runs: %s, GET /config: %s", n, rig.isRunning("control" + n), rig.callControl(node, "GET", "/config", null));
         }
-        int third = rig.configure(manifest(3), 5_000);
+        int third = rig.configure(Wire.manifest("plain.json", 3), 5_000);
         rig.log(third == 0 ? "no ack of manifest 3" : "control%d acknowledged manifest 3", third);
         rig.log("acknowledged %d, read %d", acked, read);
         return read < acked ? 1 : 0;
--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -11,15 +11,6 @@
 /** After a kill of all control instances, the end of an engine is acknowledged and known to nobody. */
 public final class Case7 {
 
-    private static final String MANIFEST = """
-            {"version":1,"routes":[
-              {"name":"n","host":"models.example","pathPrefix":"/label/","kind":"non_idempotent","timeoutMs":2000,"goalMs":386,
-               "priority":1,"service":"kitchen","attempts":1,"anonymous":false}],
-             "services":[{"name":"kitchen","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}],
-             "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerMs":3000,"idleMs":15000},
-             "tenants":[{"name":"t1","apiKeys":["key-1"],"priority":1}]}
-            """;
-
     private static final long LATE_MILLIS = 4_500;
 
     public static void main(String[] args) throws Exception {
@@ -39,7 +30,7 @@
         }
         rig.startEntry(1, true);
         rig.startEntry(2, true);
-        if (rig.configure(MANIFEST, 20_000) == 0) {
+        if (rig.configure(Wire.manifest("plain.json", 1), 20_000) == 0) {
             return 2;
         }
         List<Engine> engines = new ArrayList<>();
@@ -123,12 +114,12 @@
                             "/label/x",
                             Map.of(
                                     "Host", Rig.HOST,
-                                    "X-Hallwall-Attempt-Id", attempt,
-                                    "X-Hallwall-Deadline-Ms", "4000",
-                                    "X-Api-Key", "key-1"),
+                                    Wire.ATTEMPT_ID, attempt,
+                                    Wire.DEADLINE, "4000",
+                                    Wire.KEY, "key-1"),
                             "{}".getBytes(),
                             5_000);
-                    return r.status + " " + r.header("x-hallwall-engine-stamp").replaceAll("\\..*", "");
+                    return r.status + " " + r.header(Wire.lower(Wire.STAMP)).replaceAll("\\..*", "");
                 } catch (Exception e) {
                     return e.toString();
                 }
--- a/review/rig-2/Engine.java
+++ b/review/rig-2/Engine.java
@@ -85,7 +85,7 @@
     String announcement() {
         return "{\"service\":\"" + service + "\",\"addr\":\"" + host + ":" + server.getLocalPort()
                 + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,\"state\":\"" + (leaving ? "draining" : "ready")
-                + "\",\"coldLeftMs\":0,\"born\":" + born + ",\"callSeq\":" + sequence.incrementAndGet() + "}";
+                + "\",\"coldLeftMs\":0,\"born\":" + born + ",\"" + Wire.name("check.in.number") + "\":" + sequence.incrementAndGet() + "}";
     }
 
     boolean send(String method, String body, InetSocketAddress to) {
@@ -170,8 +170,8 @@
             headers.put(l.substring(0, colon).toLowerCase(Locale.ROOT), l.substring(colon + 1).trim());
         }
         byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
-        String expected = headers.get("x-hallwall-expect-instance");
-        String attempt = headers.get("x-hallwall-attempt-id");
+        String expected = headers.get(Wire.lower(Wire.EXPECTED_INSTANCE));
+        String attempt = headers.get(Wire.lower(Wire.ATTEMPT_ID));
         if (expected != null && !expected.equals(id)) {
             answer(out, 421, attempt, Map.of("At-Server", id), "");
             return true;
@@ -180,7 +180,7 @@
             return true;
         }
         if (attempt == null) {
-            answer(out, line[1].equals("/health") && !leaving ? 200 : 400, null, Map.of("X-Hallwall-Instance-Id", id), "");
+            answer(out, line[1].equals("/health") && !leaving ? 200 : 400, null, Map.of(Wire.INSTANCE_ID, id), "");
             return true;
         }
         try {
@@ -189,7 +189,7 @@
             throw new IOException(e);
         }
         try {
-            Run run = new Run(id, attempt, line[0], line[1], headers.get("x-hallwall-tenant"), rig.millis());
+            Run run = new Run(id, attempt, line[0], line[1], headers.get(Wire.lower(Wire.TENANT)), rig.millis());
             runs.add(run);
             return run(run, headers, body, out);
         } finally {
@@ -210,13 +210,13 @@
     }
 
     Map<String, String> stamp() {
-        return Map.of("X-Hallwall-Engine-Stamp", id + "." + stamps.incrementAndGet());
+        return Map.of(Wire.STAMP, id + "." + stamps.incrementAndGet());
     }
 
     void answer(OutputStream out, int status, String attempt, Map<String, String> more, String body) throws IOException {
         Map<String, String> headers = new LinkedHashMap<>(more);
         if (attempt != null) {
-            headers.put("X-Hallwall-Attempt-Id", attempt);
+            headers.put(Wire.ATTEMPT_ID, attempt);
         }
         if (leaving) {
             headers.put("Server-Leaving", "1");
--- a/review/rig-2/GangEngine.java
+++ b/review/rig-2/GangEngine.java
@@ -104,7 +104,7 @@
 
     private int order(String json) {
         synchronized (members()) {
-            long fence = number(json, "fencingToken");
+            long fence = number(json, Wire.name("fence"));
             if (fence < highestFence) {
                 return 412;
             }
@@ -215,7 +215,7 @@
                     200,
                     null,
                     Map.of("Content-Type", "application/json"),
-                    "{\"stage\":\"prefill_decode\",\"models\":[],\"busy\":false,\"callSeq\":" + orders
+                    "{\"stage\":\"prefill_decode\",\"models\":[],\"busy\":false,\"" + Wire.name("check.in.number") + "\":" + orders
                             + ",\"waiting\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":90000,\"handles\":0,\"pace\":1}");
             return true;
         }
@@ -236,7 +236,7 @@
         }
         int from = Integer.parseInt(headers.getOrDefault("last-event-id", "0"));
         Map<String, String> head = new LinkedHashMap<>(stamp());
-        head.put("X-Hallwall-Attempt-Id", run.attempt());
+        head.put(Wire.ATTEMPT_ID, run.attempt());
         head.put("Content-Type", "text/event-stream");
         head.put("Transfer-Encoding", "chunked");
         StringBuilder start = new StringBuilder("HTTP/1.1 200 OK\r\n");
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -197,7 +197,7 @@
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, out.toString());
         ProcessBuilder builder = new ProcessBuilder(command(role));
-        builder.environment().put("HALLWALL_NODE_FILE", file.toString());
+        builder.environment().put(Wire.name("settings.variable"), file.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         Process p = builder.start();
