GroupController: log the announcement by which an engine joins a group

The log named the order and its reason, not what made the engine free, so it could not tell a late announcement from a fresh one.

Each join order now logs the announcement's number, its age here and the announced group.

--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -355,12 +355,26 @@
         InstanceId id = a.target().id();
         OrderTracker.TrackedOrder order = orderTracker.recordSent(a, now + UNANSWERED_RETRY_MILLIS);
         long token = term;
+        if (a.order() instanceof TargetOrder.Join) {
+            logBasis(now, a.target().record());
+        }
         gateway.sendOrder(a.target().record(), a.order(), token, ORDER_TIMEOUT).subscribe(outcome -> {
             LOG.infof("groups: order %s to %s in term %d: %s (%s)", a.order(), id, token, outcome, a.reason());
             eventLoop.offer(() -> handleOutcome(id, order, outcome));
         });
     }
 
+    /** Logs the announcement by which an engine is free to join another group. */
+    private void logBasis(long now, TargetRecord announced) {
+        AnnouncedTarget known = inputs.directory().findAnnounced(announced.instance());
+        LOG.infof(
+                "groups: %s joins by announcement %d, received %d ms ago, of group %s",
+                announced.instance(),
+                announced.sequence(),
+                known == null ? -1 : now - known.heardAt(),
+                announced.group());
+    }
+
     private void handleOutcome(InstanceId id, OrderTracker.TrackedOrder order, OrderOutcome outcome) {
         boolean load = order.isLoad();
         boolean loadInProgress = load && outcome == OrderOutcome.CONFLICT;
--- a/serving/src/main/java/org/hallwall/serving/target/TargetDirectory.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetDirectory.java
@@ -125,6 +125,16 @@
         return announced == null ? null : announced.record();
     }
 
+    /**
+     * Finds a target and when it was last heard.
+     *
+     * @param instance the target
+     * @return its last record and the time of it, or null
+     */
+    public synchronized AnnouncedTarget findAnnounced(InstanceId instance) {
+        return targets.get(instance);
+    }
+
     /**
      * Returns whether a target has ended: it is unknown or over, or another one has announced its address since.
      *
