Group memberships are verified by the engines' reports before the first join of a term

Cause: an announcement carries a number but no time, so a controller that has just started, or that knows less than the one before, takes a late one for the state. Seen by the line of ('joins by announcement 2 ... of group null' for an open head). Ruled out: a late order of the earlier leader, and a removal by the head's answer (docs/incidents/late-announcements.md).

Change: MembershipVerifier reads the report of an engine before its first join in a term, and that of the head of its group; the join is conditional on the reported revision. The report applies until an announcement of a later epoch or state is known. Nobody leaves an incomplete group while unassigned engines have still to report. A READY head of an earlier term leaves before its members are used. UnansweredOrderTest and RepeatedOrderTest answer reports, so that they reach the orders which they check.

Why it holds: what frees an engine is its own report, and the engine refuses the join if anything has happened since; no wait is involved.

--- a/serving/src/main/java/org/hallwall/serving/group/Engine.java
+++ b/serving/src/main/java/org/hallwall/serving/group/Engine.java
@@ -29,8 +29,10 @@
  * @param lastModel the model of its last group since it started, which is still in memory; null if there was none
  * @param lost whether it is considered dead
  * @param silent whether it has missed heartbeats
+ * @param verification whether it has reported its group membership to this controller
  */
-public record Engine(TargetRecord record, String lastModel, boolean lost, boolean silent) {
+public record Engine(
+        TargetRecord record, String lastModel, boolean lost, boolean silent, VerificationState verification) {
 
     /**
      * Returns the engine's instance ID.
@@ -41,6 +43,15 @@
         return record.instance();
     }
 
+    /**
+     * Returns whether the group membership is verified.
+     *
+     * @return true if the engine has reported it
+     */
+    public boolean isVerified() {
+        return verification == VerificationState.VERIFIED;
+    }
+
     /**
      * Returns whether the engine can be assigned to a group or a load.
      *
--- a/serving/src/main/java/org/hallwall/serving/group/GroupController.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupController.java
@@ -77,6 +77,9 @@
     /** How long the limits stay raised, in milliseconds; it ends before requests arrive, 15 s after the instances start. */
     private static final long BOOST_DURATION_MILLIS = 6_500;
 
+    /** The number of queries per step of engines in planned groups, which verify their memberships before they are needed. */
+    private static final int BACKGROUND_QUERIES = 1;
+
     /** The interval between status lines in the log, in milliseconds. */
     private static final long STATUS_INTERVAL_MILLIS = 2_000;
 
@@ -94,6 +97,7 @@
     private final Map<InstanceId, Long> unresponsiveAt = new HashMap<>();
     private final SuspectTracker suspects = new SuspectTracker();
     private final GroupProbes probes;
+    private final MembershipVerifier verifier;
     private final LoadThrottle throttle = new LoadThrottle();
     private final long startedAt;
     private long term = -1;
@@ -130,6 +134,7 @@
         this.probes = new GroupProbes(gateway, inputs.directory(), this::markUnresponsive, ticker);
         this.startedAt = ticker.millis();
         this.eventLoop = new EventLoopThread("groups", QUEUE_CAPACITY, TICK_MILLIS, this::confirmLeadership);
+        this.verifier = new MembershipVerifier(gateway, eventLoop::offer, this::probeHead, ticker);
     }
 
     /** Starts the controller's thread. */
@@ -225,6 +230,7 @@
             plans.clear();
             stagings.clear();
             orderTracker.clear();
+            verifier.clear();
             if (!timing.firstStart() || now - startedAt > BOOST_START_MILLIS + BOOST_DURATION_MILLIS) {
                 throttle.recordTakeover(now);
             }
@@ -235,6 +241,7 @@
         }
         List<AnnouncedTarget> all = new ArrayList<>(inputs.directory().list());
         markLost(now, all);
+        verifier.retain(all.stream().map(t -> t.record().instance()).toList());
         for (TargetService s : inputs.configuration().get().engineServices().values()) {
             updateService(now, s, all);
         }
@@ -253,6 +260,9 @@
         for (GroupAction a : plan.step(now, spec, inputs.streams().get(), engines)) {
             sendIfDue(now, a);
         }
+        List<Engine> unassigned = plan.unassignedEngines(engines);
+        verifier.query(unassigned, Integer.MAX_VALUE);
+        verifier.query(engines.values().stream().filter(Engine::isUsable).toList(), BACKGROUND_QUERIES);
         for (StageOrder o : staging.step(now, spec, plan.packing(), plan.freeEngines(engines), engines)) {
             startLoad(now, spec, staging, o);
         }
@@ -301,8 +311,9 @@
         long silence = now - t.heardAt();
         boolean lost = isLost(now, t);
         boolean silent = silence > timing.heartbeatMillis() * MISSED_HEARTBEATS;
-        TargetRecord r = t.record();
-        return new Engine(r, t.lastModel(), lost, silent);
+        TargetRecord r = verifier.merge(t.record());
+        String lastModel = t.lastModel() == null ? r.model() : t.lastModel();
+        return new Engine(r, lastModel, lost, silent, verifier.state(r.instance()));
     }
 
     /** Releases loads whose target announces the model or is no longer usable. */
@@ -346,7 +357,9 @@
     }
 
     private void sendIfDue(long now, GroupAction a) {
-        if (orderTracker.isDue(a, now)) {
+        boolean join = a.order() instanceof TargetOrder.Join;
+        boolean allowed = !join || a.target().isVerified();
+        if (allowed && orderTracker.isDue(a, now)) {
             send(now, a);
         }
     }
@@ -354,16 +367,35 @@
     private void send(long now, GroupAction a) {
         InstanceId id = a.target().id();
         OrderTracker.TrackedOrder order = orderTracker.recordSent(a, now + UNANSWERED_RETRY_MILLIS);
-        long token = term;
-        if (a.order() instanceof TargetOrder.Join) {
+        TargetOrder sent = a.order();
+        if (a.order() instanceof TargetOrder.Join join) {
+            sent = join.ifRevision(verifier.revision(id));
             logBasis(now, a.target().record());
         }
-        gateway.sendOrder(a.target().record(), a.order(), token, ORDER_TIMEOUT).subscribe(outcome -> {
-            LOG.infof("groups: order %s to %s in term %d: %s (%s)", a.order(), id, token, outcome, a.reason());
-            eventLoop.offer(() -> handleOutcome(id, order, outcome));
+        verifier.recordSent(id);
+        sendOrder(a, sent, order);
+    }
+
+    private void sendOrder(GroupAction a, TargetOrder sent, OrderTracker.TrackedOrder tracked) {
+        InstanceId id = a.target().id();
+        long token = term;
+        gateway.sendOrder(a.target().record(), sent, token, ORDER_TIMEOUT).subscribe(outcome -> {
+            LOG.infof("groups: order %s to %s in term %d: %s (%s)", sent, id, token, outcome, a.reason());
+            eventLoop.offer(() -> {
+                if (token == term) {
+                    applyToMembership(id, sent, outcome);
+                }
+                handleOutcome(id, tracked, outcome);
+            });
         });
     }
 
+    private void applyToMembership(InstanceId id, TargetOrder sent, OrderOutcome outcome) {
+        if (!verifier.recordOutcome(id, sent, outcome)) {
+            plans.values().forEach(p -> p.abandonFormation(id));
+        }
+    }
+
     /** Logs the announcement by which an engine is free to join another group. */
     private void logBasis(long now, TargetRecord announced) {
         AnnouncedTarget known = inputs.directory().findAnnounced(announced.instance());
@@ -388,10 +420,22 @@
             throttle.release(id);
         }
         if (outcome == OrderOutcome.UNKNOWN) {
-            probes.probe(id.value(), List.of(id)).subscribe();
+            probeUnanswering(id);
+        }
+    }
+
+    /** Probes a head that did not report its membership, since the members of its group wait for it. */
+    private void probeHead(TargetRecord engine) {
+        if (engine.group() != null && engine.group().rank() == 0) {
+            probeUnanswering(engine.instance());
         }
     }
 
+    /** Probes an engine that did not answer; it is considered dead if others answer. */
+    private void probeUnanswering(InstanceId id) {
+        probes.probe(id.value(), List.of(id)).subscribe();
+    }
+
     private Mono<HeadCheckResult> probe(StalledHead report) {
         if (!voter.holdsLease()) {
             return Mono.just(finding(report.group(), GroupLiveness.UNKNOWN));
--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -39,8 +39,8 @@
 /**
  * Decides which engines form groups, and dissolves groups that lost a member. It neither does I/O nor reads a clock.
  *
- * <p>Decisions rely only on announcements of engines. An engine is free for another group only if no head can still use it: the
- * head of its last group has announced that it no longer serves, or the engine itself has announced that it has left.
+ * <p>Decisions rely only on announcements and reports of engines. An engine is free for another group only if its membership is
+ * verified and no head can still use it: the head of its last group no longer serves, or the engine itself has left.
  */
 public final class GroupPlan {
 
@@ -90,6 +90,7 @@
             long now, EngineSpec spec, Map<String, Integer> streams, Map<InstanceId, Engine> engines) {
         actions = new ArrayList<>();
         adoptGroups(now, spec, engines);
+        leaveIncompleteGroups(engines);
         for (PlannedGroup g : List.copyOf(groups.values())) {
             updateGroup(now, spec, g, engines);
         }
@@ -163,8 +164,7 @@
      * @return the free engines by fabric domain
      */
     public Map<String, List<Engine>> freeEngines(Map<InstanceId, Engine> engines) {
-        Set<InstanceId> assigned = new HashSet<>();
-        groups.values().forEach(g -> assigned.addAll(g.members()));
+        Set<InstanceId> assigned = assignedEngines();
         Map<String, List<Engine>> out = new TreeMap<>();
         for (Engine e : engines.values()) {
             String domain = e.record().fabricDomain();
@@ -201,13 +201,78 @@
                     // the previous controller may have ordered it to open
                     orderedToOpen.add(g.name());
                 }
-            } else if (mayUseMembers(m)) {
+            }
+        }
+    }
+
+    /** Orders heads whose members are unknown to leave, once no engine that may be one of them is left to report. */
+    private void leaveIncompleteGroups(Map<InstanceId, Engine> engines) {
+        if (!areReportsComplete(engines)) {
+            return;
+        }
+        for (Engine e : engines.values()) {
+            GroupMembership m = e.record().group();
+            boolean isHead = m != null && m.rank() == 0 && !e.lost();
+            if (!isHead || groups.containsKey(m.name()) || finishedGroups.contains(m.name())) {
+                continue;
+            }
+            boolean hasMembers = membersOf(m, engines.values()).size() > 1;
+            if (mayUseMembers(m) || hasMembers && mayStillOpen(m)) {
                 actions.add(new GroupAction(
                         e, new TargetOrder.Leave(m.name(), m.epoch()), "members of the group are unknown"));
             }
         }
     }
 
+    /** Returns whether the controller of an earlier term may have ordered a head to open, and the order may still be executed. */
+    private boolean mayStillOpen(GroupMembership head) {
+        return head.state() == GroupState.READY && head.epoch() < term * EPOCHS_PER_TERM;
+    }
+
+    /**
+     * Returns the engines that are in no planned group. Their memberships are verified before they are used.
+     *
+     * @param engines all engines of the service
+     * @return the engines that are not considered dead
+     */
+    List<Engine> unassignedEngines(Map<InstanceId, Engine> engines) {
+        Set<InstanceId> assigned = assignedEngines();
+        List<Engine> out = new ArrayList<>();
+        for (Engine e : engines.values()) {
+            boolean mayBeMember =
+                    e.record().fabricDomain() != null || e.record().group() != null;
+            if (mayBeMember && !e.lost() && !e.record().isOver() && !assigned.contains(e.id())) {
+                out.add(e);
+            }
+        }
+        return out;
+    }
+
+    /** Returns whether all unassigned engines have reported their memberships, or do not answer. */
+    private boolean areReportsComplete(Map<InstanceId, Engine> engines) {
+        return unassignedEngines(engines).stream()
+                .allMatch(e -> e.verification().isDecided());
+    }
+
+    private Set<InstanceId> assignedEngines() {
+        Set<InstanceId> out = new HashSet<>();
+        groups.values().forEach(g -> out.addAll(g.members()));
+        return out;
+    }
+
+    /**
+     * Removes a group that is being formed, since one of its members has accepted an order of another controller.
+     *
+     * @param member the member
+     */
+    void abandonFormation(InstanceId member) {
+        for (PlannedGroup g : List.copyOf(groups.values())) {
+            if (g.members().contains(member) && !g.hasServed() && !orderedToOpen.contains(g.name())) {
+                removeGroup(g);
+            }
+        }
+    }
+
     private static List<InstanceId> membersOf(GroupMembership membership, Collection<Engine> engines) {
         Map<Integer, InstanceId> byRank = new TreeMap<>();
         for (Engine e : engines) {
@@ -341,6 +406,9 @@
 
     private boolean isReleased(Engine e, Map<InstanceId, Engine> engines) {
         GroupMembership m = e.record().group();
+        if (!e.isVerified()) {
+            return false;
+        }
         if (m == null) {
             return true;
         }
@@ -349,15 +417,19 @@
         }
         Engine head = headOf(m, engines.values());
         if (head != null && !head.lost()) {
-            return !mayUseMembers(head.record().group());
+            GroupMembership h = head.record().group();
+            return head.isVerified() && !mayUseMembers(h) && !mayStillOpen(h);
         }
         return head == null && endedGroups.contains(m.name());
     }
 
     /** Orders members of a lost head to leave before they join elsewhere: the head may be alive, and its group then breaks. */
     private void leaveLostHeads(Map<InstanceId, Engine> engines) {
-        Set<InstanceId> assigned = new HashSet<>();
-        groups.values().forEach(g -> assigned.addAll(g.members()));
+        if (!areReportsComplete(engines)) {
+            // the head may be one of them
+            return;
+        }
+        Set<InstanceId> assigned = assignedEngines();
         for (Engine e : engines.values()) {
             GroupMembership m = e.record().group();
             if (m == null || m.rank() == 0 || !e.isUsable() || assigned.contains(e.id())) {
--- a/serving/src/main/java/org/hallwall/serving/group/TargetGateway.java
+++ b/serving/src/main/java/org/hallwall/serving/group/TargetGateway.java
@@ -45,4 +45,13 @@
      * @return whether it answered; empty if it is not available and was not probed; never an error
      */
     Mono<Boolean> probe(TargetRecord target, Duration timeout);
+
+    /**
+     * Reads the report of an engine, unless it is not available.
+     *
+     * @param target the engine
+     * @param timeout the response timeout
+     * @return the report; empty if there is none, or another start of the engine answered; never an error
+     */
+    Mono<EngineReport> readReport(TargetRecord target, Duration timeout);
 }
--- a/serving/src/main/java/org/hallwall/serving/group/TargetOrder.java
+++ b/serving/src/main/java/org/hallwall/serving/group/TargetOrder.java
@@ -32,8 +32,33 @@
      * @param epoch the group's epoch
      * @param model the model
      * @param members all members; the first is the head
+     * @param expectedRevision the number of orders that the target must have accepted before this one; null for any
      */
-    record Join(String group, long epoch, String model, List<InstanceId> members) implements TargetOrder {}
+    record Join(String group, long epoch, String model, List<InstanceId> members, Long expectedRevision)
+            implements TargetOrder {
+
+        /**
+         * Creates an unconditional order.
+         *
+         * @param group the group's name
+         * @param epoch the group's epoch
+         * @param model the model
+         * @param members all members; the first is the head
+         */
+        public Join(String group, long epoch, String model, List<InstanceId> members) {
+            this(group, epoch, model, members, null);
+        }
+
+        /**
+         * Copies the order with a condition.
+         *
+         * @param revision the expected number of orders that the target has accepted; null for none
+         * @return the copy
+         */
+        Join ifRevision(Long revision) {
+            return new Join(group, epoch, model, members, revision);
+        }
+    }
 
     /**
      * Opens a ready head for requests.
--- a/serving/src/main/java/org/hallwall/serving/target/TargetRecord.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetRecord.java
@@ -98,6 +98,28 @@
                 instance, later, service, address, failureDomain, slots, changed, fabricDomain, model, staged, group);
     }
 
+    /**
+     * Copies the record with another group membership.
+     *
+     * @param membership the membership of the copy; null for none
+     * @param loaded the loaded model of the copy; null for none
+     * @return the copy
+     */
+    public TargetRecord withGroup(GroupMembership membership, String loaded) {
+        return new TargetRecord(
+                instance,
+                sequence,
+                service,
+                address,
+                failureDomain,
+                slots,
+                presence,
+                fabricDomain,
+                loaded,
+                staged,
+                membership);
+    }
+
     /**
      * Copies the record for a start that a later one has replaced.
      *
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -47,6 +47,7 @@
 import org.hallwall.serving.config.ConfigurationException;
 import org.hallwall.serving.decision.Mechanisms;
 import org.hallwall.serving.group.ControllerTiming;
+import org.hallwall.serving.group.EngineReport;
 import org.hallwall.serving.group.OrderOutcome;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.group.TargetOrder;
@@ -91,6 +92,11 @@
         public Mono<Boolean> probe(TargetRecord target, Duration timeout) {
             return Mono.just(false);
         }
+
+        @Override
+        public Mono<EngineReport> readReport(TargetRecord target, Duration timeout) {
+            return Mono.empty();
+        }
     };
 
     @TempDir
--- a/serving/src/test/java/org/hallwall/serving/control/RepeatedOrderTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/RepeatedOrderTest.java
@@ -27,6 +27,7 @@
 
 import org.awaitility.Awaitility;
 import org.hallwall.serving.config.EngineModel;
+import org.hallwall.serving.group.EngineReport;
 import org.hallwall.serving.group.OrderOutcome;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.group.TargetOrder;
@@ -59,6 +60,11 @@
         public Mono<Boolean> probe(TargetRecord t, Duration timeout) {
             return Mono.just(true);
         }
+
+        @Override
+        public Mono<EngineReport> readReport(TargetRecord t, Duration timeout) {
+            return Mono.just(new EngineReport(null, null, 0));
+        }
     };
 
     @Test
--- a/serving/src/test/java/org/hallwall/serving/control/UnansweredOrderTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/UnansweredOrderTest.java
@@ -29,6 +29,7 @@
 import org.awaitility.Awaitility;
 import org.hallwall.core.id.InstanceId;
 import org.hallwall.serving.config.EngineModel;
+import org.hallwall.serving.group.EngineReport;
 import org.hallwall.serving.group.OrderOutcome;
 import org.hallwall.serving.group.TargetGateway;
 import org.hallwall.serving.group.TargetOrder;
@@ -64,6 +65,11 @@
         public Mono<Boolean> probe(TargetRecord t, Duration timeout) {
             return Mono.just(!DEAD.contains(t.instance()));
         }
+
+        @Override
+        public Mono<EngineReport> readReport(TargetRecord t, Duration timeout) {
+            return Mono.just(new EngineReport(null, null, 0));
+        }
     };
     private ControlFixture control;
 
--- a/serving/src/test/java/org/hallwall/serving/group/EngineFixture.java
+++ b/serving/src/test/java/org/hallwall/serving/group/EngineFixture.java
@@ -78,6 +78,6 @@
                 model,
                 staged == null ? List.of() : List.of(staged),
                 membership);
-        return new Engine(r, model, lost, false);
+        return new Engine(r, model, lost, false, VerificationState.VERIFIED);
     }
 }
--- a/serving/src/test/java/org/hallwall/serving/group/GroupControllerTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupControllerTest.java
@@ -169,5 +169,10 @@
         public Mono<Boolean> probe(TargetRecord target, Duration timeout) {
             return Mono.just(false);
         }
+
+        @Override
+        public Mono<EngineReport> readReport(TargetRecord target, Duration timeout) {
+            return Mono.empty();
+        }
     }
 }
--- a/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupPlanTest.java
@@ -150,6 +150,79 @@
         Assertions.assertEquals(g.head(), opens.get(0).target().id());
     }
 
+    /** A late announcement names a group that the engine has left, or none although it has joined one. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void anEngineIsNotAssignedBeforeItsMembershipIsVerified(int unverified) {
+        for (int n = 1; n <= 3; n++) {
+            engine(n, null);
+        }
+        unverified(unverified);
+        InstanceId id = new InstanceId("i-" + unverified);
+        Assertions.assertTrue(step().stream().noneMatch(a -> a.target().id().equals(id)));
+        Assertions.assertTrue(plan.groups().isEmpty());
+        engine(unverified, null);
+        Assertions.assertEquals(3, of(step(), TargetOrder.Join.class).size());
+    }
+
+    /** The head may have been opened by an order that the announced state does not reflect yet. */
+    @Test
+    void membersOfAHeadAreNotAssignedBeforeTheHeadIsVerified() {
+        engine(1, new GroupMembership("g", 1, 0, GroupState.JOINING));
+        engine(2, new GroupMembership("g", 1, 1, GroupState.READY));
+        unverified(1);
+        step();
+        Assertions.assertEquals(0, freeCount());
+        engine(1, new GroupMembership("g", 1, 0, GroupState.BROKEN));
+        Assertions.assertEquals(2, freeCount());
+    }
+
+    /** An order to open from an earlier term may still be executed, so the head leaves before its members are assigned. */
+    @Test
+    void aReadyHeadOfAnEarlierTermLeavesBeforeItsMembersAreAssigned() {
+        plan = new GroupPlan(2, Mechanisms.ALL);
+        engine(1, new GroupMembership("g", 1, 0, GroupState.READY));
+        engine(2, new GroupMembership("g", 1, 1, GroupState.READY));
+        Assertions.assertEquals(1, of(step(), TargetOrder.Leave.class).size());
+        Assertions.assertFalse(plan.freeEngines(engines).toString().contains("i-2"));
+        engine(1, null);
+        Assertions.assertTrue(of(step(), TargetOrder.Leave.class).stream()
+                .allMatch(a -> a.target().id().equals(new InstanceId("i-2"))));
+    }
+
+    /** The members of a group, or its head, may be engines whose announcements are late. */
+    @ParameterizedTest
+    @CsvSource({"0, OPEN", "1, READY"})
+    void noEngineLeavesAnIncompleteGroupWhileOthersAreUnverified(int rank, GroupState state) {
+        engine(1, new GroupMembership("g", 1, rank, state));
+        engine(2, null);
+        unverified(2);
+        Assertions.assertEquals(List.of(), of(step(), TargetOrder.Leave.class));
+        engines.put(e2().id(), new Engine(e2().record(), null, false, false, VerificationState.UNANSWERED));
+        Assertions.assertEquals(1, of(step(), TargetOrder.Leave.class).size());
+    }
+
+    private Engine e2() {
+        return engines.get(new InstanceId("i-2"));
+    }
+
+    @Test
+    void anAbandonedFormationReleasesItsMembers() {
+        for (int n = 1; n <= 3; n++) {
+            engine(n, null);
+        }
+        step();
+        PlannedGroup g = plan.groups().iterator().next();
+        plan.abandonFormation(g.members().get(1));
+        Assertions.assertFalse(plan.groups().contains(g));
+        Assertions.assertEquals(3, freeCount());
+    }
+
+    private void unverified(int n) {
+        Engine e = engines.get(new InstanceId("i-" + n));
+        engines.put(e.id(), new Engine(e.record(), e.lastModel(), e.lost(), e.silent(), VerificationState.PENDING));
+    }
+
     @Test
     void theHeadLeavesAfterAMemberIsLostBeforeSurvivorsJoinElsewhere() {
         PlannedGroup g = openGroup();
--- a/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
+++ b/serving/src/test/java/org/hallwall/serving/group/GroupProbesTest.java
@@ -71,6 +71,11 @@
                         return !dead.contains(target.instance());
                     });
         }
+
+        @Override
+        public Mono<EngineReport> readReport(TargetRecord target, Duration timeout) {
+            return Mono.empty();
+        }
     };
     private final GroupProbes probes = new GroupProbes(gateway, directory, reported::add, () -> now());
 
--- a/simulation/src/main/java/org/hallwall/simulation/SimulatedEngine.java
+++ b/simulation/src/main/java/org/hallwall/simulation/SimulatedEngine.java
@@ -26,6 +26,7 @@
 import org.hallwall.core.settings.NetAddress;
 import org.hallwall.serving.group.Engine;
 import org.hallwall.serving.group.TargetOrder;
+import org.hallwall.serving.group.VerificationState;
 import org.hallwall.serving.target.GroupMembership;
 import org.hallwall.serving.target.GroupState;
 import org.hallwall.serving.target.TargetRecord;
@@ -68,7 +69,7 @@
                 membership != null && membership.state().hasJoined() ? loadedModel : null,
                 stagedModel == null ? List.of() : List.of(stagedModel),
                 membership);
-        return new Engine(r, loadedModel, markedFailed, silent);
+        return new Engine(r, loadedModel, markedFailed, silent, VerificationState.VERIFIED);
     }
 
     boolean isHeadOf(String group) {
