Log: a newcomer becomes a voter before a silent voter is removed

Cause: MembershipPolicy.nextVoters removed the silent voter of a set of 2d + 1 before the newcomer was in; of the two voters left one lost its disk, and its new folder can't be admitted without it. Refuted: a loss at four voters (3 of 4 have their disks). The same step had a second way, without a window: a follower whose new folder is not admitted yet beside a frozen one.

Change: the newcomer is added first, if it and the healthy voters are a quorum of the larger set; the silent one is then removed as above the wanted size. No set is smaller than 2d + 1, so d lost disks always leave a quorum. Changes are acknowledged all the while.

The simulation now has one tolerance for all voters of a schedule.

--- a/log/src/main/java/org/hallwall/log/MembershipPolicy.java
+++ b/log/src/main/java/org/hallwall/log/MembershipPolicy.java
@@ -55,16 +55,39 @@
         this.admissions = admissions;
     }
 
-    /** Returns the voters after the next change for a learner that has requested to join; null if no change is due. */
+    /**
+     * Returns the voters after the next change for a learner that has requested to join; null if no change is due.
+     *
+     * <p>The newcomer is added before an unresponsive voter is removed. A set below the target size would have no quorum
+     * after the tolerated disk failures, and the lost folders could never be admitted again.
+     */
     List<InstanceId> nextVoters(long now, InstanceId newcomer, long commit) {
+        List<InstanceId> reduced = votersWithoutSurplus(now);
+        if (reduced != null) {
+            return reduced;
+        }
+        return hasCapacity(now, commit) && hasCaughtUp(newcomer, commit) ? voters.with(newcomer) : null;
+    }
+
+    private boolean hasCapacity(long now, long commit) {
         int size = voters.all().size();
-        InstanceId unresponsive = followers.longestSilentVoter(now, REMOVAL_TIMEOUT_MILLIS);
-        if (unresponsive != null && size >= targetSize) {
-            return voters.without(unresponsive);
+        if (size < targetSize) {
+            return true;
+        }
+        if (followers.longestSilentVoter(now, REMOVAL_TIMEOUT_MILLIS) != null) {
+            // the newcomer and the healthy voters must be a quorum of the enlarged set until the silent one is removed
+            return size == targetSize && healthyVoters(now, commit) + 1 > (size + 1) / 2;
+        }
+        return size < MAX_VOTERS && followers.longestSilentVoter(now, UNRESPONSIVE_MILLIS) == null;
+    }
+
+    /** Counts this voter and the other healthy ones. */
+    private int healthyVoters(long now, long commit) {
+        int healthy = 1;
+        for (InstanceId id : voters.others()) {
+            healthy += isHealthy(now, id, commit) ? 1 : 0;
         }
-        boolean allResponsive = followers.longestSilentVoter(now, UNRESPONSIVE_MILLIS) == null;
-        boolean hasCapacity = size < targetSize || (size < MAX_VOTERS && allResponsive);
-        return hasCapacity && hasCaughtUp(newcomer, commit) ? voters.with(newcomer) : null;
+        return healthy;
     }
 
     /**
--- a/log/src/test/java/org/hallwall/log/LogReplicaPropertyTest.java
+++ b/log/src/test/java/org/hallwall/log/LogReplicaPropertyTest.java
@@ -43,23 +43,38 @@
     /** Instances are lost permanently and replaced by empty ones at other addresses. */
     @Property(tries = 600, seed = "20261202", shrinking = ShrinkingMode.OFF)
     void votersAgreeAcrossReplacements(@ForAll @LongRange(min = 0, max = 1_000_000_000) long seed) {
-        assertTrue(new LogSimulation(seed, 3, true, LogSimulation.WITHOUT_COLD_START_PROBES).run() > 0);
+        assertTrue(new LogSimulation(seed, 3, MembershipSchedule.REPLACEMENTS, LogSimulation.WITHOUT_COLD_START_PROBES)
+                        .run()
+                > 0);
+    }
+
+    /** Guards against a planned change after which one lost disk leaves no quorum, while another voter is frozen. */
+    @Property(tries = 600, seed = "20261207", shrinking = ShrinkingMode.OFF)
+    void votersAgreeAcrossOverlappingChanges(@ForAll @LongRange(min = 0, max = 1_000_000_000) long seed) {
+        int size = seed % 3 == 0 ? 5 : 3;
+        LogSimulation simulation = new LogSimulation(
+                seed, size, MembershipSchedule.OVERLAPPING_CHANGES, LogSimulation.WITHOUT_COLD_START_PROBES);
+        assertTrue(simulation.run() > 0);
     }
 
     /** All voters lose power at once; the first election skips the wait if all of them have just started. */
     @Property(tries = 600, seed = "20261202", shrinking = ShrinkingMode.OFF)
     void votersAgreeAfterColdStart(@ForAll @LongRange(min = 0, max = 1_000_000_000) long seed) {
-        assertTrue(new LogSimulation(seed, 3, false, LogSimulation.WITH_COLD_START_PROBES).run() > 0);
-        assertTrue(new LogSimulation(seed, 5, false, LogSimulation.WITH_COLD_START_PROBES).run() > 0);
+        assertTrue(
+                new LogSimulation(seed, 3, MembershipSchedule.FIXED, LogSimulation.WITH_COLD_START_PROBES).run() > 0);
+        assertTrue(
+                new LogSimulation(seed, 5, MembershipSchedule.FIXED, LogSimulation.WITH_COLD_START_PROBES).run() > 0);
     }
 
     /** Guards against a first election after a power loss that waits for a lease that cannot exist. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void firstElectionAfterPowerLossDoesNotWait(long seed) {
-        long withoutProbes =
-                new LogSimulation(seed, 3, false, LogSimulation.WITHOUT_COLD_START_PROBES).millisToFirstLeader();
-        long withProbes = new LogSimulation(seed, 3, false, LogSimulation.WITH_COLD_START_PROBES).millisToFirstLeader();
+        long withoutProbes = new LogSimulation(
+                        seed, 3, MembershipSchedule.FIXED, LogSimulation.WITHOUT_COLD_START_PROBES)
+                .millisToFirstLeader();
+        long withProbes = new LogSimulation(seed, 3, MembershipSchedule.FIXED, LogSimulation.WITH_COLD_START_PROBES)
+                .millisToFirstLeader();
         assertTrue(
                 withoutProbes >= LogSimulation.WITHOUT_COLD_START_PROBES.electionTimeoutMillis(),
                 "without probes: " + withoutProbes);
--- a/log/src/test/java/org/hallwall/log/LogSimulation.java
+++ b/log/src/test/java/org/hallwall/log/LogSimulation.java
@@ -51,6 +51,15 @@
     private static final int STEPS = 2_500;
     private static final int STEP_MILLIS = 10;
     private static final int SETTLE_STEPS = 3_000;
+    /** Longer than the time after which a silent voter is removed. */
+    private static final int MAX_FREEZE_MILLIS = 5_000;
+    /** The time in which a voter whose disk was lost is admitted again once all others run. */
+    private static final long DISK_LOSS_INTERVAL_MILLIS = 3_000;
+
+    /** How long an instance asks to leave before it ends. */
+    private static final long LEAVE_MILLIS = 3_000;
+
+    private static final int MAX_EXTRA_INSTANCES = 3;
 
     private final Random random;
     private final Map<InstanceId, SimulatedVoter> voters = new LinkedHashMap<>();
@@ -58,23 +67,25 @@
     private final Set<InstanceId> partitioned = new HashSet<>();
     private final Map<Long, InstanceId> leaders = new HashMap<>();
     private final Map<Long, LogEntry> committed = new HashMap<>();
-    private final boolean replaceInstances;
+    private final MembershipSchedule schedule;
+    private final int initialSize;
+    private final Map<InstanceId, Long> frozenUntil = new HashMap<>();
     private final LogTiming timing;
     private InstanceId newcomer;
+    private InstanceId leaving;
+    private long leaveDeadline;
     private int replacements;
     private boolean faultFree;
     private long now;
     private int proposals;
 
     LogSimulation(long seed, int size) {
-        this(seed, size, false, WITHOUT_COLD_START_PROBES);
+        this(seed, size, MembershipSchedule.FIXED, WITHOUT_COLD_START_PROBES);
     }
 
-    /**
-     * If {@code replaceInstances} is set, instances are lost permanently and replaced by empty ones at other addresses.
-     */
-    LogSimulation(long seed, int size, boolean replaceInstances, LogTiming timing) {
-        this.replaceInstances = replaceInstances;
+    LogSimulation(long seed, int size, MembershipSchedule schedule, LogTiming timing) {
+        this.schedule = schedule;
+        this.initialSize = size;
         this.timing = timing;
         random = new Random(seed);
         List<InstanceId> ids = new ArrayList<>();
@@ -107,6 +118,10 @@
         return now;
     }
 
+    int toleratedDiskFailures() {
+        return (initialSize - 1) / 2;
+    }
+
     LogTiming timing() {
         return timing;
     }
@@ -141,7 +156,7 @@
             deliver(network.poll());
         }
         for (SimulatedVoter v : voters.values()) {
-            if (v.isUp()) {
+            if (isRunning(v)) {
                 v.tick(now);
             }
             recordLeader(v);
@@ -153,6 +168,108 @@
         if (newcomer != null && random.nextInt(20) == 0) {
             sendJoinRequests();
         }
+        if (schedule == MembershipSchedule.OVERLAPPING_CHANGES) {
+            joinMissing();
+            continueLeave();
+        }
+    }
+
+    private boolean isRunning(SimulatedVoter v) {
+        return v.isUp() && frozenUntil.getOrDefault(v.id(), 0L) <= now;
+    }
+
+    /** Each instance that the leader does not list as a voter asks all others to join. */
+    private void joinMissing() {
+        SimulatedVoter leader = leader();
+        if (leader == null || random.nextInt(10) > 0) {
+            return;
+        }
+        for (SimulatedVoter v : List.copyOf(voters.values())) {
+            boolean listed = leader.isUp() && leader.replica().state().voters().contains(v.id());
+            if (leader.isUp() && isRunning(v) && !listed && !v.id().equals(leaving)) {
+                leader.handleJoinRequest(now, v.id());
+            }
+        }
+    }
+
+    /** Repeats the request to leave until it is decided; the instance then ends. */
+    private void continueLeave() {
+        SimulatedVoter v = leaving == null ? null : voters.get(leaving);
+        if (v == null || !isRunning(v)) {
+            return;
+        }
+        LeaveStatus status = v.leave(now);
+        if (status.isDecided() || now > leaveDeadline) {
+            v.crash();
+            leaving = null;
+        }
+        if (status == LeaveStatus.REMOVED) {
+            voters.remove(v.id());
+        }
+    }
+
+    /** Returns the running leader, or null. */
+    SimulatedVoter leader() {
+        return voters.values().stream()
+                .filter(v -> isRunning(v) && v.replica().holdsLease(now))
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Runs without random faults. */
+    void runFaultFree(int millis) {
+        faultFree = true;
+        for (int i = 0; i < millis / STEP_MILLIS; i++) {
+            step();
+        }
+    }
+
+    /** Starts an empty instance that asks to join. */
+    SimulatedVoter addInstance() {
+        SimulatedVoter leader = leader();
+        List<InstanceId> known =
+                leader == null ? null : leader.replica().state().voters();
+        if (known == null) {
+            return null;
+        }
+        InstanceId id = new InstanceId("n" + replacements++);
+        SimulatedVoter v = SimulatedVoter.blank(id, known, this, new Random(random.nextLong()));
+        voters.put(id, v);
+        v.start(now);
+        return v;
+    }
+
+    /** Stops an instance for a time; it loses no state. */
+    void freeze(SimulatedVoter v, int millis) {
+        frozenUntil.put(v.id(), now + millis);
+    }
+
+    /** Ends an instance, which starts again without its data. */
+    void restartWithoutDisk(SimulatedVoter v) {
+        v.crash();
+        v.loseDisk();
+        v.recordDiskLoss(now);
+        v.start(now);
+    }
+
+    /** Returns an entry that the leader has committed from now on, or -1 if there is none within a time. */
+    long commitOne(int millis) {
+        long before = committed.size();
+        for (int i = 0; i < millis / STEP_MILLIS; i++) {
+            SimulatedVoter leader = leader();
+            if (leader != null) {
+                leader.propose(now, ("c" + proposals++).getBytes(StandardCharsets.UTF_8));
+            }
+            step();
+            if (committed.size() > before) {
+                return committed.size();
+            }
+        }
+        return -1;
+    }
+
+    List<SimulatedVoter> instances() {
+        return List.copyOf(voters.values());
     }
 
     private long leaseHolders() {
@@ -176,7 +293,7 @@
     /** Replaces an instance permanently by an empty one. */
     private void replaceInstance(SimulatedVoter lost) {
         List<InstanceId> agreed = agreedVoters();
-        if (!replaceInstances || newcomer != null || agreed == null || !mayLoseDisk(lost)) {
+        if (schedule != MembershipSchedule.REPLACEMENTS || newcomer != null || agreed == null || !mayLoseDisk(lost)) {
             return;
         }
         newcomer = new InstanceId("n" + replacements++);
@@ -202,7 +319,7 @@
 
     private void deliver(InFlightMessage f) {
         SimulatedVoter to = voters.get(f.to);
-        if (to != null && to.isUp() && partitioned.contains(f.from) == partitioned.contains(f.to)) {
+        if (to != null && isRunning(to) && partitioned.contains(f.from) == partitioned.contains(f.to)) {
             to.receive(now, f.message);
             recordLeader(to);
         }
@@ -217,7 +334,7 @@
 
     private void proposeSomewhere() {
         for (SimulatedVoter v : voters.values()) {
-            if (v.isUp() && v.propose(now, ("c" + proposals).getBytes(StandardCharsets.UTF_8))) {
+            if (isRunning(v) && v.propose(now, ("c" + proposals).getBytes(StandardCharsets.UTF_8))) {
                 proposals++;
                 return;
             }
@@ -229,6 +346,10 @@
             crashAll();
             return;
         }
+        if (schedule == MembershipSchedule.OVERLAPPING_CHANGES) {
+            injectOverlappingFault();
+            return;
+        }
         int roll = random.nextInt(300);
         SimulatedVoter v = pick();
         if (roll == 0) {
@@ -248,6 +369,38 @@
         }
     }
 
+    /** As many instances may be frozen and as many disks lost as are tolerated, beside one planned change. */
+    private void injectOverlappingFault() {
+        int roll = random.nextInt(200);
+        SimulatedVoter v = pick();
+        long frozen =
+                voters.values().stream().filter(o -> o.isUp() && !isRunning(o)).count();
+        if (roll < 2 && frozen < toleratedDiskFailures()) {
+            freeze(v, random.nextInt(MAX_FREEZE_MILLIS));
+        } else if (roll < 4 && mayLoseOverlappingDisk(v)) {
+            restartWithoutDisk(v);
+        } else if (roll < 6 && voters.size() < initialSize + MAX_EXTRA_INSTANCES) {
+            addInstance();
+        } else if (roll < 8 && leaving == null && voters.size() > initialSize) {
+            leaving = v.id();
+            leaveDeadline = now + LEAVE_MILLIS;
+        } else if (roll == 8) {
+            v.crash();
+        } else if (roll < 20 && !v.isUp()) {
+            v.start(now);
+        }
+    }
+
+    /** Returns whether few enough voters are without their disks; others may be frozen or joining. */
+    private boolean mayLoseOverlappingDisk(SimulatedVoter candidate) {
+        int recovering = 0;
+        for (SimulatedVoter v : voters.values()) {
+            boolean waits = now - v.diskLostAt() <= DISK_LOSS_INTERVAL_MILLIS;
+            recovering += waits || v.diskLostAt() >= 0 && !v.folder().admitted() ? 1 : 0;
+        }
+        return recovering < toleratedDiskFailures() && candidate.folder().admitted();
+    }
+
     /** Crashes all voters at once; some restart immediately, the others through {@link #injectFault()}. */
     private void crashAll() {
         voters.values().forEach(SimulatedVoter::crash);
@@ -280,6 +433,11 @@
     private void settle() {
         faultFree = true;
         partitioned.clear();
+        frozenUntil.clear();
+        if (leaving != null && voters.get(leaving).isUp()) {
+            voters.get(leaving).crash();
+        }
+        leaving = null;
         for (SimulatedVoter v : voters.values()) {
             if (!v.isUp()) {
                 v.start(now);
--- a/log/src/test/java/org/hallwall/log/SimulatedVoter.java
+++ b/log/src/test/java/org/hallwall/log/SimulatedVoter.java
@@ -31,6 +31,7 @@
 final class SimulatedVoter {
 
     private static final int SNAPSHOT_THRESHOLD = 25;
+    private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final InstanceId id;
     private final List<InstanceId> voters;
@@ -43,6 +44,7 @@
     private LogReplica replica;
     private long applied;
     private int lostDisks;
+    private long diskLostAt = NEVER;
 
     SimulatedVoter(InstanceId id, List<InstanceId> voters, LogSimulation simulation, Random random) {
         this.id = id;
@@ -64,6 +66,20 @@
         perform(now, replica.drainActions());
     }
 
+    LeaveStatus leave(long now) {
+        LeaveStatus status = replica.leave(now);
+        perform(now, replica.drainActions());
+        return status;
+    }
+
+    void recordDiskLoss(long now) {
+        diskLostAt = now;
+    }
+
+    long diskLostAt() {
+        return diskLostAt;
+    }
+
     InstanceId id() {
         return id;
     }
@@ -86,7 +102,8 @@
 
     void start(long now) {
         RecoveredState recovered = new RecoveredState(folder, vote, snapshot, List.copyOf(entries));
-        replica = new LogReplica(new LogVoterConfig(id, voters, simulation.timing()), recovered, random, now);
+        LogVoterConfig config = new LogVoterConfig(id, voters, simulation.toleratedDiskFailures(), simulation.timing());
+        replica = new LogReplica(config, recovered, random, now);
         applied = snapshot.index();
     }
 
