GroupPlan: a new controller waits for the first reports before it forms groups

Change: groups are formed or retired once all unassigned engines have reported or have not answered, or 500 ms after the first step. Why it holds: a query ends within 300 ms, answered or not.

--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -50,6 +50,8 @@
     private static final long CLOSE_TIMEOUT_MILLIS = 9_000;
     /** How long a head may drain when its members are needed for a better group, in milliseconds; remaining streams move. */
     private static final long RETIRE_TIMEOUT_MILLIS = 2_000;
+    /** How long a new controller waits for the first reports before it forms groups, in milliseconds; longer than a query. */
+    private static final long FIRST_REPORTS_MILLIS = 500;
     /** The number of epochs per term; the epoch is the term times this, plus a counter. */
     private static final long EPOCHS_PER_TERM = 1_000_000L;
 
@@ -64,6 +66,7 @@
     private final SpareWarmUp warmUp = new SpareWarmUp(this::nextEpoch);
     private final GroupFormation formation;
     private long epochCounter;
+    private long firstStepAt = -1;
     private List<GroupAction> actions = new ArrayList<>();
 
     /**
@@ -96,8 +99,10 @@
         }
         leaveLostHeads(engines);
         formation.updatePacking(now, spec, streams, engines);
-        formation.retireGroups(spec, freeEngines(engines), engines);
-        formation.formGroups(now, spec, () -> freeEngines(engines));
+        if (mayForm(now, engines)) {
+            formation.retireGroups(spec, freeEngines(engines), engines);
+            formation.formGroups(now, spec, () -> freeEngines(engines));
+        }
         joinNewGroups(now, engines);
         freeEngines(engines).values().forEach(spares -> actions.addAll(warmUp.step(spec, spares, engines.values())));
         return actions;
@@ -248,6 +253,14 @@
         return out;
     }
 
+    /** Groups are not formed from some of the free engines while a new controller waits for the reports of the others. */
+    private boolean mayForm(long now, Map<InstanceId, Engine> engines) {
+        if (firstStepAt < 0) {
+            firstStepAt = now;
+        }
+        return areReportsComplete(engines) || now - firstStepAt > FIRST_REPORTS_MILLIS;
+    }
+
     /** Returns whether all unassigned engines have reported their memberships, or do not answer. */
     private boolean areReportsComplete(Map<InstanceId, Engine> engines) {
         return unassignedEngines(engines).stream()
