Ends of targets are committed before they are acknowledged

Cause: the acknowledged end lived in the memory of one control instance. What the others learned of it changed their directories, not their feeds, so an entry that started took an older announcement from them. Refuted: a record that the entry had lost (the entry that goes on sends nothing).

Change: TargetEnds, a replicated state machine of tombstones by name and start. Each instance applies it to its directory, its feed and to what arrives later. It is applied locally before the commit, so that a failure domain that is cut off stops sending too.

Why it holds: the commit is on a quorum of disks, and every restarted instance applies it again.

--- a/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlNode.java
@@ -47,6 +47,8 @@
 import org.hallwall.serving.target.FeedMessage.ControlMember;
 import org.hallwall.serving.target.KnownConfiguration;
 import org.hallwall.serving.target.TargetDirectory;
+import org.hallwall.serving.target.TargetEnd;
+import org.hallwall.serving.target.TargetEnds;
 import org.hallwall.serving.target.TargetFeed;
 import org.hallwall.serving.target.TargetIds;
 import org.hallwall.serving.target.TargetRecord;
@@ -68,6 +70,7 @@
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, FeedFollower> followers = new ConcurrentHashMap<>();
     private final EntryCountRecord entryCount = new EntryCountRecord();
+    private final TargetEnds targetEnds = new TargetEnds();
     private final EntryReports entryReports;
     private final OpenRetryReports openRetries;
     private final LoadSummary loadSummary;
@@ -89,6 +92,7 @@
     private CrashService crashService;
     private EntryCountService entryCountService;
     private RetryLeaseService retryLeases;
+    private volatile TargetEndService targetEndService;
 
     /**
      * Creates a control instance; {@link #start(TargetGateway)} starts it.
@@ -140,7 +144,8 @@
                 new LogVoterConfig(
                         settings.self().instance(), members, settings.toleratedDiskLosses(), LogTiming.DEFAULT),
                 store,
-                new ControlStateMachine(configurationMachine, crashLedger, entryCount, feed::completeWaiting),
+                new ControlStateMachine(
+                        configurationMachine, crashLedger, entryCount, targetEnds, feed::completeWaiting),
                 (to, message) -> linkTo(to).send(message),
                 ticker,
                 new SecureRandom(),
@@ -150,6 +155,8 @@
                 voter, view, gateway, feed::setLost, settings.timing(), settings.mechanisms(), ticker);
         entryCountService = new EntryCountService(settings.self().instance(), voter, entryReports);
         retryLeases = new RetryLeaseService(voter, entryCountService, entryReports);
+        targetEndService = new TargetEndService(
+                settings.self().instance(), voter, targetEnds, this::linkTo, System::currentTimeMillis);
         crashService = new CrashService(voter, crashLedger, System::currentTimeMillis);
         configurationService = new ConfigurationService(
                 settings.self().instance(),
@@ -157,6 +164,7 @@
                 configurationMachine,
                 documents,
                 id -> settings.member(id).api());
+        targetEnds.onRecord(this::publishEnd);
         directory.onChange(r -> groupController.requestStep());
         voter.start();
         groupController.start();
@@ -166,29 +174,49 @@
     /**
      * Applies a target's announcement.
      *
-     * @param record the announcement
+     * @param announced the announcement
+     * @return whether it is acknowledged; one that the target leaves only once that is committed
      */
-    public void announce(TargetRecord record) {
+    public Mono<Boolean> announce(TargetRecord announced) {
+        TargetRecord record = targetEnds.apply(announced);
         boolean changed = feed.announce(record);
         directory.applyRecord(record);
         directory.recordHeartbeat(record.instance());
         if (changed) {
             LOG.infof("targets: %s", record);
         }
+        boolean leaving = announced.presence() == TargetRecord.Presence.LEAVING;
+        return leaving ? commitEnd(TargetEnd.of(announced)) : Mono.just(true);
     }
 
     /**
      * Applies a target's announcement that it shuts down.
      *
      * @param name the target's name
+     * @return whether it is acknowledged; only once it is committed
      */
-    public void leave(String name) {
+    public Mono<Boolean> leave(String name) {
         TargetRecord known = directory.findByName(name);
-        InstanceId instance = known == null ? TargetIds.id(name, 0) : known.instance();
+        // the start of an unknown target is not later than this request
+        long start = known == null ? System.currentTimeMillis() : TargetIds.startMillis(known.instance());
         LOG.infof("targets: %s shuts down, last announcement %s", name, known);
-        feed.recordShutdown(instance, known);
-        if (known != null) {
-            directory.applyRecord(known.with(Long.MAX_VALUE, TargetRecord.Presence.GONE));
+        TargetEnd end = TargetEnd.shutdown(name, start);
+        publishEnd(end);
+        return commitEnd(end);
+    }
+
+    private Mono<Boolean> commitEnd(TargetEnd end) {
+        TargetEndService service = targetEndService;
+        return service == null ? Mono.just(false) : service.commit(end);
+    }
+
+    /** Publishes the end of a target that is known here. The feed may hold an older announcement than the directory. */
+    private void publishEnd(TargetEnd end) {
+        TargetRecord known = directory.findByName(end.name());
+        if (known != null && end.includes(known.instance())) {
+            TargetRecord ended = end.applyTo(known);
+            feed.announce(ended);
+            directory.applyRecord(ended);
         }
     }
 
@@ -363,7 +391,7 @@
     }
 
     private void applyNews(FeedMessage.Changes news) {
-        news.records().forEach(directory::applyRecord);
+        news.records().forEach(r -> directory.applyRecord(targetEnds.apply(r)));
         news.heard().forEach(directory::recordHeartbeat);
     }
 
@@ -404,6 +432,9 @@
         if (message instanceof FeedMessage.CrashReport m && crashService != null) {
             return crashService.commitReport(m);
         }
+        if (message instanceof FeedMessage.EndReport m && targetEndService != null) {
+            return targetEndService.handleReport(m.end());
+        }
         if (message instanceof FeedMessage.TrialRequest m && crashService != null) {
             return crashService.requestTrial(m.digest());
         }
--- a/serving/src/main/java/org/hallwall/serving/control/ControlStateMachine.java
+++ b/serving/src/main/java/org/hallwall/serving/control/ControlStateMachine.java
@@ -19,31 +19,40 @@
 package org.hallwall.serving.control;
 
 import java.nio.ByteBuffer;
+import java.util.List;
 
 import org.hallwall.log.StateMachine;
 import org.hallwall.serving.crash.CrashCommand;
 import org.hallwall.serving.crash.CrashLedger;
+import org.hallwall.serving.target.TargetEnds;
+import org.hallwall.serving.target.TargetEnds.RecordedEnd;
 
 /**
- * The state machine of the control log: the configuration, the crash ledger and the number of entries.
+ * The state machine of the control log: the configuration, the crash ledger, the number of entries and the ends of targets.
  *
  * <p>A command of the ledger, and a snapshot that contains the ledger, begins with {@link #LEDGER_MARKER} in eight bytes. A command with the
- * number of entries begins with {@link #ENTRY_COUNT_MARKER}. All others contain the configuration only; its versions are not negative, so
+ * number of entries begins with {@link #ENTRY_COUNT_MARKER}, one with ends of targets with {@link #TARGET_END_MARKER}. All others contain the configuration only; its versions are not negative, so
  * logs written before the others were introduced can be read. A snapshot with a number of entries ends with it and
- * {@link #ENTRY_COUNT_TRAILER}; earlier versions ignore bytes after the ledger.
+ * {@link #ENTRY_COUNT_TRAILER}, before which the ends of targets may stand with {@link #TARGET_END_TRAILER}; earlier versions ignore bytes
+ * after the ledger.
  */
 final class ControlStateMachine implements StateMachine {
 
     private static final long LEDGER_MARKER = -1;
     private static final long ENTRY_COUNT_MARKER = -2;
+    private static final long TARGET_END_MARKER = -3;
     /** Marks the end of a snapshot with a number of entries; cannot be the end of a ledger by accident. */
     private static final long ENTRY_COUNT_TRAILER = 0x6877_656e_7463_6e74L;
 
+    /** Marks the end of the ends of targets in a snapshot. */
+    private static final long TARGET_END_TRAILER = 0x6877_7467_7465_6e64L;
+
     private static final int TRAILER_BYTES = Integer.BYTES + Long.BYTES;
 
     private final ConfigurationStateMachine configuration;
     private final CrashLedger ledger;
     private final EntryCountRecord entryCount;
+    private final TargetEnds ends;
     private final Runnable onChange;
 
     /**
@@ -52,16 +61,19 @@
      * @param configuration the state machine of the configuration
      * @param ledger the crash ledger
      * @param entryCount the number of entries
+     * @param ends the ends of targets
      * @param onChange called after each change of the ledger, on the log's thread
      */
     ControlStateMachine(
             ConfigurationStateMachine configuration,
             CrashLedger ledger,
             EntryCountRecord entryCount,
+            TargetEnds ends,
             Runnable onChange) {
         this.configuration = configuration;
         this.ledger = ledger;
         this.entryCount = entryCount;
+        this.ends = ends;
         this.onChange = onChange;
     }
 
@@ -82,6 +94,15 @@
                 .array();
     }
 
+    /** Encodes a command that records ends of targets. */
+    static byte[] targetEndCommand(List<RecordedEnd> recorded) {
+        byte[] bytes = TargetEndCodec.encode(recorded);
+        return ByteBuffer.allocate(Long.BYTES + bytes.length)
+                .putLong(TARGET_END_MARKER)
+                .put(bytes)
+                .array();
+    }
+
     @Override
     public Object apply(long index, byte[] command) {
         ByteBuffer in = ByteBuffer.wrap(command);
@@ -90,6 +111,10 @@
             entryCount.apply(in.getInt());
             return entryCount.count();
         }
+        if (marker == TARGET_END_MARKER) {
+            TargetEndCodec.decode(remainingBytes(in)).forEach(r -> ends.record(r.end(), r.at()));
+            return true;
+        }
         return marker == LEDGER_MARKER ? applyToLedger(in) : configuration.apply(index, command);
     }
 
@@ -110,16 +135,22 @@
     @Override
     public byte[] snapshot() {
         byte[] configurationState = configuration.snapshot();
-        if (ledger.version() == 0 && entryCount.count() == 0) {
+        List<RecordedEnd> recorded = ends.list();
+        if (ledger.version() == 0 && entryCount.count() == 0 && recorded.isEmpty()) {
             return configurationState;
         }
         byte[] ledgerState = ledger.snapshot();
-        int length = Long.BYTES + Integer.BYTES + configurationState.length + ledgerState.length;
+        byte[] endState = recorded.isEmpty() ? new byte[0] : TargetEndCodec.encode(recorded);
+        int endLength = recorded.isEmpty() ? 0 : endState.length + TRAILER_BYTES;
+        int length = Long.BYTES + Integer.BYTES + configurationState.length + ledgerState.length + endLength;
         ByteBuffer out = ByteBuffer.allocate(length + (entryCount.count() > 0 ? TRAILER_BYTES : 0))
                 .putLong(LEDGER_MARKER)
                 .putInt(configurationState.length)
                 .put(configurationState)
                 .put(ledgerState);
+        if (!recorded.isEmpty()) {
+            out.put(endState).putInt(endState.length).putLong(TARGET_END_TRAILER);
+        }
         if (entryCount.count() > 0) {
             out.putInt(entryCount.count()).putLong(ENTRY_COUNT_TRAILER);
         }
@@ -136,20 +167,33 @@
         byte[] configurationState = new byte[in.getInt()];
         in.get(configurationState);
         configuration.restore(index, configurationState);
-        entryCount.apply(removeTrailer(in));
+        entryCount.apply(removeTrailer(in, ENTRY_COUNT_TRAILER));
+        ends.restore(removeEnds(in));
         ledger.restore(remainingBytes(in));
         onChange.run();
     }
 
-    /** Returns the number of entries at the end of a snapshot and excludes it from the buffer; zero if there is none. */
-    private static int removeTrailer(ByteBuffer in) {
+    /** Returns the number at the end of a buffer and excludes it with its trailer; zero if there is none. */
+    private static int removeTrailer(ByteBuffer in, long trailer) {
         int start = in.limit() - TRAILER_BYTES;
-        if (start < in.position() || in.getLong(start + Integer.BYTES) != ENTRY_COUNT_TRAILER) {
+        if (start < in.position() || in.getLong(start + Integer.BYTES) != trailer) {
             return 0;
         }
-        int count = in.getInt(start);
+        int number = in.getInt(start);
+        in.limit(start);
+        return number;
+    }
+
+    private static List<RecordedEnd> removeEnds(ByteBuffer in) {
+        int length = removeTrailer(in, TARGET_END_TRAILER);
+        if (length == 0) {
+            return List.of();
+        }
+        byte[] bytes = new byte[length];
+        int start = in.limit() - length;
+        in.get(start, bytes);
         in.limit(start);
-        return count;
+        return TargetEndCodec.decode(bytes);
     }
 
     private static byte[] remainingBytes(ByteBuffer in) {
--- a/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
+++ b/serving/src/main/java/org/hallwall/serving/target/FeedMessage.java
@@ -61,7 +61,9 @@
                 .register(74, PermitRequest.class)
                 .register(75, Permits.class)
                 .register(76, EntryStatus.class)
-                .register(77, EntryList.class);
+                .register(77, EntryList.class)
+                .register(78, EndReport.class)
+                .register(79, EndReportResult.class);
     }
 
     /**
@@ -372,6 +374,20 @@
      */
     record CrashReportResult(boolean taken, long version) implements FeedMessage {}
 
+    /**
+     * Reports the end of a target to the leader, which commits it.
+     *
+     * @param end the end
+     */
+    record EndReport(TargetEnd end) implements FeedMessage {}
+
+    /**
+     * Answers the report of an end.
+     *
+     * @param committed whether it is committed; if not, the target may ask again
+     */
+    record EndReportResult(boolean committed) implements FeedMessage {}
+
     /**
      * Requests a trial of a held request.
      *
--- a/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetFeed.java
@@ -98,23 +98,6 @@
         }
     }
 
-    /**
-     * Records that a target shuts down.
-     *
-     * @param instance the target
-     * @param known the last record from other feeds, or null
-     */
-    public void recordShutdown(InstanceId instance, TargetRecord known) {
-        TargetRecord last;
-        synchronized (this) {
-            Announcement a = announcements.get(instance);
-            last = a == null ? known : a.record;
-        }
-        if (last != null) {
-            announce(last.with(Long.MAX_VALUE, TargetRecord.Presence.GONE));
-        }
-    }
-
     /**
      * Sets the targets that the group controller of this instance considers dead.
      *
--- a/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlStateMachineTest.java
@@ -28,9 +28,14 @@
 import org.hallwall.serving.crash.CrashLedger;
 import org.hallwall.serving.crash.CrashedTarget;
 import org.hallwall.serving.crash.Fingerprint;
+import org.hallwall.serving.target.TargetEnd;
+import org.hallwall.serving.target.TargetEnds;
+import org.hallwall.serving.target.TargetEnds.RecordedEnd;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests that configuration and crash ledger share a log independently, and that logs without a ledger can be read. */
 class ControlStateMachineTest {
@@ -41,6 +46,7 @@
     private ConfigurationStateMachine configuration;
     private CrashLedger ledger;
     private EntryCountRecord entryCount;
+    private TargetEnds ends;
     private ControlStateMachine machine;
 
     @BeforeEach
@@ -48,7 +54,8 @@
         configuration = new ConfigurationStateMachine(() -> {});
         ledger = new CrashLedger();
         entryCount = new EntryCountRecord();
-        machine = new ControlStateMachine(configuration, ledger, entryCount, notifications::incrementAndGet);
+        ends = new TargetEnds();
+        machine = new ControlStateMachine(configuration, ledger, entryCount, ends, notifications::incrementAndGet);
     }
 
     private void holdBackRequest() {
@@ -98,6 +105,32 @@
         Assertions.assertEquals(1, ledger.held().size());
     }
 
+    private void recordEnd(String name) {
+        RecordedEnd end = new RecordedEnd(TargetEnd.shutdown(name, 5), 1_000);
+        machine.apply(3, ControlStateMachine.targetEndCommand(List.of(end)));
+    }
+
+    /** Guards against an acknowledged end that is forgotten when all control instances restart. */
+    @ParameterizedTest
+    @CsvSource({"false, false", "false, true", "true, false", "true, true"})
+    void endsOfTargetsAreRestored(boolean withLedger, boolean withCount) {
+        machine.apply(1, ConfigurationStateMachine.command(7, COMPRESSED));
+        if (withLedger) {
+            holdBackRequest();
+        }
+        if (withCount) {
+            machine.apply(2, ControlStateMachine.entryCountCommand(9));
+        }
+        recordEnd("i-1");
+        recordEnd("i-2");
+        restart();
+        Assertions.assertEquals(7, configuration.current().version());
+        Assertions.assertEquals(withLedger ? 1 : 0, ledger.held().size());
+        Assertions.assertEquals(withCount ? 9 : 0, entryCount.count());
+        Assertions.assertTrue(ends.contains(TargetEnd.shutdown("i-1", 5)));
+        Assertions.assertTrue(ends.contains(TargetEnd.shutdown("i-2", 5)));
+    }
+
     /** Guards against voters of an earlier version that cannot read a command or a snapshot with the number of entries. */
     @Test
     void earlierVersionsIgnoreTheNumberOfEntries() {
--- a/serving/src/test/java/org/hallwall/serving/target/TargetFeedTest.java
+++ b/serving/src/test/java/org/hallwall/serving/target/TargetFeedTest.java
@@ -63,7 +63,7 @@
     @Test
     void announcementsAfterShutdownAreIgnored() {
         feed.announce(record(2, TargetRecord.Presence.SERVING));
-        feed.recordShutdown(new InstanceId("i-1"), null);
+        feed.announce(record(Long.MAX_VALUE, TargetRecord.Presence.GONE));
         Assertions.assertFalse(feed.announce(record(9, TargetRecord.Presence.SERVING)));
         FeedMessage.Changes news = feed.news(poll("", 0));
         Assertions.assertEquals(
