--- a/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
+++ b/serving/src/main/java/org/hallwall/serving/group/GroupPlan.java
@@ -20,7 +20,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -64,6 +63,7 @@
     private final Set<String> orderedToOpen = new HashSet<>();
 
     private final SpareWarmUp warmUp = new SpareWarmUp(this::nextEpoch);
+    private final FreeEngines free;
     private final GroupFormation formation;
     private long epochCounter;
     private long firstStepAt = -1;
@@ -77,6 +77,7 @@
      */
     public GroupPlan(long term, Mechanisms mechanisms) {
         this.term = term;
+        this.free = new FreeEngines(term * EPOCHS_PER_TERM, groups, endedGroups, orderedToOpen);
         this.formation = new GroupFormation(mechanisms, groups, this::nextEpoch, warmUp::recordAssigned);
     }
 
@@ -169,16 +170,17 @@
      * @return the free engines by fabric domain
      */
     public Map<String, List<Engine>> freeEngines(Map<InstanceId, Engine> engines) {
-        Set<InstanceId> assigned = assignedEngines();
-        Map<String, List<Engine>> out = new TreeMap<>();
-        for (Engine e : engines.values()) {
-            String domain = e.record().fabricDomain();
-            if (domain != null && e.isUsable() && !assigned.contains(e.id()) && isReleased(e, engines)) {
-                out.computeIfAbsent(domain, d -> new ArrayList<>()).add(e);
-            }
-        }
-        out.values().forEach(list -> list.sort(Comparator.comparing(Engine::id)));
-        return out;
+        return free.byDomain(engines);
+    }
+
+    /**
+     * Returns the engines that are in no planned group. Their memberships are verified before they are used.
+     *
+     * @param engines all engines of the service
+     * @return the engines that are not considered dead
+     */
+    List<Engine> unassignedEngines(Map<InstanceId, Engine> engines) {
+        return free.unassigned(engines);
     }
 
     // --- groups of a previous controller, or whose head has recovered
@@ -196,7 +198,7 @@
             if (!isHead || groups.containsKey(m.name()) || finishedGroups.contains(m.name())) {
                 continue;
             }
-            List<InstanceId> members = membersOf(m, engines.values());
+            List<InstanceId> members = FreeEngines.membersOf(m, engines.values());
             EngineModel model =
                     e.record().model() == null ? null : spec.model(e.record().model());
             if (model != null && members.size() == model.size()) {
@@ -212,7 +214,7 @@
 
     /** Orders heads whose members are unknown to leave, once no engine that may be one of them is left to report. */
     private void leaveIncompleteGroups(Map<InstanceId, Engine> engines) {
-        if (!areReportsComplete(engines)) {
+        if (!free.areReportsComplete(engines)) {
             return;
         }
         for (Engine e : engines.values()) {
@@ -221,56 +223,20 @@
             if (!isHead || groups.containsKey(m.name()) || finishedGroups.contains(m.name())) {
                 continue;
             }
-            boolean hasMembers = membersOf(m, engines.values()).size() > 1;
-            if (mayUseMembers(m) || hasMembers && mayStillOpen(m)) {
+            boolean hasMembers = FreeEngines.membersOf(m, engines.values()).size() > 1;
+            if (free.mayUseMembers(m) || hasMembers && free.mayStillOpen(m)) {
                 actions.add(new GroupAction(
                         e, new TargetOrder.Leave(m.name(), m.epoch()), "members of the group are unknown"));
             }
         }
     }
 
-    /** Returns whether the controller of an earlier term may have ordered a head to open, and the order may still be executed. */
-    private boolean mayStillOpen(GroupMembership head) {
-        return head.state() == GroupState.READY && head.epoch() < term * EPOCHS_PER_TERM;
-    }
-
-    /**
-     * Returns the engines that are in no planned group. Their memberships are verified before they are used.
-     *
-     * @param engines all engines of the service
-     * @return the engines that are not considered dead
-     */
-    List<Engine> unassignedEngines(Map<InstanceId, Engine> engines) {
-        Set<InstanceId> assigned = assignedEngines();
-        List<Engine> out = new ArrayList<>();
-        for (Engine e : engines.values()) {
-            boolean mayBeMember =
-                    e.record().fabricDomain() != null || e.record().group() != null;
-            if (mayBeMember && !e.lost() && !e.record().isOver() && !assigned.contains(e.id())) {
-                out.add(e);
-            }
-        }
-        return out;
-    }
-
     /** Groups are not formed from some of the free engines while a new controller waits for the reports of the others. */
     private boolean mayForm(long now, Map<InstanceId, Engine> engines) {
         if (firstStepAt < 0) {
             firstStepAt = now;
         }
-        return areReportsComplete(engines) || now - firstStepAt > FIRST_REPORTS_MILLIS;
-    }
-
-    /** Returns whether all unassigned engines have reported their memberships, or do not answer. */
-    private boolean areReportsComplete(Map<InstanceId, Engine> engines) {
-        return unassignedEngines(engines).stream()
-                .allMatch(e -> e.verification().isDecided());
-    }
-
-    private Set<InstanceId> assignedEngines() {
-        Set<InstanceId> out = new HashSet<>();
-        groups.values().forEach(g -> out.addAll(g.members()));
-        return out;
+        return free.areReportsComplete(engines) || now - firstStepAt > FIRST_REPORTS_MILLIS;
     }
 
     /**
@@ -286,16 +252,6 @@
         }
     }
 
-    private static List<InstanceId> membersOf(GroupMembership membership, Collection<Engine> engines) {
-        Map<Integer, InstanceId> byRank = new TreeMap<>();
-        for (Engine e : engines) {
-            if (membership.isSameGroup(e.record().group())) {
-                byRank.put(e.record().group().rank(), e.id());
-            }
-        }
-        return new ArrayList<>(byRank.values());
-    }
-
     // --- groups of the plan
 
     private void updateGroup(long now, EngineSpec spec, PlannedGroup g, Map<InstanceId, Engine> engines) {
@@ -409,46 +365,21 @@
         endedGroups.add(g.name());
     }
 
-    /** Returns whether a head may use its members, by its announcement and the orders sent since. */
-    private boolean mayUseMembers(GroupMembership head) {
-        return head.state().reservesMembers()
-                || head.state() == GroupState.READY && orderedToOpen.contains(head.name());
-    }
-
-    // --- free engines
-
-    private boolean isReleased(Engine e, Map<InstanceId, Engine> engines) {
-        GroupMembership m = e.record().group();
-        if (!e.isVerified()) {
-            return false;
-        }
-        if (m == null) {
-            return true;
-        }
-        if (m.rank() == 0) {
-            return !mayUseMembers(m);
-        }
-        Engine head = headOf(m, engines.values());
-        if (head != null && !head.lost()) {
-            GroupMembership h = head.record().group();
-            return head.isVerified() && !mayUseMembers(h) && !mayStillOpen(h);
-        }
-        return head == null && endedGroups.contains(m.name());
-    }
+    // --- members of lost heads
 
     /** Orders members of a lost head to leave before they join elsewhere: the head may be alive, and its group then breaks. */
     private void leaveLostHeads(Map<InstanceId, Engine> engines) {
-        if (!areReportsComplete(engines)) {
+        if (!free.areReportsComplete(engines)) {
             // the head may be one of them
             return;
         }
-        Set<InstanceId> assigned = assignedEngines();
+        Set<InstanceId> assigned = free.assigned();
         for (Engine e : engines.values()) {
             GroupMembership m = e.record().group();
             if (m == null || m.rank() == 0 || !e.isUsable() || assigned.contains(e.id())) {
                 continue;
             }
-            Engine head = headOf(m, engines.values());
+            Engine head = FreeEngines.headOf(m, engines.values());
             if ((head == null && !endedGroups.contains(m.name())) || (head != null && head.lost())) {
                 TargetOrder leave = new TargetOrder.Leave(m.name(), m.epoch());
                 actions.add(new GroupAction(e, leave, "its head is lost"));
@@ -456,16 +387,6 @@
         }
     }
 
-    private static Engine headOf(GroupMembership membership, Collection<Engine> engines) {
-        for (Engine e : engines) {
-            GroupMembership m = e.record().group();
-            if (membership.isSameGroup(m) && m.rank() == 0) {
-                return e;
-            }
-        }
-        return null;
-    }
-
     /**
      * Returns the packing by which groups are formed.
      *
--- a/serving/src/main/java/org/hallwall/serving/target/TargetEnds.java
+++ b/serving/src/main/java/org/hallwall/serving/target/TargetEnds.java
@@ -45,10 +45,10 @@
     /**
      * Sets the listener for new ends.
      *
-     * @param listener receives each end, on the log's thread
+     * @param consumer receives each end, on the log's thread
      */
-    public void onRecord(Consumer<TargetEnd> listener) {
-        this.listener = listener;
+    public void onRecord(Consumer<TargetEnd> consumer) {
+        listener = consumer;
     }
 
     /**
--- a/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
+++ b/serving/src/test/java/org/hallwall/serving/control/ControlNodeTest.java
@@ -249,6 +249,31 @@
         awaitReadBack("6 six");
     }
 
+    private static TargetRecord serving(String name) {
+        InstanceId id = new InstanceId(name);
+        NetAddress address = new NetAddress("10.0.0.1", 80);
+        return new TargetRecord(
+                id, 1, "s", address, "a", 4, TargetRecord.Presence.SERVING, null, null, List.of(), null);
+    }
+
+    private Set<Long> commitIndexes() {
+        return nodes.values().stream().map(n -> n.voter().state().commit()).collect(Collectors.toSet());
+    }
+
+    /** Guards against an end that is acknowledged by an instance whose restart forgets it. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void anInstanceAcknowledgesTheEndOfATargetOnceItIsCommitted(int n) {
+        accept("1 one");
+        nodes.get(n).announce(serving("i-1")).block(TIMEOUT);
+        Awaitility.await().atMost(TIMEOUT).until(() -> nodes.get(n).leave("i-1").block(TIMEOUT));
+        Awaitility.await().atMost(TIMEOUT).until(() -> commitIndexes().size() == 1);
+        close(n % 3 + 1);
+        close((n + 1) % 3 + 1);
+        Assertions.assertEquals(Boolean.TRUE, nodes.get(n).leave("i-1").block(TIMEOUT), "committed before");
+        Assertions.assertEquals(Boolean.FALSE, nodes.get(n).leave("i-2").block(TIMEOUT), "no quorum");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"x", ""})
     void invalidConfigurationsAreRejectedByAll(String text) {
